The whole path in separate processes, kept thin

Cause: there was nothing; a request has to go in at an entry and come back whole from an endpoint first. Change: entry, agent, operators' client, stand-ins and a load tool as separate processes on loopback. Attempts are recorded before the endpoint sees a byte, are bound to the agent's incarnation, and can be resolved and re-attached. A configuration is published by one conditional write of its head. Every node polls the platform and its peers for now; that is a baseline which does not carry the target. Conclusion: the path stands; origin draw is one copy a host, to be mended next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Everything runs on a fresh machine with Go, bash and curl.
+SHELL := /bin/bash
+TOOL := go tool -modfile=tools/go.mod
+BENCH := go test -run '^$$' -count=1
+
+.PHONY: all build demo test check race unit fuzz bench-entry bench-weights bench-config capacity
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo:
+	bash scripts/demo.sh
+
+# The whole of what CI runs.
+test: check unit demo bench-entry bench-weights bench-config
+
+check:
+	@out=$$($(TOOL) gofumpt -l cmd internal systemtest tools); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+	go vet ./...
+	$(TOOL) staticcheck ./...
+
+# Unit and failure tests under the race detector. KNOWN-RED.txt lists the failures that are passed over.
+unit:
+	@mkdir -p bin && (cd tools && go build -o ../bin/knownred ./knownred)
+	@go test -race -count=1 -timeout 8m -json ./... | bin/knownred KNOWN-RED.txt
+
+bench-entry bench-weights bench-config:
+	@bash scripts/$@.sh
+
+capacity:
+	@bash scripts/capacity.sh
--- /dev/null
+++ b/cmd/lovage-agent/main.go
@@ -0,0 +1,32 @@
+// Command lovage-agent runs in the slot of each endpoint host and is the only way to its back end.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/lovageglade/lovageglade/internal/agent"
+	"github.com/lovageglade/lovageglade/internal/settings"
+)
+
+type commandLine struct {
+	Settings string `required:"" help:"JSON file with the settings of this host." placeholder:"FILE"`
+	Check    bool   `help:"Check the settings, print what is wrong, and exit."`
+}
+
+func main() {
+	var line commandLine
+	parser := kong.Parse(&line, kong.Name("lovage-agent"), kong.Description("Admits requests to the local back end, keeps their outcomes, fetches weights and gives the engine its orders."))
+	config, err := settings.LoadAgent(line.Settings)
+	parser.FatalIfErrorf(err)
+	if line.Check {
+		return
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parser.FatalIfErrorf(agent.New(config).Run(ctx))
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,145 @@
+// Package agent is the process in the slot of each endpoint host: the only way to the local back end. It admits
+// attempts, keeps their outcomes, fetches and serves weights, and gives the engine its orders.
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovageglade/lovageglade/internal/admission"
+	"github.com/lovageglade/lovageglade/internal/attempt"
+	"github.com/lovageglade/lovageglade/internal/backend"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/node"
+	"github.com/lovageglade/lovageglade/internal/platform"
+	"github.com/lovageglade/lovageglade/internal/rpc"
+	"github.com/lovageglade/lovageglade/internal/settings"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
+	"github.com/lovageglade/lovageglade/internal/weights"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+// Agent is one agent process.
+type Agent struct {
+	settings    settings.Agent
+	incarnation core.Incarnation
+	logger      *log.Logger
+	engine      backend.Engine
+	origin      platform.Origin
+	objects     platform.Objects
+	node        *node.Runner
+	peers       *rpc.Client
+	table       *attempt.Table
+	gate        *admission.Gate
+	store       *weights.Store
+	loader      *loader
+	draining    atomic.Bool
+	running     conc.WaitGroup // attempts at the back end
+}
+
+// New returns an agent that has not started.
+func New(config settings.Agent) *Agent {
+	services := platform.NewClient(platform.Addresses{
+		Tables:  config.Platform.TablesAddress,
+		Objects: config.Platform.ObjectsAddress,
+		Hosts:   config.Platform.HostsAddress,
+		Origin:  config.Platform.OriginAddress,
+	})
+	a := &Agent{
+		settings:    config,
+		incarnation: core.NewIncarnation(),
+		logger:      telemetry.NewLogger(config.LogLevel, config.Host.ID),
+		engine:      backend.NewHTTP(config.BackendAddress),
+		origin:      services,
+		objects:     services,
+		peers:       rpc.NewClient(),
+		table:       attempt.NewTable(),
+		gate:        admission.NewGate(),
+		store:       weights.NewStore(config.WeightsBytes),
+	}
+	self := wire.Record{Host: config.Host, Incarnation: a.incarnation, Phase: wire.PhaseStarting}
+	a.node = node.NewRunner(self, core.RoleAgent, services, a.peers, a.logger)
+	a.loader = newLoader(a)
+	a.node.OnView = a.viewChanged
+	return a
+}
+
+// Run serves until the context ends, then shuts down gracefully: the requests under way end first, for at most the
+// drain time, and attempts can be resolved until the last of them has.
+func (a *Agent) Run(ctx context.Context) error {
+	control, data, err := a.settings.Listen()
+	if err != nil {
+		return err
+	}
+	server := rpc.Serve(control, a.methods())
+	defer server.Close()
+	app := a.routes()
+	inner, stop := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	tasks.Go(func() { a.node.Run(inner) })
+	tasks.Go(func() { a.loader.run(inner) })
+	tasks.Go(func() { a.sweep(inner) })
+	tasks.Go(func() { _ = app.Listener(data, fiber.ListenConfig{DisableStartupMessage: true}) })
+	a.logger.Info().Uint64("incarnation", uint64(a.incarnation)).Msg("agent started")
+	<-ctx.Done()
+	a.drain(inner, app)
+	stop()
+	tasks.Wait()
+	a.peers.Close()
+	a.logger.Info().Msg("agent stopped")
+	return nil
+}
+
+func (a *Agent) drain(ctx context.Context, app *fiber.App) {
+	a.draining.Store(true)
+	a.node.Loop.Post(ctx, node.DrainStarted{})
+	limit := time.Duration(a.settings.DrainS) * time.Second
+	ended := make(chan struct{})
+	go func() {
+		a.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(limit):
+		a.logger.Warn().Msg("drain time passed with attempts still running")
+	}
+	_ = app.ShutdownWithTimeout(limit)
+}
+
+func (a *Agent) sweep(ctx context.Context) {
+	ticker := time.NewTicker(time.Minute)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			a.table.Sweep(now)
+		}
+	}
+}
+
+// viewChanged takes over what a new configuration says of this host.
+func (a *Agent) viewChanged(view *node.View) {
+	if view.Snapshot == nil {
+		return
+	}
+	service := view.Snapshot.ServiceAt(a.settings.Host.ID)
+	if service == nil {
+		return
+	}
+	a.gate.SetBounds(admission.Bounds{Cold: service.Limits.Cold, Max: service.Limits.Max})
+	a.loader.want(view.Snapshot.VersionAt(a.settings.Host.ID))
+}
+
+func (a *Agent) load() wire.Load {
+	load := a.gate.Load()
+	load.Generation = a.node.View().Self.Generation
+	return load
+}
--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+// Snapshot is an accepted configuration under its generation, indexed for reading. It is immutable.
+type Snapshot struct {
+	Generation core.Generation
+	Digest     string
+	Raw        []byte
+	Set        Set
+
+	services map[core.Service]*Service
+	domains  map[core.FailureDomain]*FailureDomain
+	spaces   map[core.Workspace]*Workspace
+	versions map[string]*Version
+	rules    map[core.Service]*Rule
+}
+
+// Encode returns the bytes that are published for the set, and their SHA-256 digest in lower-case hex.
+func Encode(set Set) ([]byte, string, error) {
+	raw, err := json.Marshal(set)
+	if err != nil {
+		return nil, "", err
+	}
+	sum := sha256.Sum256(raw)
+	return raw, hex.EncodeToString(sum[:]), nil
+}
+
+// Decode checks published bytes against their digest and indexes them.
+func Decode(generation core.Generation, digest string, raw []byte) (*Snapshot, error) {
+	sum := sha256.Sum256(raw)
+	if hex.EncodeToString(sum[:]) != digest {
+		return nil, fault.New(fault.Corrupted, "the configuration's bytes do not match their digest", "fetch the snapshot again")
+	}
+	snapshot := &Snapshot{Generation: generation, Digest: digest, Raw: raw}
+	if err := json.Unmarshal(raw, &snapshot.Set); err != nil {
+		return nil, fault.Wrap(err, fault.BadConfig, "the published configuration cannot be read", "run this version's lovagectl config apply again")
+	}
+	snapshot.index()
+	return snapshot, nil
+}
+
+func (s *Snapshot) index() {
+	s.services = indexBy(s.Set.Services, func(item *Service) core.Service { return item.Name })
+	s.domains = indexBy(s.Set.FailureDomains, func(item *FailureDomain) core.FailureDomain { return item.Name })
+	s.spaces = indexBy(s.Set.Workspaces, func(item *Workspace) core.Workspace { return item.Name })
+	s.versions = indexBy(s.Set.Versions, func(item *Version) string { return item.Name })
+	s.rules = indexBy(s.Set.Rules, func(item *Rule) core.Service { return item.Service })
+}
+
+func indexBy[Key comparable, Item any](items []Item, key func(*Item) Key) map[Key]*Item {
+	index := make(map[Key]*Item, len(items))
+	for i := range items {
+		index[key(&items[i])] = &items[i]
+	}
+	return index
+}
+
+// Service returns the service of that name, or nil.
+func (s *Snapshot) Service(name core.Service) *Service { return s.services[name] }
+
+// Workspace returns the workspace of that name, or nil.
+func (s *Snapshot) Workspace(name core.Workspace) *Workspace { return s.spaces[name] }
+
+// DomainOut tells whether operators took the failure domain out, or never named it.
+func (s *Snapshot) DomainOut(name core.FailureDomain) bool {
+	domain := s.domains[name]
+	return domain == nil || domain.Out
+}
+
+// Region returns the region of the failure domain, or "".
+func (s *Snapshot) Region(name core.FailureDomain) core.Region {
+	domain := s.domains[name]
+	if domain == nil {
+		return ""
+	}
+	return domain.Region
+}
+
+// VersionOf returns the version that the service's rule asks for, or "" when no rule names one.
+func (s *Snapshot) VersionOf(service core.Service) core.VersionID {
+	rule := s.rules[service]
+	if rule == nil {
+		return ""
+	}
+	version := s.versions[rule.Version]
+	if version == nil {
+		return ""
+	}
+	return version.Manifest
+}
+
+// ServiceAt returns the service that the host slot serves, or nil.
+func (s *Snapshot) ServiceAt(host core.HostID) *Service {
+	for i := range s.Set.Services {
+		for _, endpoint := range s.Set.Services[i].Endpoints {
+			if endpoint.Host == host {
+				return &s.Set.Services[i]
+			}
+		}
+	}
+	return nil
+}
+
+// VersionAt returns the version that the host slot has to run, or "". In each failure domain the first endpoints of
+// the service, as many as its rule asks for, run the rule's version.
+func (s *Snapshot) VersionAt(host core.HostID) core.VersionID {
+	service := s.ServiceAt(host)
+	if service == nil || s.rules[service.Name] == nil {
+		return ""
+	}
+	rule := s.rules[service.Name]
+	placed := make(map[core.FailureDomain]int)
+	for _, endpoint := range service.Endpoints {
+		if placed[endpoint.FailureDomain] >= rule.Replicas[endpoint.FailureDomain] {
+			continue
+		}
+		placed[endpoint.FailureDomain]++
+		if endpoint.Host == host {
+			return s.VersionOf(service.Name)
+		}
+	}
+	return ""
+}
+
+// Allows tells whether the workspace may call the service.
+func (w *Workspace) Allows(service core.Service) bool {
+	if len(w.Services) == 0 {
+		return true
+	}
+	for _, allowed := range w.Services {
+		if allowed == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Idempotent tells whether the service's call may be run more than once. Model requests may; a call of a plain
+// service may only when the service names it so.
+func (s *Service) Idempotent(method, path string) bool {
+	if s.Kind == KindModel {
+		return true
+	}
+	longest := -1
+	idempotent := false
+	for _, call := range s.Calls {
+		if call.Method != method || !strings.HasPrefix(path, call.Path) || len(call.Path) <= longest {
+			continue
+		}
+		longest = len(call.Path)
+		idempotent = call.Idempotent
+	}
+	return idempotent
+}
--- /dev/null
+++ b/internal/rpc/server.go
@@ -0,0 +1,111 @@
+// Package rpc carries control messages between the system's processes: JSON-RPC 2.0 over TCP, one connection a pair
+// of processes, with a deadline on every call.
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+// Method answers one call. Its result is encoded as JSON; its error is sent as a refusal.
+type Method func(ctx context.Context, params json.RawMessage) (any, error)
+
+const codeRefused = -32000 // JSON-RPC code of an error that carries a refusal in its data
+
+// Server answers calls on a listener.
+type Server struct {
+	listener net.Listener
+	methods  map[string]Method
+	mu       sync.Mutex
+	open     map[*jsonrpc2.Conn]struct{}
+	tasks    conc.WaitGroup
+}
+
+// Serve answers the methods on the listener until Close.
+func Serve(listener net.Listener, methods map[string]Method) *Server {
+	server := &Server{listener: listener, methods: methods, open: make(map[*jsonrpc2.Conn]struct{})}
+	server.tasks.Go(server.accept)
+	return server
+}
+
+// Close ends the listener and every connection.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	for conn := range s.open {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.tasks.Wait()
+}
+
+func (s *Server) accept() {
+	for {
+		socket, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		stream := jsonrpc2.NewBufferedStream(socket, jsonrpc2.VarintObjectCodec{})
+		conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)))
+		s.track(conn)
+	}
+}
+
+func (s *Server) track(conn *jsonrpc2.Conn) {
+	s.mu.Lock()
+	s.open[conn] = struct{}{}
+	s.mu.Unlock()
+	s.tasks.Go(func() {
+		<-conn.DisconnectNotify()
+		s.mu.Lock()
+		delete(s.open, conn)
+		s.mu.Unlock()
+	})
+}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+	method, ok := s.methods[request.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + request.Method}
+	}
+	var params json.RawMessage
+	if request.Params != nil {
+		params = *request.Params
+	}
+	result, err := method(ctx, params)
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return result, nil
+}
+
+func refuse(err error) *jsonrpc2.Error {
+	refusal := fault.RefusalOf(err, fault.NotRun)
+	reply := &jsonrpc2.Error{Code: codeRefused, Message: refusal.Message}
+	reply.SetError(refusal)
+	return reply
+}
+
+// Handle adapts a function over typed messages to a Method.
+func Handle[Request, Answer any](serve func(context.Context, Request) (Answer, error)) Method {
+	return func(ctx context.Context, params json.RawMessage) (any, error) {
+		var request Request
+		if len(params) > 0 {
+			if err := json.Unmarshal(params, &request); err != nil {
+				return nil, fault.Wrap(err, fault.BadRequest, "the parameters are not what this method reads", "send the parameters that package wire defines")
+			}
+		}
+		return serve(ctx, request)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,144 @@
+package standin
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/lovageglade/lovageglade/internal/backend"
+	"github.com/lovageglade/lovageglade/internal/core"
+)
+
+// Engine stands in for a model engine. Its answer to a chat completion is a stream of numbered tokens.
+type Engine struct {
+	mu      sync.Mutex
+	state   backend.EngineState
+	faults  EngineFaults
+	peak    int
+	tokens  int
+	between time.Duration
+}
+
+// EngineFaults are the faults that a test switches on by PUT /faults.
+type EngineFaults struct {
+	IgnoreFences  bool `json:"ignore_fences"`   // an order with an old number is obeyed
+	LoadOther     bool `json:"load_other"`      // an order loads something else
+	CutAfter      int  `json:"cut_after"`       // tokens after which a stream ends without its marker, 0 for never
+	StallAfter    int  `json:"stall_after"`     // tokens after which a stream goes silent, 0 for never
+	CrashAboveRun int  `json:"crash_above_run"` // requests at once above which the engine fails them all, 0 for never
+}
+
+// NewEngine returns an engine that answers with the number of tokens, the given time apart.
+func NewEngine(tokens int, between time.Duration) *Engine {
+	return &Engine{tokens: tokens, between: between, state: backend.EngineState{Life: core.NewID()}}
+}
+
+// App returns the engine's HTTP interface.
+func (e *Engine) App() *fiber.App {
+	app := fiber.New(fiber.Config{BodyLimit: bodyLimit})
+	app.Put("/faults", e.putFaults)
+	app.Post("/admin/load", e.load)
+	app.Get("/admin/state", e.getState)
+	app.Post("/admin/restart", e.restart)
+	app.Post("/v1/chat/completions", e.complete)
+	return app
+}
+
+func (e *Engine) putFaults(c fiber.Ctx) error {
+	var faults EngineFaults
+	if err := json.Unmarshal(c.Body(), &faults); err != nil {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+	return nil
+}
+
+func (e *Engine) load(c fiber.Ctx) error {
+	number, err := strconv.ParseUint(c.Get("X-Fence"), 10, 64)
+	if err != nil {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	fence := core.FenceNumber(number)
+	sum := sha256.Sum256(c.Body())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if fence <= e.state.Fence && !e.faults.IgnoreFences {
+		return c.SendStatus(fiber.StatusConflict)
+	}
+	e.state.Fence = fence
+	e.state.Version = core.VersionID(strings.Clone(c.Get("X-Version")))
+	if e.faults.LoadOther {
+		e.state.Version = "other"
+	}
+	e.state.Contents = hex.EncodeToString(sum[:])
+	return nil
+}
+
+func (e *Engine) getState(c fiber.Ctx) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return c.JSON(e.state)
+}
+
+func (e *Engine) restart(fiber.Ctx) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = backend.EngineState{Life: core.NewID()}
+	return nil
+}
+
+func (e *Engine) complete(c fiber.Ctx) error {
+	version, faults, ok := e.enter()
+	if !ok {
+		return c.SendStatus(fiber.StatusServiceUnavailable)
+	}
+	c.Set(fiber.HeaderContentType, "text/event-stream")
+	return c.SendStreamWriter(func(w *bufio.Writer) {
+		defer e.leave()
+		for i := range e.tokens {
+			if faults.CutAfter > 0 && i == faults.CutAfter {
+				return
+			}
+			if faults.StallAfter > 0 && i == faults.StallAfter {
+				time.Sleep(time.Hour)
+			}
+			_, _ = fmt.Fprintf(w, "data: {\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t%d \"}}]}\n\n", version, i)
+			if w.Flush() != nil {
+				return
+			}
+			time.Sleep(e.between)
+		}
+		_, _ = w.WriteString("data: [DONE]\n\n")
+		_ = w.Flush()
+	})
+}
+
+func (e *Engine) enter() (core.VersionID, EngineFaults, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state.Version == "" {
+		return "", e.faults, false
+	}
+	if e.faults.CrashAboveRun > 0 && e.state.Running >= e.faults.CrashAboveRun {
+		return "", e.faults, false
+	}
+	e.state.Running++
+	e.peak = max(e.peak, e.state.Running)
+	return e.state.Version, e.faults, true
+}
+
+func (e *Engine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Running--
+}
--- /dev/null
+++ b/internal/standin/plain.go
@@ -0,0 +1,77 @@
+package standin
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+)
+
+// Plain stands in for a plain service with bookings. It counts how often each booking was made.
+type Plain struct {
+	mu       sync.Mutex
+	bookings map[string]int
+	faults   PlainFaults
+}
+
+// PlainFaults are the faults that a test switches on by PUT /faults.
+type PlainFaults struct {
+	DelayMS   int  `json:"delay_ms"`   // milliseconds before each answer
+	CutAnswer bool `json:"cut_answer"` // a booking is made and its answer is cut off
+}
+
+// Booking is the body and the answer of POST /bookings.
+type Booking struct {
+	ID    string `json:"id"`
+	Count int    `json:"count"` // how often the booking was made
+}
+
+// NewPlain returns a plain service without bookings.
+func NewPlain() *Plain { return &Plain{bookings: make(map[string]int)} }
+
+// App returns the service's HTTP interface.
+func (p *Plain) App() *fiber.App {
+	app := fiber.New(fiber.Config{BodyLimit: bodyLimit})
+	app.Put("/faults", p.putFaults)
+	app.Post("/bookings", p.book)
+	app.Get("/bookings", p.list)
+	app.Get("/profile", func(c fiber.Ctx) error { return c.SendString("profile\n") })
+	return app
+}
+
+func (p *Plain) putFaults(c fiber.Ctx) error {
+	var faults PlainFaults
+	if err := json.Unmarshal(c.Body(), &faults); err != nil {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = faults
+	return nil
+}
+
+func (p *Plain) book(c fiber.Ctx) error {
+	var booking Booking
+	if err := json.Unmarshal(c.Body(), &booking); err != nil {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	p.mu.Lock()
+	id := strings.Clone(booking.ID)
+	p.bookings[id]++
+	booking.Count = p.bookings[id]
+	faults := p.faults
+	p.mu.Unlock()
+	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	if faults.CutAnswer {
+		return c.RequestCtx().Conn().Close()
+	}
+	return c.JSON(booking)
+}
+
+func (p *Plain) list(c fiber.Ctx) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.JSON(p.bookings)
+}
--- /dev/null
+++ b/internal/weights/store.go
@@ -0,0 +1,91 @@
+package weights
+
+import (
+	"bytes"
+	"io"
+	"sync"
+
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+// Store keeps verified chunks in memory under their digests. It is safe for concurrent use.
+type Store struct {
+	mu       sync.RWMutex
+	chunks   map[Digest][]byte
+	held     int64
+	capacity int64
+}
+
+// NewStore returns a store that holds at most capacity bytes.
+func NewStore(capacity int64) *Store {
+	return &Store{chunks: make(map[Digest][]byte), capacity: capacity}
+}
+
+// Put verifies the chunk and keeps it. An error of kind Corrupted means that the bytes are not the chunk.
+func (s *Store) Put(digest Digest, raw []byte) error {
+	if Sum(raw) != digest {
+		return fault.New(fault.Corrupted, "a chunk's bytes do not match its digest "+string(digest), "fetch the chunk from another source")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.chunks[digest]; ok {
+		return nil
+	}
+	if s.held+int64(len(raw)) > s.capacity {
+		return fault.New(fault.Overloaded, "the memory for weights is full", "raise weights_bytes in the agent's settings or withdraw a version")
+	}
+	s.chunks[digest] = raw
+	s.held += int64(len(raw))
+	return nil
+}
+
+// Get returns the chunk, or nil when it is not held. The bytes must not be changed.
+func (s *Store) Get(digest Digest) []byte {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.chunks[digest]
+}
+
+// Missing returns the indices of the manifest's chunks that are not held.
+func (s *Store) Missing(manifest Manifest) []int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var missing []int
+	for i, digest := range manifest.Chunks {
+		if s.chunks[digest] == nil {
+			missing = append(missing, i)
+		}
+	}
+	return missing
+}
+
+// Reader returns the whole weights of the manifest, or an error of kind NotFound while chunks are missing.
+func (s *Store) Reader(manifest Manifest) (io.Reader, error) {
+	parts := make([]io.Reader, 0, len(manifest.Chunks))
+	for _, digest := range manifest.Chunks {
+		raw := s.Get(digest)
+		if raw == nil {
+			return nil, fault.New(fault.NotFound, "chunk "+string(digest)+" is not held", "wait until every chunk is verified")
+		}
+		parts = append(parts, bytes.NewReader(raw))
+	}
+	return io.MultiReader(parts...), nil
+}
+
+// Retain drops every chunk that none of the manifests names.
+func (s *Store) Retain(manifests []Manifest) {
+	wanted := make(map[Digest]bool)
+	for _, manifest := range manifests {
+		for _, digest := range manifest.Chunks {
+			wanted[digest] = true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for digest, raw := range s.chunks {
+		if !wanted[digest] {
+			s.held -= int64(len(raw))
+			delete(s.chunks, digest)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/node.go
@@ -0,0 +1,59 @@
+package wire
+
+import "github.com/lovageglade/lovageglade/internal/core"
+
+// MethodStatus asks a node for its record.
+const MethodStatus = "node.status"
+
+// Phase is a process's phase of life.
+type Phase string
+
+// The phases of life.
+const (
+	PhaseStarting Phase = "starting"
+	PhaseReady    Phase = "ready"
+	PhaseDraining Phase = "draining"
+)
+
+// Record is what a node says of itself. A higher Sequence of the same incarnation supersedes a lower one.
+type Record struct {
+	Host        core.Host        `json:"host"`
+	Incarnation core.Incarnation `json:"incarnation"`
+	Sequence    uint64           `json:"sequence"`
+	Phase       Phase            `json:"phase"`
+	Generation  core.Generation  `json:"generation"`
+	Versions    []VersionStatus  `json:"versions,omitempty"` // of an agent with a model engine
+}
+
+// VersionPhase is how far a host has come with a version.
+type VersionPhase string
+
+// The phases of a version on a host.
+const (
+	VersionFetching VersionPhase = "fetching"
+	VersionVerified VersionPhase = "verified"
+	VersionServing  VersionPhase = "serving"
+	VersionFailed   VersionPhase = "failed"
+)
+
+// VersionStatus is the state of one version on one host.
+type VersionStatus struct {
+	Version core.VersionID `json:"version"`
+	Phase   VersionPhase   `json:"phase"`
+	Have    int            `json:"have"`  // chunks verified
+	Total   int            `json:"total"` // chunks in the manifest, 0 while it is unknown
+	Reason  string         `json:"reason,omitempty"`
+}
+
+// MethodSnapshot asks a node for the configuration that it holds.
+const MethodSnapshot = "config.snapshot"
+
+// Snapshot is the answer of MethodSnapshot: the published bytes and their generation.
+type Snapshot struct {
+	Generation core.Generation `json:"generation"`
+	Digest     string          `json:"digest"` // SHA-256 of Raw in lower-case hex
+	Raw        []byte          `json:"raw"`
+}
+
+// PathChunks is the HTTP path of verified chunks on an agent's data address; the chunk's digest follows it.
+const PathChunks = "/v1/chunks/"
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,154 @@
+#!/usr/bin/env bash
+# Runs the whole path in separate processes on loopback: three failure domains, each with one entry, two model runners
+# and one plain service. Exits 0 only if every answer was whole. Ends by process id whatever it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+work=$(mktemp -d)
+net="127.$((RANDOM % 200 + 20))"
+pids=()
+cleanup() {
+  trap - EXIT
+  if [ ${#pids[@]} -gt 0 ]; then
+    kill -TERM "${pids[@]}" 2>/dev/null || true
+    wait "${pids[@]}" 2>/dev/null || true
+  fi
+  rm -rf "$work"
+}
+trap cleanup EXIT
+
+say() { printf '\n== %s\n' "$*"; }
+
+start() { # start LOG PROGRAM ARGS...
+  local log=$1
+  shift
+  "$@" >"$work/$log.log" 2>&1 &
+  pids+=($!)
+}
+
+await() { # await URL: until it answers with success, for at most 20 s
+  for _ in $(seq 200); do
+    if curl -fsS -o /dev/null --max-time 1 "$1" 2>/dev/null; then return; fi
+    sleep 0.1
+  done
+  echo "no answer from $1" >&2
+  tail -n 5 "$work"/*.log >&2
+  exit 1
+}
+
+say "building"
+go build -o "$work/bin/" ./cmd/...
+bin=$work/bin
+
+platform="$net.0.1:7000"
+cat >"$work/platform.json" <<JSON
+{"tables_address":"$platform","objects_address":"$platform","hosts_address":"$platform","origin_address":"$platform"}
+JSON
+export LOVAGE_PLATFORM="$work/platform.json"
+origin_rate=$((32 << 20))
+start platform "$bin/lovage-standin" --listen "$platform" platform --origin-rate $origin_rate
+await "http://$platform/stats"
+
+hosts=()
+entries=()
+books=()
+model_endpoints=()
+plain_endpoints=()
+
+host_json() { # host_json ID ROLE DOMAIN REGION ADDRESS
+  printf '{"id":"%s","role":"%s","failure_domain":"%s","region":"%s","data_address":"%s:7001","control_address":"%s:7002","state":"live"}' "$1" "$2" "$3" "$4" "$5" "$5"
+}
+
+add_entry() { # add_entry ID DOMAIN REGION ADDRESS
+  local host
+  host=$(host_json "$1" entry "$2" "$3" "$4")
+  hosts+=("$host")
+  entries+=("$4:7001")
+  printf '{"host":%s,"platform":%s,"seeds":[]}' "$host" "$(cat "$LOVAGE_PLATFORM")" >"$work/$1.json"
+  start "$1" "$bin/lovage-entry" --settings "$work/$1.json"
+}
+
+add_agent() { # add_agent ID DOMAIN REGION ADDRESS KIND
+  local host
+  host=$(host_json "$1" agent "$2" "$3" "$4")
+  hosts+=("$host")
+  printf '{"host":%s,"platform":%s,"seeds":[],"backend_address":"%s:7003","backend_kind":"%s"}' "$host" "$(cat "$LOVAGE_PLATFORM")" "$4" "$5" >"$work/$1.json"
+  start "$1-backend" "$bin/lovage-standin" --listen "$4:7003" "$5"
+  start "$1" "$bin/lovage-agent" --settings "$work/$1.json"
+}
+
+say "starting three failure domains"
+number=0
+for place in dobrogea muntenia moldova; do
+  number=$((number + 1))
+  domain=$place-a
+  add_entry "entry-$place" "$domain" "$place" "$net.$number.1"
+  for slot in 1 2; do
+    add_agent "runner-$place-$slot" "$domain" "$place" "$net.$number.1$slot" engine
+    model_endpoints+=("{\"host\":\"runner-$place-$slot\",\"failure_domain\":\"$domain\"}")
+  done
+  add_agent "bookings-$place" "$domain" "$place" "$net.$number.20" plain
+  plain_endpoints+=("{\"host\":\"bookings-$place\",\"failure_domain\":\"$domain\"}")
+  books+=("$net.$number.20:7003")
+done
+join() { local IFS=,; echo "$*"; }
+curl -fsS -X PUT --data "[$(join "${hosts[@]}")]" "http://$platform/hosts"
+
+say "adding a version of 8 MiB and applying a configuration"
+head -c $((8 << 20)) /dev/urandom >"$work/weights"
+version=$("$bin/lovagectl" version add "$work/weights" --model brief --object brief-v1 --chunk-bytes 262144)
+mkdir "$work/config"
+cat >"$work/config/all.json" <<JSON
+{
+  "failure_domains": [
+    {"name": "dobrogea-a", "region": "dobrogea"},
+    {"name": "muntenia-a", "region": "muntenia"},
+    {"name": "moldova-a", "region": "moldova"}
+  ],
+  "workspaces": [{"name": "constanta"}],
+  "models": [{"name": "brief"}],
+  "versions": [{"name": "brief-v1", "model": "brief", "manifest": "$version"}],
+  "services": [
+    {"name": "brief-models", "kind": "model", "endpoints": [$(join "${model_endpoints[@]}")],
+     "limits": {"cold": 4, "max": 32, "queue": 64}, "objectives": {"availability": 0.999}},
+    {"name": "bookings", "kind": "plain", "endpoints": [$(join "${plain_endpoints[@]}")],
+     "calls": [{"method": "GET", "path": "/profile", "idempotent": true}],
+     "limits": {"cold": 8, "max": 64, "queue": 64}, "objectives": {"availability": 0.999}}
+  ],
+  "rules": [{"name": "brief", "service": "brief-models", "version": "brief-v1",
+    "replicas": {"dobrogea-a": 2, "muntenia-a": 2, "moldova-a": 2}}]
+}
+JSON
+"$bin/lovagectl" config check "$work/config"
+"$bin/lovagectl" config apply "$work/config"
+replicas=$("$bin/lovagectl" wait --timeout 30s)
+echo "$replicas"
+for address in "${entries[@]}"; do await "http://$address/readyz"; done
+"$bin/lovagectl" status
+sleep 1 # entries learn of a serving runner within half a second
+origin=$(curl -fsS "http://$platform/stats" | sed 's/[^0-9]//g')
+
+load() { # load SECONDS
+  "$bin/lovage-load" --entries "$(join "${entries[@]}")" --workspace constanta --model-service brief-models \
+    --plain-service bookings --rate 40 --duration "$1s" --books "$(join "${books[@]}")" --strict
+}
+
+say "model requests and bookings"
+load 3
+
+say "taking moldova-a out and back under load"
+load 6 >"$work/change.out" 2>&1 &
+change=$!
+"$bin/lovagectl" domain out moldova-a
+"$bin/lovagectl" wait --timeout 10s
+"$bin/lovagectl" domain in moldova-a
+"$bin/lovagectl" wait --timeout 10s
+status=0
+wait "$change" || status=$?
+cat "$work/change.out"
+
+say "the three measures"
+echo "time to replicas: $replicas"
+awk -v bytes="$origin" 'BEGIN { printf "origin bytes: %d (%.2f copies for 6 replicas in 3 regions)\n", bytes, bytes / (8 * 1048576) }'
+echo "service during the change: $(tail -n 1 "$work/change.out")"
+exit $status
--- /dev/null
+++ b/systemtest/cluster_test.go
@@ -0,0 +1,323 @@
+// Package systemtest runs entries and agents as separate processes on loopback, against stand-ins within the test, and
+// brings failures about: kills, freezes, cuts, silent connections and outages of the platform.
+package systemtest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/operate"
+	"github.com/lovageglade/lovageglade/internal/rpc"
+	"github.com/lovageglade/lovageglade/internal/settings"
+	"github.com/lovageglade/lovageglade/internal/standin"
+	"github.com/lovageglade/lovageglade/internal/weights"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+const (
+	dataPort    = 7001
+	controlPort = 7002
+	backendPort = 7003
+	awaitLimit  = 30 * time.Second
+	awaitPause  = 20 * time.Millisecond
+)
+
+var (
+	binaries    string // folder of the daemons, built with the race detector
+	nextNetwork = os.Getpid() * 8
+)
+
+func TestMain(m *testing.M) {
+	code, err := buildAndRun(m)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+func buildAndRun(m *testing.M) (int, error) {
+	folder, err := os.MkdirTemp("", "lovage-bin")
+	if err != nil {
+		return 1, err
+	}
+	defer os.RemoveAll(folder)
+	binaries = folder
+	build := exec.Command("go", "build", "-race", "-o", folder+"/", "../cmd/lovage-entry", "../cmd/lovage-agent")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return 1, err
+	}
+	return m.Run(), nil
+}
+
+// cluster is a running system. Each of its hosts has an IP number of its own.
+type cluster struct {
+	t            *testing.T
+	network      string // the first three numbers of every address
+	lastHost     int
+	platform     *standin.Platform
+	platformAddr string
+	operator     *operate.Operator
+	peers        *rpc.Client
+	set          config.Set
+	hosts        []core.Host
+	nodes        map[core.HostID]*process
+	plains       map[core.HostID]*standin.Plain
+	engines      map[core.HostID]*standin.Engine
+}
+
+// process is one entry or agent.
+type process struct {
+	host     core.Host
+	settings string
+	binary   string
+	command  *exec.Cmd
+	log      *os.File
+	done     chan struct{}
+}
+
+// newCluster starts the platform's stand-in. Everything ends with the test.
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	nextNetwork++
+	c := &cluster{
+		t:       t,
+		network: fmt.Sprintf("127.%d.%d", 20+nextNetwork%200, nextNetwork/200%250),
+		nodes:   make(map[core.HostID]*process),
+		plains:  make(map[core.HostID]*standin.Plain),
+		engines: make(map[core.HostID]*standin.Engine),
+		peers:   rpc.NewClient(),
+	}
+	c.platform = standin.NewPlatform(0)
+	c.platformAddr = fmt.Sprintf("%s:%d", c.newIP(), dataPort)
+	c.serve(c.platformAddr, c.platform.App())
+	c.operator = operate.New(c.platformSettings(), os.Stderr)
+	t.Cleanup(c.stop)
+	return c
+}
+
+func (c *cluster) platformSettings() settings.Platform {
+	return settings.Platform{TablesAddress: c.platformAddr, ObjectsAddress: c.platformAddr, HostsAddress: c.platformAddr, OriginAddress: c.platformAddr}
+}
+
+func (c *cluster) newIP() string {
+	c.lastHost++
+	return fmt.Sprintf("%s.%d", c.network, c.lastHost)
+}
+
+// serve runs a stand-in's HTTP interface until the test ends.
+func (c *cluster) serve(address string, app *fiber.App) {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", address)
+	c.must(err)
+	go func() { _ = app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	c.t.Cleanup(func() { _ = app.ShutdownWithTimeout(100 * time.Millisecond) })
+}
+
+func (c *cluster) must(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) newHost(id core.HostID, role core.Role, domain core.FailureDomain) core.Host {
+	ip := c.newIP()
+	return core.Host{
+		ID:             id,
+		Role:           role,
+		FailureDomain:  domain,
+		Region:         core.Region(domain),
+		DataAddress:    fmt.Sprintf("%s:%d", ip, dataPort),
+		ControlAddress: fmt.Sprintf("%s:%d", ip, controlPort),
+		State:          core.HostLive,
+	}
+}
+
+// addEntry starts an entry. Change, if not nil, may alter its settings first.
+func (c *cluster) addEntry(id core.HostID, domain core.FailureDomain, change func(*settings.Entry)) *process {
+	c.t.Helper()
+	host := c.newHost(id, core.RoleEntry, domain)
+	own := settings.Entry{MaxBodyBytes: 1 << 20}
+	own.Daemon = settings.Daemon{Host: host, Platform: c.platformSettings(), DrainS: 10}
+	if change != nil {
+		change(&own)
+	}
+	return c.start("lovage-entry", own.Host, own)
+}
+
+// addAgent starts an agent before the back end at the address.
+func (c *cluster) addAgent(id core.HostID, domain core.FailureDomain, kind string, app *fiber.App, change func(*settings.Agent)) *process {
+	c.t.Helper()
+	host := c.newHost(id, core.RoleAgent, domain)
+	ip, _, _ := strings.Cut(host.DataAddress, ":")
+	own := settings.Agent{BackendAddress: fmt.Sprintf("%s:%d", ip, backendPort), BackendKind: kind, WeightsBytes: 64 << 20}
+	own.Daemon = settings.Daemon{Host: host, Platform: c.platformSettings(), DrainS: 10}
+	if change != nil {
+		change(&own)
+	}
+	c.serve(own.BackendAddress, app)
+	return c.start("lovage-agent", own.Host, own)
+}
+
+func (c *cluster) addPlain(id core.HostID, domain core.FailureDomain) *standin.Plain {
+	c.t.Helper()
+	c.plains[id] = standin.NewPlain()
+	c.addAgent(id, domain, "plain", c.plains[id].App(), nil)
+	return c.plains[id]
+}
+
+func (c *cluster) addRunner(id core.HostID, domain core.FailureDomain, tokens int, between time.Duration) *standin.Engine {
+	c.t.Helper()
+	c.engines[id] = standin.NewEngine(tokens, between)
+	c.addAgent(id, domain, "engine", c.engines[id].App(), nil)
+	return c.engines[id]
+}
+
+func (c *cluster) start(binary string, host core.Host, own any) *process {
+	c.t.Helper()
+	raw, err := json.Marshal(own)
+	c.must(err)
+	path := filepath.Join(c.t.TempDir(), string(host.ID)+".json")
+	c.must(os.WriteFile(path, raw, 0o600))
+	p := &process{host: host, settings: path, binary: filepath.Join(binaries, binary)}
+	c.nodes[host.ID] = p
+	c.hosts = append(c.hosts, host)
+	c.listHosts(c.hosts)
+	c.launch(p)
+	return p
+}
+
+func (c *cluster) launch(p *process) {
+	c.t.Helper()
+	logFile, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600)
+	c.must(err)
+	p.log = logFile
+	p.command = exec.Command(p.binary, "--settings", p.settings)
+	p.command.Stderr = logFile
+	p.command.Stdout = logFile
+	c.must(p.command.Start())
+	p.done = make(chan struct{})
+	go func(command *exec.Cmd, done chan struct{}) {
+		_ = command.Wait()
+		close(done)
+	}(p.command, p.done)
+}
+
+// signal sends a signal to a node: SIGKILL, SIGSTOP, SIGCONT or SIGTERM.
+func (c *cluster) signal(id core.HostID, signal syscall.Signal) {
+	c.t.Helper()
+	c.must(c.nodes[id].command.Process.Signal(signal))
+}
+
+// kill ends a node without warning.
+func (c *cluster) kill(id core.HostID) {
+	c.t.Helper()
+	c.signal(id, syscall.SIGKILL)
+	<-c.nodes[id].done
+}
+
+// relaunch starts a node that has ended again, under its old settings.
+func (c *cluster) relaunch(id core.HostID) {
+	c.t.Helper()
+	c.launch(c.nodes[id])
+}
+
+// listHosts replaces the platform's host list.
+func (c *cluster) listHosts(hosts []core.Host) {
+	c.t.Helper()
+	raw, err := json.Marshal(hosts)
+	c.must(err)
+	c.put(c.platformAddr, "/hosts", string(raw))
+}
+
+// put sends a body to a stand-in, such as its faults.
+func (c *cluster) put(address, path, body string) {
+	c.t.Helper()
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+path, strings.NewReader(body))
+	c.must(err)
+	answer, err := http.DefaultClient.Do(request)
+	c.must(err)
+	_ = answer.Body.Close()
+}
+
+// backendAddr returns the address of the back end behind an agent.
+func (c *cluster) backendAddr(id core.HostID) string {
+	ip, _, _ := strings.Cut(c.nodes[id].host.DataAddress, ":")
+	return fmt.Sprintf("%s:%d", ip, backendPort)
+}
+
+// addVersion uploads weights and returns their version.
+func (c *cluster) addVersion(model core.Model, name string, raw []byte, chunkBytes int64) config.Version {
+	c.t.Helper()
+	c.put(c.platformAddr, "/weights/"+name, string(raw))
+	encoded, version, err := weights.NewManifest(model, name, raw, chunkBytes).Encode()
+	c.must(err)
+	c.must(c.operator.Platform.PutObject(context.Background(), weights.ManifestFolder+string(version), encoded))
+	return config.Version{Name: name, Model: model, Manifest: version}
+}
+
+// apply publishes the cluster's set and waits until it is in force everywhere.
+func (c *cluster) apply() {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+	defer cancel()
+	publisher := config.Publisher{Tables: c.operator.Platform, Objects: c.operator.Platform}
+	_, err := publisher.Publish(ctx, c.set, core.NewID())
+	c.must(err)
+	c.must(c.operator.Wait(ctx))
+}
+
+// await waits until the condition holds.
+func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	limit := time.Now().Add(awaitLimit)
+	for !condition() {
+		if time.Now().After(limit) {
+			c.t.Fatalf("never came about: %s", what)
+		}
+		<-time.After(awaitPause)
+	}
+}
+
+// record asks a node what it says of itself.
+func (c *cluster) record(id core.HostID) (wire.Record, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var record wire.Record
+	err := c.peers.Call(ctx, c.nodes[id].host.ControlAddress, wire.MethodStatus, nil, &record)
+	return record, err
+}
+
+func (c *cluster) stop() {
+	for id, p := range c.nodes {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Signal(syscall.SIGKILL)
+		<-p.done
+		raw, _ := os.ReadFile(p.log.Name())
+		_ = p.log.Close()
+		if strings.Contains(string(raw), "DATA RACE") {
+			c.t.Errorf("%s has a data race:\n%s", id, raw)
+		}
+		if c.t.Failed() {
+			c.t.Logf("log of %s:\n%s", id, raw)
+		}
+	}
+	c.peers.Close()
+	c.operator.Peers.Close()
+}
