--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -14,10 +14,8 @@
 
 	"github.com/lovageglade/lovageglade/internal/attempt"
 	"github.com/lovageglade/lovageglade/internal/backend"
-	"github.com/lovageglade/lovageglade/internal/config"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
-	"github.com/lovageglade/lovageglade/internal/weights"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -65,35 +63,6 @@
 	return record, nil
 }
 
-func (a *Agent) admit(dispatch wire.Dispatch) error {
-	if a.draining.Load() {
-		return fault.New(fault.Draining, "the agent is shutting down", "send it to another endpoint")
-	}
-	snapshot := a.node.View().Snapshot
-	if snapshot == nil {
-		return fault.New(fault.NotReady, "the agent holds no configuration yet", "send it to another endpoint")
-	}
-	if err := a.permitted(snapshot, dispatch); err != nil {
-		return err
-	}
-	return a.gate.Enter()
-}
-
-// permitted refuses what the configuration that this agent holds forbids.
-func (a *Agent) permitted(snapshot *config.Snapshot, dispatch wire.Dispatch) error {
-	service := snapshot.ServiceAt(a.settings.Host.ID)
-	if service == nil || service.Name != dispatch.Service {
-		return fault.New(fault.Forbidden, "this host does not serve "+string(dispatch.Service), "read the configuration again")
-	}
-	if snapshot.DomainOut(a.settings.Host.FailureDomain) {
-		return fault.New(fault.Forbidden, "the failure domain is out of service", "send it to another failure domain")
-	}
-	if service.Kind == config.KindModel && dispatch.Version != a.loader.serving() {
-		return fault.New(fault.Forbidden, "the host does not serve the version "+string(dispatch.Version), "send it to a host that serves it")
-	}
-	return nil
-}
-
 func (a *Agent) run(dispatch wire.Dispatch, record *attempt.Record) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(dispatch.BudgetMS)*time.Millisecond)
 	defer cancel()
@@ -198,11 +167,3 @@
 	load := a.load()
 	return c.JSON(wire.Frame{Kind: wire.FrameRefusal, Attempt: id, Refusal: &refusal, Load: &load})
 }
-
-func (a *Agent) handleChunk(c fiber.Ctx) error {
-	raw := a.store.Get(weights.Digest(c.Params("digest")))
-	if raw == nil {
-		return c.SendStatus(fiber.StatusNotFound)
-	}
-	return c.Send(raw)
-}
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -75,22 +74,6 @@
 	return fault.NotRun, last
 }
 
-func (f *flow) pick() (attemptTarget, error) {
-	view := f.entry.node.View()
-	candidates := routing.Candidates(view, f.request.service, f.request.version)
-	f.entry.inFlight.fill(candidates)
-	chosen, ok := routing.Pick(candidates, routing.Query{
-		Local:   f.entry.settings.Host.FailureDomain,
-		Exclude: f.excluded,
-		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	})
-	if !ok {
-		err := fault.New(fault.NoEndpoint, "no endpoint of "+string(f.request.service.Name)+" takes the request now", "come back after the time in Retry-After")
-		return attemptTarget{}, fault.WithRetryAfter(err, 1)
-	}
-	return attemptTarget{id: core.AttemptID(core.NewID()), endpoint: chosen}, nil
-}
-
 // attempt runs one attempt to its end. The outcome is NotRun only when the agent said so.
 func (f *flow) attempt(target attemptTarget) (fault.Outcome, error) {
 	host := target.endpoint.Host
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,36 @@
+// Package retry bounds how many further attempts the entry makes, so that retries stay a small share of the traffic
+// when many endpoints fail at once.
+package retry
+
+import "sync"
+
+// Budget lets further attempts through as a share of first attempts. It is safe for concurrent use.
+type Budget struct {
+	mu     sync.Mutex
+	share  float64
+	most   float64
+	tokens float64
+}
+
+// NewBudget returns a full budget that earns share tokens with each first attempt and holds at most most tokens.
+func NewBudget(share, most float64) *Budget {
+	return &Budget{share: share, most: most, tokens: most}
+}
+
+// Earn counts a first attempt.
+func (b *Budget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.most, b.tokens+b.share)
+}
+
+// Spend tells whether a further attempt may be made, and counts it.
+func (b *Budget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
