Decide chunk, source and upload of weights in a reducer

Cause: every host drew its own copy from the origin and fetched only from peers that held a whole version.

--- a/internal/weights/manifest.go
+++ b/internal/weights/manifest.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"encoding/json"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
@@ -13,6 +15,9 @@
 // Digest is a SHA-256 digest in lower-case hex.
 type Digest string
 
+// Hash returns a short hash of the digest, for rendezvous hashing.
+func (d Digest) Hash() uint64 { return xxhash.Sum64String(string(d)) }
+
 // Manifest lists the chunks of a version. Its own digest is the version's identity.
 type Manifest struct {
 	Model      core.Model `json:"model"`
--- /dev/null
+++ b/internal/weights/plan/bitmap.go
@@ -0,0 +1,63 @@
+package plan
+
+import (
+	"encoding/binary"
+	"math/bits"
+)
+
+const (
+	wordBits  = 64
+	wordBytes = 8
+)
+
+// Bitmap is a set of chunk indices.
+type Bitmap []uint64
+
+// NewBitmap returns an empty set of indices below n.
+func NewBitmap(n int) Bitmap { return make(Bitmap, (n+wordBits-1)/wordBits) }
+
+// Has tells whether the set holds i.
+func (b Bitmap) Has(i int) bool { return b[i/wordBits]>>(i%wordBits)&1 == 1 }
+
+// Set adds i.
+func (b Bitmap) Set(i int) { b[i/wordBits] |= 1 << (i % wordBits) }
+
+// Clear removes i.
+func (b Bitmap) Clear(i int) { b[i/wordBits] &^= 1 << (i % wordBits) }
+
+// Count returns the number of indices held.
+func (b Bitmap) Count() int {
+	n := 0
+	for _, word := range b {
+		n += bits.OnesCount64(word)
+	}
+	return n
+}
+
+// Clone returns a copy.
+func (b Bitmap) Clone() Bitmap { return append(Bitmap(nil), b...) }
+
+// Bytes returns the set in little-endian order.
+func (b Bitmap) Bytes() []byte {
+	raw := make([]byte, 0, len(b)*wordBytes)
+	for _, word := range b {
+		raw = binary.LittleEndian.AppendUint64(raw, word)
+	}
+	return raw
+}
+
+// BitmapOf reads what Bytes returned for a set of indices below n. It returns nil for bytes of another length and
+// drops indices from n on.
+func BitmapOf(raw []byte, n int) Bitmap {
+	set := NewBitmap(n)
+	if len(raw) != len(set)*wordBytes {
+		return nil
+	}
+	for i := range set {
+		set[i] = binary.LittleEndian.Uint64(raw[i*wordBytes:])
+	}
+	if rest := n % wordBits; rest != 0 {
+		set[len(set)-1] &= 1<<rest - 1
+	}
+	return set
+}
--- /dev/null
+++ b/internal/weights/plan/events.go
@@ -0,0 +1,145 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/reduce"
+	"github.com/lovageglade/lovageglade/internal/weights"
+)
+
+// Peer is another host with an agent.
+type Peer struct {
+	Host          core.HostID
+	FailureDomain core.FailureDomain
+	Region        core.Region
+}
+
+// Version is a version that this host has to hold.
+type Version struct {
+	ID       core.VersionID
+	Manifest weights.Manifest
+	Held     Bitmap // chunks that are verified already
+}
+
+// Stamp is the time of an event, counted from the start of the process.
+type Stamp struct {
+	reduce.IsEvent
+	Now time.Duration
+}
+
+func (s Stamp) at() time.Duration { return s.Now }
+
+// Tick says what time it is.
+type Tick struct{ Stamp }
+
+// RosterChanged brings the other hosts that are believed live.
+type RosterChanged struct {
+	Stamp
+	Peers []Peer
+}
+
+// VersionsWanted replaces the versions that this host has to hold, in order of priority.
+type VersionsWanted struct {
+	Stamp
+	Versions []Version
+}
+
+// MapReceived brings the chunks that a peer says it holds. Asked tells an answer to this host's SendMap from a map
+// that the peer sent by its own choice.
+type MapReceived struct {
+	Stamp
+	Asked   bool
+	Host    core.HostID
+	Version core.VersionID
+	Have    Bitmap
+}
+
+// MapFailed says that a peer did not answer with its map.
+type MapFailed struct {
+	Stamp
+	Host core.HostID
+}
+
+// FetchID names one fetch of this process.
+type FetchID uint64
+
+// UploadID names one upload of this process.
+type UploadID uint64
+
+// Result says how a fetch ended, or what becomes of a peer's request for a chunk.
+type Result int
+
+// The results of fetches and uploads.
+const (
+	Verified    Result = iota // the chunk is verified and kept
+	Granted                   // the upload may start
+	Busy                      // too many uploads are under way
+	Spent                     // the uploads of the version have reached their bound
+	GivenOut                  // the chunk has been uploaded to as many hosts as may have it from here
+	Missing                   // the chunk is not held
+	Corrupt                   // the bytes are not the chunk
+	Stalled                   // no byte arrived for too long
+	Unreachable               // the source gave no answer
+)
+
+// FetchEnded says how a fetch ended.
+type FetchEnded struct {
+	Stamp
+	Fetch  FetchID
+	Result Result
+}
+
+// UploadAsked says that a peer asks for a chunk.
+type UploadAsked struct {
+	Stamp
+	Upload UploadID
+	Digest weights.Digest
+}
+
+// UploadEnded says that an upload that was granted has ended.
+type UploadEnded struct {
+	Stamp
+	Upload UploadID
+}
+
+// FetchChunk asks for a chunk. An empty Source stands for the origin. A Rate above 0 bounds the fetch, in bytes a
+// second.
+type FetchChunk struct {
+	reduce.IsEffect
+	Fetch   FetchID
+	Source  core.HostID
+	Version core.VersionID
+	Index   int
+	Rate    int64
+}
+
+// CancelFetch gives up a fetch. No FetchEnded is needed for it.
+type CancelFetch struct {
+	reduce.IsEffect
+	Fetch FetchID
+}
+
+// SendMap asks a peer for its map of the version and tells it this host's.
+type SendMap struct {
+	reduce.IsEffect
+	Host    core.HostID
+	Version core.VersionID
+	Have    Bitmap
+}
+
+// AnswerUpload answers UploadAsked.
+type AnswerUpload struct {
+	reduce.IsEffect
+	Upload UploadID
+	Result Result
+}
+
+// Progress says how far this host has come with a version. Remaining is an estimate, 0 when none can be given.
+type Progress struct {
+	reduce.IsEffect
+	Version   core.VersionID
+	Have      int
+	Total     int
+	Remaining time.Duration
+}
