Mend the capacity table, which had read no figures

Cause: benchmark names are read without their prefix, so that every row said "not measured". Change: series are keyed without the prefix; a test feeds benchmark output through to a row; agents are counted each.

--- a/systemtest/capacity_test.go
+++ b/systemtest/capacity_test.go
@@ -18,6 +18,7 @@
 	ticksPerSecond = 100 // of the processor times in /proc, fixed by the kernel's interface
 	measureTime    = 5 * time.Second
 	bytesPerMiB    = 1 << 20
+	capacityAgents = 4
 )
 
 // usage is what a process has used so far.
@@ -49,12 +50,12 @@
 	return value
 }
 
-// newCapacityCluster starts one entry before four runners whose answers have the number of tokens.
+// newCapacityCluster starts one entry before the runners whose answers have the number of tokens.
 func newCapacityCluster(t testing.TB, tokens int) *cluster {
 	c := newCluster(t)
 	c.addEntry("entry-a", "a", nil)
 	service := config.Service{Name: "models", Kind: config.KindModel, Limits: config.Limits{Cold: 500, Max: 500, Queue: 8}}
-	for i := range 4 {
+	for i := range capacityAgents {
 		id := core.HostID(fmt.Sprintf("runner-%d", i))
 		c.addRunner(id, "a", tokens, time.Millisecond)
 		service.Endpoints = append(service.Endpoints, config.Endpoint{Host: id, FailureDomain: "a"})
@@ -66,7 +67,7 @@
 		Models:         []config.Model{{Name: "brief"}},
 		Versions:       []config.Version{version},
 		Services:       []config.Service{service},
-		Rules:          []config.Rule{{Name: "brief", Service: "models", Version: "brief-v1", Replicas: map[core.FailureDomain]int{"a": 4}}},
+		Rules:          []config.Rule{{Name: "brief", Service: "models", Version: "brief-v1", Replicas: map[core.FailureDomain]int{"a": capacityAgents}}},
 	}
 	c.apply()
 	return c
@@ -84,8 +85,8 @@
 	}
 }
 
-// measure loads the cluster and reports the processor time that the entry and all agents took a second, and the
-// entry's resident memory.
+// measure loads the cluster and reports the processor time that the entry and each agent took a second, and
+// their resident memory.
 func (c *cluster) measure(b *testing.B, rate float64) {
 	b.Helper()
 	c.await("the entry answers", func() bool {
@@ -101,9 +102,9 @@
 		b.Fatalf("not every answer was whole: %+v", report)
 	}
 	b.ReportMetric((after[0].cpu-before[0].cpu)/seconds, "entry-cpu-s/s")
-	b.ReportMetric((after[1].cpu-before[1].cpu)/seconds, "agents-cpu-s/s")
+	b.ReportMetric((after[1].cpu-before[1].cpu)/seconds/capacityAgents, "agent-cpu-s/s")
 	b.ReportMetric(after[0].resident/bytesPerMiB, "entry-MiB")
-	b.ReportMetric(after[1].resident/4/bytesPerMiB, "agent-MiB")
+	b.ReportMetric(after[1].resident/capacityAgents/bytesPerMiB, "agent-MiB")
 }
 
 // usageOfAll returns the usage of the entry and the sum over the agents.
--- a/tools/capacity/fit_test.go
+++ b/tools/capacity/fit_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"math"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -29,3 +32,22 @@
 		}
 	}
 }
+
+func TestRenderReadsBenchmarkOutput(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "figures.txt")
+	output := "BenchmarkPick/x=1-10 1 5 ns/op 10 bytes\nBenchmarkPick/x=2-10 1 5 ns/op 20 bytes\nBenchmarkPick/x=4-10 1 5 ns/op 40 bytes\n"
+	if err := os.WriteFile(path, []byte(output), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	found, err := readFigures(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := render([]row{{Role: "entry", Bench: "BenchmarkPick", Metric: "bytes", At: 600, Unit: "B", Budget: 5000}}, found)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(table, "6000 B") || !strings.Contains(table, "**exceeds**") {
+		t.Errorf("the row lacks its value or its verdict:\n%s", table)
+	}
+}
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 
 	"golang.org/x/perf/benchfmt"
 )
@@ -60,7 +61,9 @@
 // figures holds the measured points by benchmark and metric.
 type figures map[string][]point
 
-func seriesKey(bench, metric string) string { return bench + "|" + metric }
+func seriesKey(bench, metric string) string {
+	return strings.TrimPrefix(bench, "Benchmark") + " " + metric
+}
 
 func readFigures(path string) (figures, error) {
 	file, err := os.Open(path)
--- a/tools/capacity/table.go
+++ b/tools/capacity/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 )
 
@@ -74,4 +75,15 @@
 	return "within"
 }
 
-func number(value float64) string { return fmt.Sprintf("%.4g", value) }
+// number prints a value with about four digits and without an exponent.
+func number(value float64) string {
+	size := math.Abs(value)
+	switch {
+	case size >= 1000:
+		return fmt.Sprintf("%.0f", value)
+	case size >= 10:
+		return fmt.Sprintf("%.1f", value)
+	default:
+		return fmt.Sprintf("%.3g", value)
+	}
+}
