A platform outage stops no model request

Cause: the promise had no test over real processes. Change: a test that takes the platform down, then slows its answers by 2 s, under model requests.

--- /dev/null
+++ b/systemtest/platform_test.go
@@ -0,0 +1,24 @@
+package systemtest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/load"
+)
+
+// TestPlatformOutageStopsNoModelRequest takes the platform away, then makes it slow, under model requests.
+func TestPlatformOutageStopsNoModelRequest(t *testing.T) {
+	c := newPathCluster(t)
+	c.warm()
+	for _, faults := range []string{`{"down":true}`, `{"delay_ms":2000}`, `{}`} {
+		c.put(c.platformAddr, "/faults", faults)
+		options := c.loadOptions(time.Second)
+		options.BookingShare = 0
+		report := load.Run(context.Background(), options)
+		if report.Whole != report.Sent {
+			t.Errorf("with the platform's faults %s not every answer was whole: %+v", faults, report)
+		}
+	}
+}
