Routing reads an index built once a view, in tiers, with affinity

Cause: candidates were listed anew for each request, the pick knew no limits, no prefix and no place but the local failure domain, and while a new version was brought onto the runners no runner of the older accepted version answered.

Ruled out: building the index on the control thread (a burst of status changes would build it hundreds of times; the first request after a change builds it once); the scan for the least loaded of all (entries that see the same late report choose the same endpoint); the whole mean kept by counters (a pick over one tier is short enough).

Change: filters, tiers, scores, affinity and the pick are files of their own. Each dispatch names the version that its endpoint serves.

Conclusion: equal to the naive picker in every drawn case (rapid, fixed seed).

--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -112,7 +112,7 @@
 		Generation:  r.generation,
 		Service:     r.service.Name,
 		Workspace:   r.workspace,
-		Version:     r.version,
+		Version:     target.endpoint.Version,
 		Method:      r.method,
 		Path:        r.path,
 		ContentType: r.contentType,
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -2,42 +2,34 @@
 
 import (
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/retry"
 	"github.com/lovageglade/lovageglade/internal/routing"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
-// inFlight counts this entry's attempts under way at each endpoint, and keeps the load that each last reported.
+// inFlight keeps what routing needs over all requests: the endpoints of the latest view, their loads, and the retry
+// budgets.
 type inFlight struct {
-	mu     sync.Mutex
-	counts map[core.HostID]int
-	loads  map[core.HostID]wire.Load
+	start    time.Time
+	meters   *routing.Meters
+	budgets  *retry.Budgets
+	index    atomic.Pointer[routing.Index]
+	building sync.Mutex
 }
 
 func newInFlight() *inFlight {
-	return &inFlight{counts: make(map[core.HostID]int), loads: make(map[core.HostID]wire.Load)}
+	return &inFlight{start: time.Now(), meters: routing.NewMeters(), budgets: retry.NewBudgets()}
 }
 
-func (f *inFlight) add(host core.HostID, change int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.counts[host] += change
-}
+// now returns the time on the clock of the load reports.
+func (f *inFlight) now() time.Duration { return time.Since(f.start) }
 
-func (f *inFlight) report(host core.HostID, load wire.Load) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.loads[host] = load
-}
+// add counts this entry's attempts at the endpoint.
+func (f *inFlight) add(host core.HostID, change int) { f.meters.Of(host).Add(change) }
 
-// fill sets what is known of the candidates' load.
-func (f *inFlight) fill(candidates []routing.Candidate) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i := range candidates {
-		host := candidates[i].Host.ID
-		candidates[i].InFlight = f.counts[host]
-		candidates[i].Reported = f.loads[host]
-	}
-}
+// report takes over the load that the endpoint reported.
+func (f *inFlight) report(host core.HostID, load wire.Load) { f.meters.Of(host).Report(load, f.now()) }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -45,6 +45,7 @@
 	idempotent  bool
 	priority    int
 	deadline    time.Time
+	prefix      uint64 // hash of the prompt's prefix, 0 for none
 }
 
 // parse checks a caller's request against the configuration. Nothing is dispatched for one that it refuses. Strings
--- /dev/null
+++ b/internal/routing/affinity.go
@@ -0,0 +1,60 @@
+package routing
+
+import "github.com/cespare/xxhash/v2"
+
+// prefixBytes is how much of a prompt's start decides its affinity.
+const prefixBytes = 1024
+
+// The bound on an affine endpoint's load, relative to the mean of its tier: 5/4.
+const (
+	boundNumerator   = 5
+	boundDenominator = 4
+)
+
+// PrefixHash returns the hash of a prompt's prefix. It is never 0, which stands for no prefix.
+func PrefixHash(prompt []byte) uint64 {
+	return max(1, xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)]))
+}
+
+// affine returns the endpoint that the prefix hashes onto by rendezvous, or the next one after it, while it has room
+// and its load is within the bound. It returns nil when neither is.
+func (t tier) affine(query Query) *Endpoint {
+	var first, second *Endpoint
+	var firstWeight, secondWeight uint64
+	load, limit := int64(0), int64(0)
+	for _, endpoint := range t {
+		load += endpoint.Meter.Load(query.Now)
+		limit += endpoint.limit(query.Now)
+		if len(query.Exclude) > 0 && query.Exclude[endpoint.Host.ID] {
+			continue
+		}
+		weight := mix(query.Prefix ^ endpoint.hash)
+		switch {
+		case weight > firstWeight:
+			second, secondWeight = first, firstWeight
+			first, firstWeight = endpoint, weight
+		case weight > secondWeight:
+			second, secondWeight = endpoint, weight
+		}
+	}
+	if first != nil && first.withinBound(load, limit, query) {
+		return first
+	}
+	if second != nil && second.withinBound(load, limit, query) {
+		return second
+	}
+	return nil
+}
+
+// withinBound tells whether the endpoint, with one request more, stays within the bound on its share of the tier's
+// load. Each endpoint's share is in proportion to its limit; one request is always within it.
+func (e *Endpoint) withinBound(tierLoad, tierLimit int64, query Query) bool {
+	if !e.hasRoom(query.Now) {
+		return false
+	}
+	with := e.Meter.Load(query.Now) + 1
+	if with == 1 {
+		return true
+	}
+	return with*tierLimit*boundDenominator <= (tierLoad+1)*e.limit(query.Now)*boundNumerator
+}
--- /dev/null
+++ b/internal/routing/affinity_test.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+func TestAffinityBringsOnePrefixToOneEndpointWhileIdle(t *testing.T) {
+	service := Build(newView(t, 50, nil), here, NewMeters()).Service("models")
+	seen := make(map[core.HostID]bool)
+	for seed := range uint64(100) {
+		seen[service.Pick(Query{Seed: seed, Prefix: 42}).Host.ID] = true
+	}
+	if len(seen) != 1 {
+		t.Errorf("one prefix went to %d endpoints", len(seen))
+	}
+}
+
+func TestAffinityYieldsAboveTheBound(t *testing.T) {
+	meters := NewMeters()
+	service := Build(newView(t, 50, nil), here, meters).Service("models")
+	for id := range map[core.HostID]bool{"h0": true, "h5": true, "h10": true, "h15": true, "h20": true, "h25": true, "h30": true, "h35": true, "h40": true, "h45": true} {
+		meters.Of(id).Report(wire.Load{Limit: 100}, 0)
+	}
+	counts := make(map[core.HostID]int)
+	for seed := range uint64(200) {
+		chosen := service.Pick(Query{Seed: seed, Prefix: 42})
+		chosen.Meter.Add(1)
+		counts[chosen.Host.ID]++
+	}
+	for id, count := range counts {
+		if count > 200/10*5/4+1 {
+			t.Errorf("%s got %d of 200 requests of one prefix over 10 endpoints", id, count)
+		}
+	}
+	if len(counts) != 10 {
+		t.Errorf("the load of one prefix went to %d of 10 endpoints", len(counts))
+	}
+}
+
+func TestAffinityMovesOnlyPrefixesOfALostEndpoint(t *testing.T) {
+	view := newView(t, 50, nil)
+	before := Build(view, here, NewMeters()).Service("models")
+	delete(view.Records, "h5")
+	after := Build(view, here, NewMeters()).Service("models")
+	for prefix := range uint64(500) {
+		query := Query{Prefix: prefix + 1}
+		was, is := before.Pick(query).Host.ID, after.Pick(query).Host.ID
+		if was != "h5" && was != is {
+			t.Fatalf("prefix %d moved from %s to %s", prefix, was, is)
+		}
+	}
+}
+
+func TestPrefixHashReadsOnlyThePrefix(t *testing.T) {
+	long := make([]byte, 2*prefixBytes)
+	hash := PrefixHash(long)
+	long[prefixBytes] = 1
+	if PrefixHash(long) != hash {
+		t.Error("bytes behind the prefix count")
+	}
+	long[0] = 1
+	if PrefixHash(long) == hash {
+		t.Error("bytes of the prefix do not count")
+	}
+}
--- /dev/null
+++ b/internal/routing/index.go
@@ -0,0 +1,96 @@
+package routing
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/node"
+)
+
+// Candidate is an endpoint that may run an attempt, and the life of its agent that the attempt is meant for.
+type Candidate struct {
+	Host        core.Host
+	Incarnation core.Incarnation
+	Version     core.VersionID // of a model: the version that it serves
+}
+
+// Endpoint is a candidate of an index, with what the pick compares. It is immutable but for its meter.
+type Endpoint struct {
+	Candidate
+	Meter     *Meter
+	coldLimit int64
+	hash      uint64
+}
+
+// Service holds the endpoints of one service that are in service, in tiers.
+type Service struct {
+	tiers [tierCount]tier
+}
+
+// Index holds the endpoints of a view. It is immutable.
+type Index struct {
+	View     *node.View
+	services map[core.Service]*Service
+}
+
+// Build returns the index of the view as an entry at here sees it.
+func Build(view *node.View, here Place, meters *Meters) *Index {
+	index := &Index{View: view, services: make(map[core.Service]*Service)}
+	if view.Snapshot == nil {
+		return index
+	}
+	for i := range view.Snapshot.Set.Services {
+		service := &view.Snapshot.Set.Services[i]
+		index.services[service.Name] = buildService(view, service, here, meters)
+	}
+	return index
+}
+
+// Service returns the endpoints of the service. It is never nil.
+func (i *Index) Service(name core.Service) *Service {
+	service := i.services[name]
+	if service == nil {
+		return &Service{}
+	}
+	return service
+}
+
+func buildService(view *node.View, service *config.Service, here Place, meters *Meters) *Service {
+	built := &Service{}
+	wanted := view.Snapshot.VersionOf(service.Name)
+	accepted := acceptedSet(view.Snapshot, service)
+	for _, endpoint := range service.Endpoints {
+		record, ok := inService(view, endpoint)
+		if !ok {
+			continue
+		}
+		candidate := Candidate{Host: record.Host, Incarnation: record.Incarnation}
+		if service.Kind == config.KindModel {
+			candidate.Version = serving(record, accepted)
+			if candidate.Version == "" {
+				continue
+			}
+		}
+		there := Place{FailureDomain: endpoint.FailureDomain, Region: view.Snapshot.Region(endpoint.FailureDomain)}
+		number := tierOf(here, there, service.Kind != config.KindModel || candidate.Version == wanted)
+		built.tiers[number] = append(built.tiers[number], &Endpoint{
+			Candidate: candidate,
+			Meter:     meters.ofLife(record.Host.ID, record.Incarnation),
+			coldLimit: int64(max(1, service.Limits.Cold)),
+			hash:      xxhash.Sum64String(string(record.Host.ID)),
+		})
+	}
+	return built
+}
+
+func acceptedSet(snapshot *config.Snapshot, service *config.Service) map[core.VersionID]bool {
+	accepted := make(map[core.VersionID]bool)
+	if service.Kind != config.KindModel {
+		return accepted
+	}
+	for _, version := range AcceptedVersions(snapshot, service.Name) {
+		accepted[version] = true
+	}
+	return accepted
+}
--- /dev/null
+++ b/internal/routing/naive_test.go
@@ -0,0 +1,156 @@
+package routing
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/node"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+// naiveCandidate is an endpoint as the naive picker sees it.
+type naiveCandidate struct {
+	id    core.HostID
+	tier  int
+	load  float64
+	limit float64
+}
+
+// naivePick is the pick written for plainness: it lists the candidates anew from the view for each request, sorts by
+// rendezvous weight and filters by copying. It returns "" when no endpoint is left.
+func naivePick(view *node.View, meters *Meters, query Query) core.HostID {
+	var fallback core.HostID
+	for number := range int(tierCount) {
+		all := keepNaive(naiveCandidates(view, meters, query.Now), func(c naiveCandidate) bool { return c.tier == number })
+		chosen, ok := naiveTierPick(all, query)
+		if ok && chosen.load < chosen.limit {
+			return chosen.id
+		}
+		if ok && fallback == "" {
+			fallback = chosen.id
+		}
+	}
+	return fallback
+}
+
+func naiveTierPick(all []naiveCandidate, query Query) (naiveCandidate, bool) {
+	left := keepNaive(all, func(c naiveCandidate) bool { return !query.Exclude[c.id] })
+	if len(left) == 0 {
+		return naiveCandidate{}, false
+	}
+	if query.Prefix != 0 {
+		for _, c := range naiveAffine(left, query.Prefix) {
+			if naiveWithinBound(c, all) {
+				return c, true
+			}
+		}
+	}
+	first := naiveFrom(all, query, firstDraw)[0]
+	second := naiveFrom(all, query, secondDraw)[0]
+	chosen := first
+	if (second.load+1)/second.limit < (first.load+1)/first.limit {
+		chosen = second
+	}
+	if chosen.load < chosen.limit {
+		return chosen, true
+	}
+	for _, c := range naiveFrom(all, query, searchDraw) {
+		if c.load < c.limit {
+			return c, true
+		}
+	}
+	return chosen, true
+}
+
+// naiveFrom returns the candidates that are not excluded, in turn from a drawn position.
+func naiveFrom(all []naiveCandidate, query Query, stream uint64) []naiveCandidate {
+	position := draw(query.Seed, stream, len(all))
+	turned := append(append([]naiveCandidate(nil), all[position:]...), all[:position]...)
+	return keepNaive(turned, func(c naiveCandidate) bool { return !query.Exclude[c.id] })
+}
+
+// naiveAffine returns the two candidates of the highest rendezvous weight.
+func naiveAffine(left []naiveCandidate, prefix uint64) []naiveCandidate {
+	sorted := append([]naiveCandidate(nil), left...)
+	weight := func(c naiveCandidate) uint64 { return mix(prefix ^ xxhash.Sum64String(string(c.id))) }
+	sort.SliceStable(sorted, func(i, j int) bool { return weight(sorted[i]) > weight(sorted[j]) })
+	return sorted[:min(2, len(sorted))]
+}
+
+func naiveWithinBound(c naiveCandidate, all []naiveCandidate) bool {
+	load, limit := 0.0, 0.0
+	for _, other := range all {
+		load += other.load
+		limit += other.limit
+	}
+	share := (load + 1) * c.limit / limit
+	return c.load < c.limit && (c.load == 0 || c.load+1 <= 1.25*share)
+}
+
+func naiveCandidates(view *node.View, meters *Meters, now time.Duration) []naiveCandidate {
+	service := view.Snapshot.Service("models")
+	var candidates []naiveCandidate
+	for _, endpoint := range service.Endpoints {
+		record, ok := view.Records[endpoint.Host]
+		if !ok || record.Phase != wire.PhaseReady || view.Hosts[endpoint.Host].State == core.HostLeaving || naiveOut(view, endpoint.FailureDomain) {
+			continue
+		}
+		version := naiveVersion(record)
+		if version == "" {
+			continue
+		}
+		c := naiveCandidate{id: endpoint.Host, tier: naiveTier(view, endpoint, version)}
+		c.load, c.limit = float64(meters.Of(c.id).Load(now)), float64(meters.Of(c.id).Limit(now))
+		if c.limit == 0 {
+			c.limit = float64(service.Limits.Cold)
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+func naiveOut(view *node.View, name core.FailureDomain) bool {
+	for _, domain := range view.Snapshot.Set.FailureDomains {
+		if domain.Name == name {
+			return domain.Out
+		}
+	}
+	return true
+}
+
+func naiveVersion(record wire.Record) core.VersionID {
+	for _, status := range record.Versions {
+		if status.Phase == wire.VersionServing && (status.Version == wantedVersion || status.Version == olderVersion) {
+			return status.Version
+		}
+	}
+	return ""
+}
+
+func naiveTier(view *node.View, endpoint config.Endpoint, version core.VersionID) int {
+	distance := 2
+	if view.Snapshot.Region(endpoint.FailureDomain) == here.Region {
+		distance = 1
+	}
+	if endpoint.FailureDomain == here.FailureDomain {
+		distance = 0
+	}
+	if version == wantedVersion {
+		return 2 * distance
+	}
+	return 2*distance + 1
+}
+
+func keepNaive(candidates []naiveCandidate, wanted func(naiveCandidate) bool) []naiveCandidate {
+	var kept []naiveCandidate
+	for _, candidate := range candidates {
+		if wanted(candidate) {
+			kept = append(kept, candidate)
+		}
+	}
+	return kept
+}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -1,87 +1,95 @@
 // Package routing chooses the endpoint of an attempt. It is made of small pieces, each of which takes one decision:
-// filters that leave candidates out, scores that compare them, and the pick itself.
+// filters that leave endpoints out, tiers that order the rest by distance, scores that compare two of them, prefix
+// affinity, and the pick itself. An index of the endpoints is built when a view changes; a pick reads it without locks
+// and without allocations.
 package routing
 
 import (
-	"math/rand/v2"
+	"time"
 
-	"github.com/lovageglade/lovageglade/internal/config"
 	"github.com/lovageglade/lovageglade/internal/core"
-	"github.com/lovageglade/lovageglade/internal/node"
-	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
-// Candidate is an endpoint that may run an attempt.
-type Candidate struct {
-	Host        core.Host
-	Incarnation core.Incarnation
-	InFlight    int       // attempts of this entry that are under way there
-	Reported    wire.Load // as the endpoint last said
-}
-
-// Query is what the pick depends on besides the candidates.
+// Query is what a pick depends on besides the index and the loads.
 type Query struct {
-	Local   core.FailureDomain   // the entry's own failure domain
 	Exclude map[core.HostID]bool // endpoints that this request was refused by
-	Random  *rand.Rand
+	Prefix  uint64               // hash of the prompt's prefix, 0 for none
+	Seed    uint64               // source of the pick's random draws
+	Now     time.Duration        // on the clock of the load reports
 }
 
-// Candidates lists the endpoints of the service that are in service: their failure domain is not out, their agent is
-// ready, and for a model their engine serves the version.
-func Candidates(view *node.View, service *config.Service, version core.VersionID) []Candidate {
-	var candidates []Candidate
-	for _, endpoint := range service.Endpoints {
-		record, ok := view.Records[endpoint.Host]
-		if !ok || record.Phase != wire.PhaseReady {
+// Pick chooses an endpoint: in the nearest tier that has one with room, the affine one of the prefix while its load is
+// bounded, else the less loaded of two drawn at random. When no tier has room it chooses in the nearest one, where the
+// request waits. It returns nil when no endpoint is left.
+func (s *Service) Pick(query Query) *Endpoint {
+	var fallback *Endpoint
+	for _, tier := range s.tiers {
+		chosen := tier.pick(query)
+		if chosen == nil {
 			continue
 		}
-		if view.Snapshot.DomainOut(endpoint.FailureDomain) || view.Hosts[endpoint.Host].State == core.HostLeaving {
-			continue
+		if chosen.hasRoom(query.Now) {
+			return chosen
 		}
-		if service.Kind == config.KindModel && !serves(record, version) {
-			continue
+		if fallback == nil {
+			fallback = chosen
 		}
-		candidates = append(candidates, Candidate{Host: record.Host, Incarnation: record.Incarnation})
 	}
-	return candidates
+	return fallback
 }
 
-func serves(record wire.Record, version core.VersionID) bool {
-	for _, status := range record.Versions {
-		if status.Version == version && status.Phase == wire.VersionServing {
-			return true
+// pick returns an endpoint with room if the tier has one, else the less loaded of two, or nil.
+func (t tier) pick(query Query) *Endpoint {
+	if len(t) == 0 {
+		return nil
+	}
+	if query.Prefix != 0 {
+		if chosen := t.affine(query); chosen != nil {
+			return chosen
 		}
 	}
-	return false
+	chosen := t.lessLoadedOfTwo(query)
+	if chosen == nil || chosen.hasRoom(query.Now) {
+		return chosen
+	}
+	if spare := t.firstWithRoom(query); spare != nil {
+		return spare
+	}
+	return chosen
 }
 
-// Pick chooses one candidate: of the local failure domain while it has any, the less loaded of two drawn at random.
-// It returns false when no candidate is left.
-func Pick(candidates []Candidate, query Query) (Candidate, bool) {
-	left := keep(candidates, func(c Candidate) bool { return !query.Exclude[c.Host.ID] })
-	local := keep(left, func(c Candidate) bool { return c.Host.FailureDomain == query.Local })
-	if len(local) > 0 {
-		left = local
-	}
-	if len(left) == 0 {
-		return Candidate{}, false
+func (t tier) lessLoadedOfTwo(query Query) *Endpoint {
+	first := t.from(draw(query.Seed, firstDraw, len(t)), query.Exclude)
+	second := t.from(draw(query.Seed, secondDraw, len(t)), query.Exclude)
+	if first == nil || second == nil {
+		return nil
 	}
-	first := left[query.Random.IntN(len(left))]
-	second := left[query.Random.IntN(len(left))]
-	if load(second) < load(first) {
-		return second, true
+	if second.lessLoaded(first, query.Now) {
+		return second
 	}
-	return first, true
+	return first
 }
 
-func keep(candidates []Candidate, wanted func(Candidate) bool) []Candidate {
-	var kept []Candidate
-	for _, candidate := range candidates {
-		if wanted(candidate) {
-			kept = append(kept, candidate)
+// from returns the first endpoint at or after the position that is not excluded, or nil.
+func (t tier) from(position int, exclude map[core.HostID]bool) *Endpoint {
+	for i := range t {
+		endpoint := t[(position+i)%len(t)]
+		if len(exclude) == 0 || !exclude[endpoint.Host.ID] {
+			return endpoint
 		}
 	}
-	return kept
+	return nil
 }
 
-func load(c Candidate) int { return c.InFlight + c.Reported.Running + c.Reported.Queued }
+// firstWithRoom searches from a random position, so that entries which find the tier nearly full do not all choose
+// the same endpoint.
+func (t tier) firstWithRoom(query Query) *Endpoint {
+	position := draw(query.Seed, searchDraw, len(t))
+	for i := range t {
+		endpoint := t[(position+i)%len(t)]
+		if endpoint.hasRoom(query.Now) && !query.Exclude[endpoint.Host.ID] {
+			return endpoint
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/routing/pick_test.go
@@ -0,0 +1,207 @@
+package routing
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/node"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+const targetRunners = 600
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261203")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// drawView draws a view in which some runners are away, leaving, draining, out or on other versions.
+func drawView(t *rapid.T, tb testing.TB) *node.View {
+	n := rapid.IntRange(0, 12).Draw(t, "runners")
+	view := newView(tb, n, func(set *config.Set) {
+		for i := range set.FailureDomains {
+			set.FailureDomains[i].Out = rapid.IntRange(0, 3).Draw(t, "out") == 0
+		}
+	})
+	for i := range n {
+		id := view.Snapshot.Set.Services[0].Endpoints[i].Host
+		switch rapid.IntRange(0, 9).Draw(t, "fate") {
+		case 0:
+			delete(view.Records, id)
+		case 1:
+			host := view.Hosts[id]
+			host.State = core.HostLeaving
+			view.Hosts[id] = host
+		case 2:
+			alter(view, id, func(r *wire.Record) { r.Phase = wire.PhaseDraining })
+		case 3:
+			alter(view, id, func(r *wire.Record) { r.Versions[0].Version = olderVersion })
+		case 4:
+			alter(view, id, func(r *wire.Record) { r.Versions[0].Version = otherModel })
+		case 5:
+			alter(view, id, func(r *wire.Record) { r.Versions[0].Phase = wire.VersionVerified })
+		}
+	}
+	return view
+}
+
+func TestPickDiffersInNothingFromTheNaiveOne(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		view := drawView(rt, t)
+		meters := NewMeters()
+		index := Build(view, here, meters)
+		for range rapid.IntRange(1, 30).Draw(rt, "picks") {
+			query := Query{
+				Seed:    rapid.Uint64().Draw(rt, "seed"),
+				Prefix:  rapid.Uint64Range(0, 2).Draw(rt, "prefix"),
+				Now:     time.Duration(rapid.IntRange(0, 20).Draw(rt, "now")) * time.Second,
+				Exclude: make(map[core.HostID]bool),
+			}
+			for _, endpoint := range view.Snapshot.Set.Services[0].Endpoints {
+				id := endpoint.Host
+				load := wire.Load{Running: rapid.IntRange(0, 9).Draw(rt, "running"), Limit: rapid.IntRange(0, 8).Draw(rt, "limit")}
+				switch rapid.IntRange(0, 9).Draw(rt, "news") {
+				case 0:
+					meters.Of(id).Report(load, query.Now)
+				case 1:
+					query.Exclude[id] = true
+				}
+			}
+			var got core.HostID
+			if chosen := index.Service("models").Pick(query); chosen != nil {
+				got = chosen.Host.ID
+				chosen.Meter.Add(1)
+			}
+			before := meters.Of(got)
+			before.Add(-1)
+			want := naivePick(view, meters, query)
+			before.Add(1)
+			if got != want {
+				rt.Fatalf("picked %q, the naive picker %q", got, want)
+			}
+		}
+	})
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	service := Build(newView(t, targetRunners, nil), here, NewMeters()).Service("models")
+	for name, prefix := range map[string]uint64{"two choices": 0, "affinity": 7} {
+		seed := uint64(0)
+		allocations := testing.AllocsPerRun(100, func() {
+			seed++
+			service.Pick(Query{Seed: seed, Prefix: prefix})
+		})
+		if allocations != 0 {
+			t.Errorf("%s: %v allocations a pick", name, allocations)
+		}
+	}
+}
+
+// pickMany picks n times, each pick adding to the load, and counts the picks of each failure domain.
+func pickMany(service *Service, meters *Meters, n int, query Query) map[core.FailureDomain]int {
+	counts := make(map[core.FailureDomain]int)
+	for range n {
+		query.Seed++
+		chosen := service.Pick(query)
+		meters.Of(chosen.Host.ID).Add(1)
+		counts[chosen.Host.FailureDomain]++
+	}
+	return counts
+}
+
+func TestPickStaysLocalUntilFullThenSpillsToItsRegionFirst(t *testing.T) {
+	meters := NewMeters()
+	service := Build(newView(t, 50, nil), here, meters).Service("models")
+	const domainHolds = 10 * coldLimit
+	if counts := pickMany(service, meters, domainHolds, Query{}); counts["d0"] != domainHolds {
+		t.Errorf("not all stayed local: %v", counts)
+	}
+	if counts := pickMany(service, meters, 2*domainHolds, Query{Seed: 1000}); counts["d1"] != domainHolds || counts["d2"] != domainHolds {
+		t.Errorf("not all spilled to the region: %v", counts)
+	}
+	if counts := pickMany(service, meters, 2*domainHolds, Query{Seed: 2000}); counts["d3"]+counts["d4"] != 2*domainHolds {
+		t.Errorf("not all spilled to the other region: %v", counts)
+	}
+	if counts := pickMany(service, meters, 5, Query{Seed: 3000}); counts["d0"] != 5 {
+		t.Errorf("requests above all limits do not wait locally: %v", counts)
+	}
+}
+
+func TestPickSpillsWhenTheLocalFailureDomainIsOut(t *testing.T) {
+	meters := NewMeters()
+	view := newView(t, 50, func(set *config.Set) { set.FailureDomains[0].Out = true })
+	counts := pickMany(Build(view, here, meters).Service("models"), meters, 20, Query{})
+	if counts["d1"]+counts["d2"] != 20 {
+		t.Errorf("not all spilled to the region: %v", counts)
+	}
+}
+
+func TestPickGoesByLimitsOfEndpoints(t *testing.T) {
+	meters := NewMeters()
+	service := Build(newView(t, 10, nil), here, meters).Service("models") // h0 and h5 are local
+	meters.Of("h0").Report(wire.Load{Limit: 30}, 0)
+	meters.Of("h5").Report(wire.Load{Limit: 3}, 0)
+	pickMany(service, meters, 22, Query{})
+	if cold := meters.Of("h5").Load(0); cold > 3 {
+		t.Errorf("the cold endpoint got %d requests above its limit of 3", cold)
+	}
+	if warm := meters.Of("h0").Load(0); warm < 19 {
+		t.Errorf("the warm endpoint got %d requests", warm)
+	}
+}
+
+func benchmarkQuery(i int, prefixes bool) Query {
+	query := Query{Seed: uint64(i)}
+	if prefixes {
+		query.Prefix = uint64(i%64 + 1)
+	}
+	return query
+}
+
+func benchmarkPick(b *testing.B, prefixes bool) {
+	service := Build(newView(b, targetRunners, nil), here, NewMeters()).Service("models")
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		service.Pick(benchmarkQuery(i, prefixes))
+	}
+}
+
+func BenchmarkPick(b *testing.B)         { benchmarkPick(b, false) }
+func BenchmarkPickAffinity(b *testing.B) { benchmarkPick(b, true) }
+
+// BenchmarkPickFull picks when no endpoint has room, which searches every tier.
+func BenchmarkPickFull(b *testing.B) {
+	meters := NewMeters()
+	service := Build(newView(b, targetRunners, nil), here, meters).Service("models")
+	pickMany(service, meters, targetRunners*coldLimit, Query{})
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		service.Pick(benchmarkQuery(i, true))
+	}
+}
+
+func BenchmarkPickNaive(b *testing.B) {
+	view := newView(b, targetRunners, nil)
+	meters := NewMeters()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		naivePick(view, meters, benchmarkQuery(i, true))
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	view := newView(b, targetRunners, nil)
+	meters := NewMeters()
+	b.ReportAllocs()
+	for b.Loop() {
+		Build(view, here, meters)
+	}
+}
