Admission: a limit that is found, a short queue and fair shares

Cause: the gate had no queue, knew no priority, deadline or workspace, raised its limit whether or not service times held, and turned cold when a configuration changed its bounds.

Ruled out: judging by the longest or the single best first-byte time (long prompts among short ones would cut the limit for ever; the mean of 16 answers against the lowest such mean does not); timing whole answers (their length is the caller's); a refusal for one lost connection that turns cold (three failures in a row do); priority across workspaces without bound (a workspace that marks everything urgent starves others: it leads by at most four grants).

The agent admits within the attempt's own thread, so that a waiting attempt still sends beats, and asks the configuration again after the wait. The engine is wrapped so that each answer's first byte, each failure and each life that it reports reach the gate.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -64,6 +64,7 @@
 	}
 	self := wire.Record{Host: config.Host, Incarnation: a.incarnation, Phase: wire.PhaseStarting}
 	a.node = node.NewRunner(self, core.RoleAgent, services, a.peers, a.logger)
+	a.engine = observed{Engine: a.engine, gate: a.gate}
 	a.loader = newLoader(a)
 	a.node.OnView = a.viewChanged
 	return a
@@ -134,7 +135,7 @@
 	if service == nil {
 		return
 	}
-	a.gate.SetBounds(admission.Bounds{Cold: service.Limits.Cold, Max: service.Limits.Max})
+	a.gate.SetBounds(admission.Bounds{Cold: service.Limits.Cold, Max: service.Limits.Max, Queue: service.Limits.Queue})
 	a.loader.want(view.Snapshot.VersionAt(a.settings.Host.ID))
 }
 
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -55,10 +55,6 @@
 	if err != nil || !fresh {
 		return record, err
 	}
-	if err := a.admit(dispatch); err != nil {
-		record.Refuse(err, a.load())
-		return record, nil
-	}
 	a.running.Go(func() { a.run(dispatch, record) })
 	return record, nil
 }
@@ -66,6 +62,10 @@
 func (a *Agent) run(dispatch wire.Dispatch, record *attempt.Record) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(dispatch.BudgetMS)*time.Millisecond)
 	defer cancel()
+	if err := a.admit(ctx, dispatch); err != nil {
+		record.Refuse(err, a.load())
+		return
+	}
 	err := a.copyAnswer(ctx, dispatch, record)
 	a.gate.Leave(err == nil)
 	if err != nil {
