Check the whole configuration and name file, object, field and remedy

Cause: the checker knew five mistakes of some thirty, and reading let repeated fields and trailing data pass.

Ruled out: a validator by struct tags, since references, replicas against hosts and one rule per service span objects; reporting by error strings alone, since diff and tests need kind, object and field apart. A check for cycles: objects refer in one direction only, so none can be written.

Change: config.Examine returns problems and warnings; config.Check joins the problems. Objects remember their file. Package strictjson refuses unknown and repeated fields, trailing data and wrong types with the line. Services may name their model; workspaces may state objectives of their own. fault.Is, Kind, Remedy and RetryAfter look through wrapped and joined errors.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -1,60 +1,206 @@
 package config
 
 import (
-	"errors"
 	"fmt"
+	"maps"
+	"regexp"
+	"slices"
 
 	"github.com/lovageglade/lovageglade/internal/core"
-	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
-// Check reports everything that is wrong with the set, in one joined error. Each part names the object, the field
-// and the remedy.
-func Check(set Set) error {
-	c := checker{set: set}
-	c.checkServices()
-	c.checkRules()
-	return errors.Join(c.problems...)
+// Bounds of values. Objects refer to one another in one direction only (rules and workspaces to services, rules to
+// versions, versions and services to models, endpoints to failure domains), so that no cycle can be written.
+const (
+	maxLimit      = 100_000 // requests at one endpoint
+	maxTokenMS    = 600_000 // milliseconds
+	maxReplicasS  = 86_400  // seconds
+	minShare      = 0.5     // smallest availability objective
+	maxNameBytes  = 63      // bytes
+	digestPattern = `^[0-9a-f]{64}$`
+	namePattern   = `^[A-Za-z0-9][A-Za-z0-9._-]*$`
+)
+
+var (
+	validName   = regexp.MustCompile(namePattern)
+	validDigest = regexp.MustCompile(digestPattern)
+)
+
+// Check reports everything that is wrong with the set in one error of kind BadConfig.
+func Check(set Set) error { return Examine(set).Err() }
+
+// Examine checks the whole set. Problems stand in order of kind, then of the set's lists.
+func Examine(set Set) Findings {
+	c := newChecker(set)
+	c.checkNames()
+	for i := range set.FailureDomains {
+		c.checkFailureDomain(&set.FailureDomains[i])
+	}
+	for i := range set.Workspaces {
+		c.checkWorkspace(&set.Workspaces[i])
+	}
+	for i := range set.Versions {
+		c.checkVersion(&set.Versions[i])
+	}
+	for i := range set.Services {
+		c.checkService(&set.Services[i])
+	}
+	for i := range set.Rules {
+		c.checkRule(&set.Rules[i])
+	}
+	return c.findings
 }
 
+// checker holds the set's indexes and what was found so far.
 type checker struct {
 	set      Set
-	problems []error
+	findings Findings
+	domains  map[core.FailureDomain]*FailureDomain
+	services map[core.Service]*Service
+	models   map[core.Model]*Model
+	versions map[string]*Version
+	hosts    map[core.HostID]core.Service // the service that first names each host
+	rules    map[core.Service]string      // the rule that first binds each service
 }
 
-func (c *checker) report(object, field, wrong, remedy string) {
-	message := fmt.Sprintf("%s: %s: %s", object, field, wrong)
-	c.problems = append(c.problems, fault.New(fault.BadConfig, message, remedy))
+func newChecker(set Set) *checker {
+	return &checker{
+		set:      set,
+		domains:  indexBy(set.FailureDomains, func(item *FailureDomain) core.FailureDomain { return item.Name }),
+		services: indexBy(set.Services, func(item *Service) core.Service { return item.Name }),
+		models:   indexBy(set.Models, func(item *Model) core.Model { return item.Name }),
+		versions: indexBy(set.Versions, func(item *Version) string { return item.Name }),
+		hosts:    make(map[core.HostID]core.Service),
+		rules:    make(map[core.Service]string),
+	}
 }
 
-func (c *checker) checkServices() {
-	domains := indexBy(c.set.FailureDomains, func(item *FailureDomain) core.FailureDomain { return item.Name })
-	for _, service := range c.set.Services {
-		object := fmt.Sprintf("service %q", service.Name)
-		if service.Kind != KindModel && service.Kind != KindPlain {
-			c.report(object, "kind", fmt.Sprintf("%q is no kind", service.Kind), "use model or plain")
-		}
-		if service.Limits.Max < 1 || service.Limits.Cold < 1 || service.Limits.Cold > service.Limits.Max {
-			c.report(object, "limits", "cold and max must be at least 1 and cold at most max", "state what a cold and a warm endpoint bear")
-		}
-		for _, endpoint := range service.Endpoints {
-			if domains[endpoint.FailureDomain] == nil {
-				c.report(object, "endpoints", fmt.Sprintf("failure domain %q does not exist", endpoint.FailureDomain), "add the failure domain or correct its name")
-			}
+// subject is the object that is being checked.
+type subject struct {
+	checker *checker
+	ref     objectRef
+}
+
+func (c *checker) subject(kind Kind, name string) subject {
+	return subject{checker: c, ref: objectRef{Kind: kind, Name: name}}
+}
+
+func (s subject) problem(field, wrong, remedy string) {
+	findings := &s.checker.findings
+	findings.Problems = append(findings.Problems, s.describe(field, wrong, remedy))
+}
+
+func (s subject) warning(field, wrong, remedy string) {
+	findings := &s.checker.findings
+	findings.Warnings = append(findings.Warnings, s.describe(field, wrong, remedy))
+}
+
+func (s subject) describe(field, wrong, remedy string) Problem {
+	problem := Problem{Kind: s.ref.Kind, Object: s.ref.Name, Field: field, Wrong: wrong, Remedy: remedy}
+	if known := s.checker.set.files[s.ref]; len(known) > 0 {
+		problem.File = known[0]
+	}
+	return problem
+}
+
+// checkNames checks the form of every object's name, and that no two objects of a kind share one.
+func (c *checker) checkNames() {
+	seen := make(map[objectRef]int)
+	for _, object := range c.set.objects() {
+		at := subject{checker: c, ref: object.ref}
+		at.checkName("name", object.ref.Name)
+		seen[object.ref]++
+		if seen[object.ref] == 2 {
+			at.problem("name", "the name is used more than once"+c.filesOf(object.ref), "rename or remove all but one")
 		}
 	}
 }
 
-func (c *checker) checkRules() {
-	services := indexBy(c.set.Services, func(item *Service) core.Service { return item.Name })
-	versions := indexBy(c.set.Versions, func(item *Version) string { return item.Name })
-	for _, rule := range c.set.Rules {
-		object := fmt.Sprintf("rule %q", rule.Name)
-		if services[rule.Service] == nil {
-			c.report(object, "service", fmt.Sprintf("service %q does not exist", rule.Service), "add the service or correct its name")
+func (c *checker) filesOf(ref objectRef) string {
+	names := slices.Compact(slices.Sorted(slices.Values(c.set.files[ref])))
+	if len(names) < 2 {
+		return ""
+	}
+	return fmt.Sprintf(", in %q", names)
+}
+
+func (s subject) checkName(field, name string) {
+	switch {
+	case name == "":
+		s.problem(field, "the name is empty", "give it a name")
+	case len(name) > maxNameBytes:
+		s.problem(field, fmt.Sprintf("%.20q... is longer than %d bytes", name, maxNameBytes), "shorten the name")
+	case !validName.MatchString(name):
+		s.problem(field, fmt.Sprintf("%q is not a valid name", name), "use letters, digits, dots, dashes and underscores, beginning with a letter or digit")
+	}
+}
+
+func (c *checker) checkFailureDomain(domain *FailureDomain) {
+	at := c.subject(KindFailureDomain, string(domain.Name))
+	at.checkName("region", string(domain.Region))
+}
+
+func (c *checker) checkVersion(version *Version) {
+	at := c.subject(KindVersion, version.Name)
+	if c.models[version.Model] == nil {
+		at.problem("model", fmt.Sprintf("model %q does not exist", version.Model), "add the model or correct its name")
+	}
+	if !validDigest.MatchString(string(version.Manifest)) {
+		at.problem("manifest", fmt.Sprintf("%q is not a SHA-256 digest in lower-case hex", version.Manifest), "use what lovagectl version add printed")
+	}
+}
+
+func (c *checker) checkWorkspace(workspace *Workspace) {
+	at := c.subject(KindWorkspace, string(workspace.Name))
+	seen := make(map[core.Service]bool)
+	for i, name := range workspace.Services {
+		field := fmt.Sprintf("services[%d]", i)
+		if c.services[name] == nil {
+			at.problem(field, fmt.Sprintf("service %q does not exist", name), "add the service or correct its name")
 		}
-		if versions[rule.Version] == nil {
-			c.report(object, "version", fmt.Sprintf("version %q does not exist", rule.Version), "add the version or correct its name")
+		if seen[name] {
+			at.problem(field, fmt.Sprintf("service %q stands there twice", name), "remove one of them")
 		}
+		seen[name] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(workspace.Objectives)) {
+		at.checkWorkspaceObjectives(workspace, name)
+	}
+}
+
+func (s subject) checkWorkspaceObjectives(workspace *Workspace, name core.Service) {
+	field := fmt.Sprintf("objectives[%q]", name)
+	service := s.checker.services[name]
+	if service == nil {
+		s.problem(field, fmt.Sprintf("service %q does not exist", name), "add the service or correct its name")
+		return
+	}
+	if !workspace.Allows(name) {
+		s.problem(field, fmt.Sprintf("the workspace may not call service %q", name), "add the service to the workspace's services or remove the objectives")
+	}
+	objectives := workspace.Objectives[name]
+	if objectives.ReplicasS != 0 {
+		s.problem(field+".replicas_s", "the time to replicas is the service's alone", "state it at the service")
+		objectives.ReplicasS = 0
+	}
+	s.checkObjectives(field, objectives, service.Kind)
+}
+
+func (s subject) checkObjectives(field string, objectives Objectives, kind ServiceKind) {
+	share := objectives.Availability
+	if share != 0 && !(share >= minShare && share < 1) {
+		s.problem(field+".availability", fmt.Sprintf("%v is not a share from %v up to but not including 1", share, minShare), "state a share such as 0.999")
+	}
+	s.checkRange(field+".first_token_ms", objectives.FirstTokenMS, maxTokenMS, "milliseconds")
+	s.checkRange(field+".between_tokens_ms", objectives.BetweenTokensMS, maxTokenMS, "milliseconds")
+	s.checkRange(field+".replicas_s", objectives.ReplicasS, maxReplicasS, "seconds")
+	if kind == KindPlain && (objectives.FirstTokenMS != 0 || objectives.BetweenTokensMS != 0 || objectives.ReplicasS != 0) {
+		s.problem(field, "a plain service has neither tokens nor replicas of a version", "state its availability alone")
+	}
+}
+
+func (s subject) checkRange(field string, value, limit int, unit string) {
+	if value < 0 || value > limit {
+		s.problem(field, fmt.Sprintf("%d is not from 0 to %d", value, limit), "state "+unit+", or 0 for no objective")
 	}
 }
--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -14,6 +14,8 @@
 	Versions       []Version       `json:"versions,omitempty"`
 	Services       []Service       `json:"services,omitempty"`
 	Rules          []Rule          `json:"rules,omitempty"`
+
+	files files // where the objects were read, for messages
 }
 
 // FailureDomain is a failure domain and the region that holds it. Out takes it out of service.
@@ -24,9 +26,11 @@
 }
 
 // Workspace is a customer's workspace and the services that it may call; no services means all of them.
+// Its objectives take the place of the services' own.
 type Workspace struct {
-	Name     core.Workspace `json:"name"`
-	Services []core.Service `json:"services,omitempty"`
+	Name       core.Workspace              `json:"name"`
+	Services   []core.Service              `json:"services,omitempty"`
+	Objectives map[core.Service]Objectives `json:"objectives,omitempty"`
 }
 
 // Model is a model, of which versions are made.
@@ -50,10 +54,11 @@
 	KindPlain ServiceKind = "plain" // plain services, whose calls are passed through
 )
 
-// Service is a service that callers address by its name.
+// Service is a service that callers address by its name. A service that names a model runs versions of it alone.
 type Service struct {
 	Name       core.Service `json:"name"`
 	Kind       ServiceKind  `json:"kind"`
+	Model      core.Model   `json:"model,omitempty"`
 	Endpoints  []Endpoint   `json:"endpoints"`
 	Calls      []Call       `json:"calls,omitempty"`
 	Limits     Limits       `json:"limits"`
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -1,23 +1,43 @@
 package config
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
 
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/strictjson"
 )
 
-// ReadFolder reads every .json file of the folder as a part of one set. Reading is strict: an unknown field is an
-// error that names the file.
+// Bounds of what is read.
+const (
+	maxFileBytes   = 8 << 20
+	maxFolderFiles = 4096
+)
+
+// files names the file in which each object was read. Objects of the same kind and name stand in order of reading.
+type files map[objectRef][]string
+
+// objectRef names an object by kind and name.
+type objectRef struct {
+	Kind Kind
+	Name string
+}
+
+// ReadFolder reads every .json file of the folder as a part of one set. Reading is strict: an unknown or repeated
+// field is an error that names the file and the line. All files' errors are reported at once.
 func ReadFolder(folder string) (Set, error) {
 	paths, err := filepath.Glob(filepath.Join(folder, "*.json"))
 	if err != nil || len(paths) == 0 {
-		return Set{}, fault.New(fault.BadConfig, "no .json files in "+folder, "name the folder that holds the configuration")
+		return Set{}, fault.New(fault.BadConfig, "there are no .json files in "+folder, "name the folder that holds the configuration")
+	}
+	if len(paths) > maxFolderFiles {
+		message := fmt.Sprintf("%s holds %d files, more than %d", folder, len(paths), maxFolderFiles)
+		return Set{}, fault.New(fault.BadConfig, message, "put more objects into each file")
 	}
 	var set Set
 	var problems []error
@@ -27,27 +47,44 @@
 			problems = append(problems, err)
 			continue
 		}
-		set.merge(part)
+		set.merge(part, filepath.Base(path))
 	}
 	set.sort()
 	return set, errors.Join(problems...)
 }
 
 func readFile(path string) (Set, error) {
-	var part Set
-	raw, err := os.ReadFile(path)
+	file, err := os.Open(path)
 	if err != nil {
-		return part, fault.Wrap(err, fault.BadConfig, path+" cannot be read", "make the file readable")
+		return Set{}, fault.Wrap(err, fault.BadConfig, path+" cannot be opened", "make the file readable")
 	}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&part); err != nil {
-		return part, fault.Wrap(err, fault.BadConfig, path+" is not a configuration file", "correct the field that the cause names")
+	defer file.Close()
+	raw, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	if err != nil {
+		return Set{}, fault.Wrap(err, fault.BadConfig, path+" cannot be read", "make the file readable")
+	}
+	return parseFile(filepath.Base(path), raw)
+}
+
+func parseFile(name string, raw []byte) (Set, error) {
+	var part Set
+	if len(raw) > maxFileBytes {
+		message := fmt.Sprintf("%s is larger than %d bytes", name, maxFileBytes)
+		return part, fault.New(fault.BadConfig, message, "spread the objects over several files")
+	}
+	if err := strictjson.Decode(raw, &part); err != nil {
+		return Set{}, fault.New(fault.BadConfig, name+": "+err.Error(), "correct the file; lovagectl config show prints one that is sound")
 	}
 	return part, nil
 }
 
-func (s *Set) merge(part Set) {
+func (s *Set) merge(part Set, file string) {
+	if s.files == nil {
+		s.files = make(files)
+	}
+	for _, object := range part.objects() {
+		s.files[object.ref] = append(s.files[object.ref], file)
+	}
 	s.FailureDomains = append(s.FailureDomains, part.FailureDomains...)
 	s.Workspaces = append(s.Workspaces, part.Workspaces...)
 	s.Models = append(s.Models, part.Models...)
@@ -56,6 +93,7 @@
 	s.Rules = append(s.Rules, part.Rules...)
 }
 
+// sort puts each list in order of name; objects of the same name keep the order of reading.
 func (s *Set) sort() {
 	slices.SortStableFunc(s.FailureDomains, func(a, b FailureDomain) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortStableFunc(s.Workspaces, func(a, b Workspace) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"errors"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -70,7 +71,7 @@
 
 // RetryAfter returns the time in seconds after which the caller may try again, or 0 when none is attached.
 func RetryAfter(err error) int {
-	value, ok := errorx.ExtractProperty(err, retryAfterProperty)
+	value, ok := property(err, retryAfterProperty)
 	if !ok {
 		return 0
 	}
@@ -80,7 +81,7 @@
 
 // Remedy returns the remedy that the error names, or "" when it names none.
 func Remedy(err error) string {
-	value, ok := errorx.ExtractProperty(err, remedyProperty)
+	value, ok := property(err, remedyProperty)
 	if !ok {
 		return ""
 	}
@@ -88,18 +89,27 @@
 	return remedy
 }
 
+func property(err error, name errorx.Property) (any, bool) {
+	var typed *errorx.Error
+	if !errors.As(err, &typed) {
+		return nil, false
+	}
+	return typed.Property(name)
+}
+
 // Kind returns the short name of the error's kind, or "internal" for an error of another origin.
 func Kind(err error) string {
-	typed := errorx.Cast(err)
-	if typed == nil || !strings.HasPrefix(typed.Type().FullName(), Namespace.FullName()+".") {
+	var typed *errorx.Error
+	if !errors.As(err, &typed) || !strings.HasPrefix(typed.Type().FullName(), Namespace.FullName()+".") {
 		return shortName(Internal)
 	}
 	return shortName(typed.Type())
 }
 
-// Is tells whether the error is of the kind.
+// Is tells whether the error, or the first typed one that it wraps or joins, is of the kind.
 func Is(err error, kind *errorx.Type) bool {
-	return errorx.IsOfType(err, kind)
+	var typed *errorx.Error
+	return errors.As(err, &typed) && typed.IsOfType(kind)
 }
 
 func shortName(kind *errorx.Type) string {
