--- /dev/null
+++ b/internal/config/head.go
@@ -0,0 +1,131 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/platform"
+)
+
+const (
+	configTable       = "config"
+	headKey           = "head"
+	objectFolder      = "config/"
+	historyFolder     = "history/"
+	publicationFolder = "publication/"
+
+	generationDigits = 18  // digits of a generation in the key of its history row
+	historyBlock     = 100 // history rows that one scan reads
+	historyBlockTail = 2   // digits that tell the rows of a block apart
+)
+
+// Head is the row that says which configuration is in force. It is the only thing that a publication changes. The
+// history holds the head of each generation as it was.
+type Head struct {
+	Generation core.Generation `json:"generation"`
+	Digest     string          `json:"digest"`
+	PublishID  string          `json:"publish_id"`
+	By         string          `json:"by,omitempty"`        // the operator
+	Note       string          `json:"note,omitempty"`      // why
+	AtUnixS    int64           `json:"at_unix_s,omitempty"` // seconds since 1970 by the operator's clock; orders nothing
+	Restores   core.Generation `json:"restores,omitempty"`  // the generation that a rollback repeats
+}
+
+// ReadHead returns the head in force and the revision of its row. Before the first publication both are zero.
+func ReadHead(ctx context.Context, tables platform.Tables) (Head, platform.Revision, error) {
+	row, err := tables.Get(ctx, configTable, headKey)
+	if err != nil || row.Revision == 0 {
+		return Head{}, 0, err
+	}
+	head, err := decodeHead(row)
+	return head, row.Revision, err
+}
+
+func decodeHead(row platform.Row) (Head, error) {
+	var head Head
+	if err := json.Unmarshal(row.Value, &head); err != nil {
+		return Head{}, fault.Wrap(err, fault.BadConfig, "the row config/"+row.Key+" cannot be read", "restore the row in the table service")
+	}
+	return head, nil
+}
+
+// Fetch reads the snapshot that the head names.
+func Fetch(ctx context.Context, objects platform.Objects, head Head) (*Snapshot, error) {
+	if head.Generation == 0 {
+		return nil, fault.New(fault.NotFound, "no configuration was published yet", "publish one with lovagectl config apply")
+	}
+	raw, err := objects.GetObject(ctx, objectFolder+head.Digest)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(head.Generation, head.Digest, raw)
+}
+
+// HeadAt returns the head of an accepted generation: the head in force or one of the history.
+func HeadAt(ctx context.Context, tables platform.Tables, generation core.Generation) (Head, error) {
+	standing, _, err := ReadHead(ctx, tables)
+	if err != nil {
+		return Head{}, err
+	}
+	return headAt(ctx, tables, standing, generation)
+}
+
+func headAt(ctx context.Context, tables platform.Tables, standing Head, generation core.Generation) (Head, error) {
+	if generation == standing.Generation && generation > 0 {
+		return standing, nil
+	}
+	if generation == 0 || generation > standing.Generation {
+		message := fmt.Sprintf("generation %d was never accepted; the one in force is %d", generation, standing.Generation)
+		return Head{}, fault.New(fault.NotFound, message, "name one that lovagectl config history lists")
+	}
+	row, err := tables.Get(ctx, configTable, historyKey(generation))
+	if err != nil {
+		return Head{}, err
+	}
+	if row.Revision == 0 {
+		message := fmt.Sprintf("the history has no row of generation %d", generation)
+		return Head{}, fault.New(fault.NotFound, message, "name another generation of lovagectl config history")
+	}
+	return decodeHead(row)
+}
+
+func historyKey(generation core.Generation) string {
+	return fmt.Sprintf("%s%0*d", historyFolder, generationDigits, generation)
+}
+
+// History returns the heads of the last generations, the newest first.
+func History(ctx context.Context, tables platform.Tables, limit int) ([]Head, error) {
+	standing, _, err := ReadHead(ctx, tables)
+	if err != nil || standing.Generation == 0 || limit < 1 {
+		return nil, err
+	}
+	heads := []Head{standing}
+	for block := int64(standing.Generation) / historyBlock; block >= 0 && len(heads) < limit; block-- {
+		prefix := fmt.Sprintf("%s%0*d", historyFolder, generationDigits-historyBlockTail, block)
+		rows, err := tables.Scan(ctx, configTable, prefix)
+		if err != nil {
+			return nil, err
+		}
+		if heads, err = appendOlder(heads, rows); err != nil {
+			return nil, err
+		}
+	}
+	return heads[:min(limit, len(heads))], nil
+}
+
+// appendOlder appends the rows, which are in rising order, that are older than the last head.
+func appendOlder(heads []Head, rows []platform.Row) ([]Head, error) {
+	for i := len(rows) - 1; i >= 0; i-- {
+		head, err := decodeHead(rows[i])
+		if err != nil {
+			return nil, err
+		}
+		if head.Generation < heads[len(heads)-1].Generation {
+			heads = append(heads, head)
+		}
+	}
+	return heads, nil
+}
--- /dev/null
+++ b/internal/config/linear_test.go
@@ -0,0 +1,159 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+// publishInput asks for a publication; an empty id asks what is in force.
+type publishInput struct{ id string }
+
+// publishOutput is what the operator was told.
+type publishOutput struct {
+	head    Head
+	lost    bool // another's publication won
+	unknown bool // no answer
+}
+
+// accepted is the model's state: the publish ids of generations 1, 2, and so on, each ended by a space.
+type accepted string
+
+func (a accepted) ids() []string { return strings.Fields(string(a)) }
+
+func (a accepted) with(id string) accepted { return a + accepted(id) + " " }
+
+func publishModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{accepted("")} },
+		Step: func(state, input, output any) []any {
+			return stepPublish(state.(accepted), input.(publishInput), output.(publishOutput))
+		},
+	}
+	return model.ToModel()
+}
+
+func stepPublish(state accepted, input publishInput, output publishOutput) []any {
+	ids := state.ids()
+	at := slices.Index(ids, input.id)
+	generation := int(output.head.Generation)
+	switch {
+	case output.unknown && input.id != "" && at < 0:
+		return []any{state, state.with(input.id)}
+	case output.unknown:
+		return []any{state}
+	case input.id == "":
+		if generation == len(ids) && (generation == 0 || ids[generation-1] == output.head.PublishID) {
+			return []any{state}
+		}
+	case output.lost:
+		if at < 0 {
+			return []any{state}
+		}
+	case at >= 0:
+		if generation == at+1 {
+			return []any{state}
+		}
+	case generation == len(ids)+1:
+		return []any{state.with(input.id)}
+	}
+	return nil
+}
+
+// recorder collects operations under a logical clock.
+type recorder struct {
+	clock atomic.Int64
+	mu    sync.Mutex
+	all   []porcupine.Operation
+}
+
+func (r *recorder) do(client int, input publishInput, act func() (Head, error)) publishOutput {
+	call := r.clock.Add(1)
+	head, err := act()
+	output := publishOutput{head: head, lost: fault.Is(err, fault.Conflict), unknown: fault.Is(err, fault.PlatformDown)}
+	ended := r.clock.Add(1)
+	if output.unknown {
+		ended = 1 << 60 // it may take effect at any later time
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, porcupine.Operation{ClientId: client, Input: input, Output: output, Call: call, Return: ended})
+	return output
+}
+
+// runOperator publishes and shows in turn, repeating what was not answered, with a share of its writes lost.
+func runOperator(t *testing.T, services *testPlatform, record *recorder, client int, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, uint64(client)))
+	flaky := &flakyTables{Tables: services, decide: func(string) mishap {
+		return []mishap{passes, passes, passes, lostBefore, lostAfter}[random.IntN(5)]
+	}}
+	publisher := Publisher{Tables: flaky, Objects: services}
+	var open []int // publications without an answer, which are repeated now and then
+	for i := range 5 {
+		number := client*100 + i
+		if len(open) > 0 && random.IntN(2) == 0 {
+			number = open[random.IntN(len(open))]
+		}
+		id := fmt.Sprintf("c%d", number)
+		output := record.do(client, publishInput{id: id}, func() (Head, error) {
+			return publisher.Publish(context.Background(), numbered(number), id)
+		})
+		if output.unknown {
+			open = append(open, number)
+		}
+		if !output.unknown && !output.lost && output.head.Generation == 0 {
+			t.Errorf("publication %s failed for another reason than a race or the platform", id)
+		}
+		record.do(client, publishInput{}, func() (Head, error) {
+			head, _, err := ReadHead(context.Background(), services)
+			return head, err
+		})
+	}
+}
+
+// TestPublishAndShowAreLinearizable runs operators at once under races, lost answers and an outage.
+func TestPublishAndShowAreLinearizable(t *testing.T) {
+	const (
+		runs      = 20
+		operators = 4
+		firstSeed = 4100
+	)
+	generations := core.Generation(0)
+	for run := range uint64(runs) {
+		services := newTestPlatform(t)
+		var record recorder
+		var tasks conc.WaitGroup
+		for client := range operators {
+			tasks.Go(func() { runOperator(t, services, &record, client, firstSeed+run) })
+		}
+		if run%4 == 3 {
+			services.setFaults(`{"down":true}`)
+			services.setFaults(`{"lose_answers":true}`)
+			services.setFaults(`{}`)
+		}
+		tasks.Wait()
+		if result := porcupine.CheckOperationsTimeout(publishModel(), record.all, time.Minute); result != porcupine.Ok {
+			t.Fatalf("run %d: %s", run, result)
+		}
+		head, _, err := ReadHead(t.Context(), services)
+		if err != nil {
+			t.Fatal(err)
+		}
+		generations += head.Generation
+	}
+	if generations < runs {
+		t.Fatalf("only %d publications in %d runs", generations, runs)
+	}
+}
--- /dev/null
+++ b/internal/config/platform_test.go
@@ -0,0 +1,108 @@
+package config
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/platform"
+	"github.com/lovageglade/lovageglade/internal/standin"
+)
+
+// testPlatform is the platform's stand-in behind its real client, with its address for faults.
+type testPlatform struct {
+	*platform.Client
+	t       *testing.T
+	address string
+}
+
+func newTestPlatform(t *testing.T) *testPlatform {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	app := standin.NewPlatform(0).App()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+	}()
+	t.Cleanup(func() {
+		_ = app.ShutdownWithTimeout(100 * time.Millisecond)
+		<-done
+	})
+	address := listener.Addr().String()
+	client := platform.NewClient(platform.Addresses{Tables: address, Objects: address, Hosts: address, Origin: address})
+	return &testPlatform{Client: client, t: t, address: address}
+}
+
+// setFaults switches the stand-in's own faults, such as {"down":true}.
+func (p *testPlatform) setFaults(faults string) {
+	p.t.Helper()
+	request, err := http.NewRequest(http.MethodPut, "http://"+p.address+"/faults", strings.NewReader(faults))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+}
+
+func (p *testPlatform) publisher() Publisher { return Publisher{Tables: p, Objects: p} }
+
+// mishap is what befalls one write.
+type mishap int
+
+const (
+	passes mishap = iota
+	lostBefore
+	lostAfter
+)
+
+// flakyTables decides for each write of a key what befalls it, and may act before the write.
+type flakyTables struct {
+	platform.Tables
+	mu     sync.Mutex
+	decide func(key string) mishap
+}
+
+func (f *flakyTables) Write(ctx context.Context, writes []platform.Write) ([]platform.WriteResult, error) {
+	f.mu.Lock()
+	fate := f.decide(writes[0].Key)
+	f.mu.Unlock()
+	lost := fault.New(fault.PlatformDown, "the answer was lost", "try again")
+	if fate == lostBefore {
+		return nil, lost
+	}
+	results, err := f.Tables.Write(ctx, writes)
+	if fate == lostAfter {
+		return nil, lost
+	}
+	return results, err
+}
+
+// numbered returns a sound set that differs from others by its number.
+func numbered(number int) Set {
+	set := soundSet()
+	set.Services[0].Limits.Queue = number
+	return set
+}
+
+func mustPublish(t *testing.T, publisher Publisher, number int, id string) Head {
+	t.Helper()
+	head, err := publisher.Publish(t.Context(), numbered(number), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return head
+}
--- /dev/null
+++ b/internal/config/publish_test.go
@@ -0,0 +1,198 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+func TestPublishFetchesBack(t *testing.T) {
+	services := newTestPlatform(t)
+	if _, err := Fetch(t.Context(), services, Head{}); !fault.Is(err, fault.NotFound) {
+		t.Fatalf("before the first publication: %v", err)
+	}
+	for number := 1; number <= 3; number++ {
+		head := mustPublish(t, services.publisher(), number, core.NewID())
+		snapshot, err := Fetch(t.Context(), services, head)
+		if err != nil || int(snapshot.Generation) != number || snapshot.Set.Services[0].Limits.Queue != number {
+			t.Fatalf("generation %d: %v, %v", number, snapshot, err)
+		}
+	}
+}
+
+func TestWrongSetIsNotPublished(t *testing.T) {
+	services := newTestPlatform(t)
+	set := soundSet()
+	set.Rules = nil
+	if _, err := services.publisher().Publish(t.Context(), set, "one"); !fault.Is(err, fault.BadConfig) {
+		t.Fatalf("got %v", err)
+	}
+	if head, _, err := ReadHead(t.Context(), services); err != nil || head.Generation != 0 {
+		t.Fatalf("head %v, %v", head, err)
+	}
+}
+
+// TestLostAnswers loses the answer of each write in turn, before or after its effect. The publication is repeated under
+// its id, with another's publication in between, and must take effect once at most.
+func TestLostAnswers(t *testing.T) {
+	for _, key := range []string{publicationFolder, headKey, historyFolder} {
+		for _, fate := range []mishap{lostBefore, lostAfter} {
+			services := newTestPlatform(t)
+			mustPublish(t, services.publisher(), 1, "first")
+			flaky := &flakyTables{Tables: services, decide: func(written string) mishap {
+				if strings.HasPrefix(written, key) {
+					return fate
+				}
+				return passes
+			}}
+			losing := Publisher{Tables: flaky, Objects: services}
+			head, err := losing.Publish(t.Context(), numbered(2), "mine")
+			if err == nil && head.Generation != 2 || err != nil && !fault.Is(err, fault.PlatformDown) {
+				t.Errorf("%s: %+v, %v", key, head, err)
+			}
+			standing, _, _ := ReadHead(t.Context(), services)
+			if err == nil && standing.PublishID != "mine" {
+				t.Errorf("%s: accepted and not in force: %+v", key, standing)
+			}
+			other := mustPublish(t, services.publisher(), 3, "other")
+			again, err := services.publisher().Publish(t.Context(), numbered(2), "mine")
+			checkRepeated(t, services, standing, other, again, err)
+		}
+	}
+}
+
+// checkRepeated checks a publication that was repeated after another's: no third one may have come of it, unless the
+// first try left no trace at all.
+func checkRepeated(t *testing.T, services *testPlatform, standing, other, again Head, err error) {
+	t.Helper()
+	head, _, readErr := ReadHead(t.Context(), services)
+	if readErr != nil {
+		t.Fatal(readErr)
+	}
+	count := 0
+	heads, readErr := History(t.Context(), services, 10)
+	if readErr != nil {
+		t.Fatal(readErr)
+	}
+	for _, accepted := range heads {
+		if accepted.PublishID == "mine" {
+			count++
+		}
+	}
+	if count > 1 || int(head.Generation) != len(heads) {
+		t.Errorf("published %d times: %+v", count, heads)
+	}
+	if standing.PublishID == "mine" && (err != nil || again != standing || head != other) {
+		t.Errorf("repeated: %+v, %v; head %+v", again, err, head)
+	}
+	lost, raced := fault.Find[*LostRace](err)
+	if err != nil && (!raced || lost.Winner != other || count != 0) {
+		t.Errorf("lost with %v, published %d times", err, count)
+	}
+}
+
+func TestRaceNamesTheWinner(t *testing.T) {
+	services := newTestPlatform(t)
+	mustPublish(t, services.publisher(), 1, "first")
+	overtaken := &flakyTables{Tables: services}
+	overtaken.decide = func(key string) mishap {
+		if key == headKey {
+			winner := Publication{Set: numbered(2), ID: "theirs", By: "ana"}
+			if _, err := services.publisher().Commit(t.Context(), winner); err != nil {
+				t.Error(err)
+			}
+		}
+		return passes
+	}
+	_, err := Publisher{Tables: overtaken, Objects: services}.Publish(t.Context(), numbered(3), "mine")
+	lost, raced := fault.Find[*LostRace](err)
+	if !raced || lost.Base != 1 || lost.Winner.Generation != 2 || lost.Winner.By != "ana" {
+		t.Fatalf("got %v", err)
+	}
+	if !fault.Is(err, fault.Conflict) || !strings.Contains(err.Error(), "generation 2 was accepted from ana (publication theirs)") {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestChangedSnapshotIsAcceptedOnlyWhileInForce(t *testing.T) {
+	services := newTestPlatform(t)
+	head := mustPublish(t, services.publisher(), 1, "first")
+	snapshot, err := Fetch(t.Context(), services, head)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustPublish(t, services.publisher(), 2, "second")
+	changed := snapshot.Set
+	changed.FailureDomains[0].Out = true
+	if _, err := services.publisher().Publish(t.Context(), changed, "stale"); !fault.Is(err, fault.Conflict) {
+		t.Fatalf("a change of an old snapshot undid a newer one: %v", err)
+	}
+}
+
+func TestPublishIDIsBoundToItsSet(t *testing.T) {
+	services := newTestPlatform(t)
+	mustPublish(t, services.publisher(), 1, "same")
+	if _, err := services.publisher().Publish(t.Context(), numbered(2), "same"); !fault.Is(err, fault.Conflict) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// TestHistorySurvivesCrashes ends every other publisher between the head and its history row.
+func TestHistorySurvivesCrashes(t *testing.T) {
+	services := newTestPlatform(t)
+	const generations = 205 // more than two blocks of history rows
+	flaky := &flakyTables{Tables: services}
+	for number := 1; number <= generations; number++ {
+		moved := false
+		flaky.decide = func(key string) mishap {
+			moved = moved || key == headKey
+			if moved && key != headKey && number%2 == 0 {
+				return lostBefore
+			}
+			return passes
+		}
+		mustPublish(t, Publisher{Tables: flaky, Objects: services}, number, core.NewID())
+	}
+	heads, err := History(t.Context(), services, generations+10)
+	if err != nil || len(heads) != generations {
+		t.Fatalf("%d heads, %v", len(heads), err)
+	}
+	for i, head := range heads {
+		if int(head.Generation) != generations-i {
+			t.Fatalf("place %d holds generation %d", i, head.Generation)
+		}
+	}
+	if last, err := History(t.Context(), services, 3); err != nil || len(last) != 3 || last[2] != heads[2] {
+		t.Fatalf("%v, %v", last, err)
+	}
+}
+
+func TestPlatformFaults(t *testing.T) {
+	services := newTestPlatform(t)
+	first := mustPublish(t, services.publisher(), 1, "first")
+	services.setFaults(`{"down":true}`)
+	if _, err := services.publisher().Publish(t.Context(), numbered(2), "second"); !fault.Is(err, fault.PlatformDown) || fault.Remedy(err) == "" {
+		t.Fatalf("with the platform down: %v", err)
+	}
+	services.setFaults(`{"delay_ms":20}`)
+	if head, _, err := ReadHead(t.Context(), services); err != nil || head != first {
+		t.Fatalf("after the outage: %+v, %v", head, err)
+	}
+	second := mustPublish(t, services.publisher(), 2, "second")
+	if second.Generation != 2 {
+		t.Fatalf("slow platform: %+v", second)
+	}
+	services.setFaults(`{"lose_answers":true}`)
+	for range 10 { // each try gets one lost write further
+		if head, err := services.publisher().Publish(t.Context(), numbered(3), "third"); err == nil && head.Generation != 3 {
+			t.Fatalf("lost answers: %+v", head)
+		}
+	}
+	services.setFaults(`{}`)
+	third := mustPublish(t, services.publisher(), 3, "third")
+	if third.Generation != 3 {
+		t.Fatalf("after lost answers: %+v", third)
+	}
+}
--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -30,3 +30,17 @@
 		}
 	}
 }
+
+type cause struct{}
+
+func (cause) Error() string { return "cause" }
+
+func TestFindReachesCauses(t *testing.T) {
+	err := fmt.Errorf("outer: %w", Wrap(Wrap(cause{}, NotFound, "inner", "remedy"), Conflict, "middle", "remedy"))
+	if _, ok := Find[cause](err); !ok {
+		t.Error("the cause was not found")
+	}
+	if _, ok := Find[cause](New(Conflict, "other", "remedy")); ok {
+		t.Error("a cause was found where there is none")
+	}
+}
