lovagectl config diff, show, history, rollback and wait, with exit codes

Cause: operators could only check and apply; an apply of files silently brought back a failure domain that was out; a lost answer could not be repeated by a second run.

Ruled out: leaving "out" to the files alone, since a folder applied in the middle of an outage undoes lovagectl domain out; merging a loser's change by itself, since two operators may have meant opposite things: the loser is told what the winner changed.

Seen failing with the mechanism off: keeping out (TestConfigCommands); the claimed base on a repeat (exit code 4 in place of generation 5, TestConfigCommands).

Conclusion: an operator sees what a change does before it is published, and who has it after.

--- a/cmd/lovagectl/config.go
+++ b/cmd/lovagectl/config.go
@@ -2,37 +2,98 @@
 
 import (
 	"context"
-	"fmt"
+	"time"
 
-	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/operate"
 )
 
 type configCmd struct {
-	Check checkCmd `cmd:"" help:"Check a folder of configuration files and print everything that is wrong."`
-	Apply applyCmd `cmd:"" help:"Check a folder of configuration files and put it in force."`
+	Check    checkCmd      `cmd:"" help:"Check a folder of configuration files and print everything that is wrong. Needs no platform."`
+	Diff     diffCmd       `cmd:"" help:"Print what applying a folder would change."`
+	Apply    applyCmd      `cmd:"" help:"Check a folder of configuration files and put it in force as a new generation."`
+	Show     showCmd       `cmd:"" help:"Print the configuration in force, or that of an older generation, as a file that can be applied."`
+	History  historyCmd    `cmd:"" help:"List the accepted generations, the newest first."`
+	Rollback rollbackCmd   `cmd:"" help:"Put an older generation's configuration in force again, as a new generation."`
+	Wait     configWaitCmd `cmd:"" help:"Wait until every host holds the configuration; exits with 5 and names those that do not."`
 }
 
 type checkCmd struct {
 	Folder string `arg:"" help:"Folder of .json files."`
+	JSON   bool   `name:"json" help:"Print the findings as JSON."`
 }
 
-func (c *checkCmd) Run() error {
-	set, err := config.ReadFolder(c.Folder)
-	if err != nil {
-		return err
-	}
-	if err := config.Check(set); err != nil {
-		return err
-	}
-	fmt.Println("the configuration is sound")
-	return nil
+func (c *checkCmd) Run(operator *operate.Operator) error {
+	return operator.CheckFolder(c.Folder, c.JSON)
 }
 
-type applyCmd struct {
+type diffCmd struct {
 	Folder string `arg:"" help:"Folder of .json files."`
+	JSON   bool   `name:"json" help:"Print the changes as JSON."`
+}
+
+func (c *diffCmd) Run(ctx context.Context, operator *operate.Operator) error {
+	return operator.Diff(ctx, c.Folder, c.JSON)
+}
+
+// originFlags say who publishes and why.
+type originFlags struct {
+	By        string `env:"USER" help:"Your name, for the history."`
+	Note      string `help:"Why, for the history."`
+	PublishID string `help:"Identity of this publication. Give that of an apply whose outcome is not known to repeat it: it takes effect once at most." placeholder:"ID"`
+}
+
+func (f originFlags) origin() operate.Origin {
+	return operate.Origin{By: f.By, Note: f.Note, PublishID: f.PublishID}
+}
+
+type applyCmd struct {
+	Folder string          `arg:"" help:"Folder of .json files."`
+	Base   core.Generation `help:"Publish only while this generation is in force, such as the one that you ran diff against." placeholder:"GENERATION"`
+	originFlags
 }
 
 func (c *applyCmd) Run(ctx context.Context, operator *operate.Operator) error {
-	return operator.Apply(ctx, c.Folder)
+	origin := c.origin()
+	origin.Base = c.Base
+	return operator.Apply(ctx, c.Folder, origin)
+}
+
+type showCmd struct {
+	Generation core.Generation `arg:"" optional:"" help:"Generation to show; without it the one in force."`
+	Head       bool            `help:"Print the generation's number, digest and origin alone."`
+}
+
+func (c *showCmd) Run(ctx context.Context, operator *operate.Operator) error {
+	return operator.Show(ctx, c.Generation, c.Head)
+}
+
+type historyCmd struct {
+	Limit int  `default:"20" help:"Generations to list."`
+	JSON  bool `name:"json" help:"Print the history as JSON."`
+}
+
+func (c *historyCmd) Run(ctx context.Context, operator *operate.Operator) error {
+	return operator.History(ctx, c.Limit, c.JSON)
+}
+
+type rollbackCmd struct {
+	Generation core.Generation `arg:"" optional:"" help:"Generation to repeat; without it the one before that in force."`
+	originFlags
+}
+
+func (c *rollbackCmd) Run(ctx context.Context, operator *operate.Operator) error {
+	return operator.Rollback(ctx, c.Generation, c.origin())
+}
+
+type configWaitCmd struct {
+	Generation core.Generation `arg:"" optional:"" help:"Generation to wait for; without it the one in force."`
+	Timeout    time.Duration   `default:"60s" help:"Give up after this time."`
+	JSON       bool            `name:"json" help:"Print as JSON who confirmed and who did not."`
+}
+
+func (c *configWaitCmd) Run(ctx context.Context, operator *operate.Operator) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	return operator.WaitConfirmed(ctx, c.Generation, c.JSON)
 }
--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -3,35 +3,86 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"os"
 	"os/signal"
+	"strings"
 
 	"github.com/alecthomas/kong"
 
+	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/operate"
 	"github.com/lovageglade/lovageglade/internal/settings"
 )
 
+const description = `The operators' client of lovageglade.
+
+A configuration is a folder of .json files that hold failure domains, workspaces, models, versions, services and rules.
+Check it, see what it changes, put it in force and wait until every host holds it:
+
+  lovagectl config check FOLDER
+  lovagectl config diff FOLDER
+  lovagectl config apply FOLDER --note "why"
+  lovagectl config wait
+
+Exit codes: 0 done, 1 failed, 3 wrong configuration or settings, 4 another operator's change won, 5 not confirmed in time,
+6 a burn rate above the threshold, 7 the platform gave no answer, 8 not found, 80 wrong command line.`
+
 type commandLine struct {
 	Platform string     `help:"JSON file with the platform's addresses." placeholder:"FILE" env:"LOVAGE_PLATFORM"`
-	Config   configCmd  `cmd:"" help:"Check a configuration and put it in force."`
+	Config   configCmd  `cmd:"" help:"Check configurations, put them in force, list them and go back."`
 	Version  versionCmd `cmd:"" help:"Add model versions."`
 	Domain   domainCmd  `cmd:"" help:"Take a failure domain out of service and bring it back."`
 	Status   statusCmd  `cmd:"" help:"Show every host, its configuration and its versions."`
-	Wait     waitCmd    `cmd:"" help:"Wait until the configuration is in force and served everywhere."`
+	Wait     waitCmd    `cmd:"" help:"Wait until the configuration is in force and its versions are served everywhere."`
 }
 
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr, os.Exit)
+	stop()
+	os.Exit(code)
+}
+
+// run carries out one command line and returns its exit code. Exit is called for --help.
+func run(ctx context.Context, args []string, out, errOut io.Writer, exit func(int)) int {
 	var line commandLine
-	parser := kong.Parse(&line, kong.Name("lovagectl"), kong.Description("The operators' client of lovageglade."))
-	addresses := settings.Platform{}
-	if line.Platform != "" {
-		var err error
-		addresses, err = settings.LoadPlatform(line.Platform)
-		parser.FatalIfErrorf(err)
+	parser, err := kong.New(&line, kong.Name("lovagectl"), kong.Description(description), kong.Writers(out, errOut), kong.Exit(exit))
+	if err != nil {
+		return fail(errOut, err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	parser.BindTo(ctx, (*context.Context)(nil))
-	parser.FatalIfErrorf(parser.Run(operate.New(addresses, os.Stdout)))
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(errOut, "lovagectl: %s; lovagectl --help lists the commands\n", err)
+		return exitUsage
+	}
+	addresses, err := readAddresses(line.Platform, parsed.Command())
+	if err != nil {
+		return fail(errOut, err)
+	}
+	operator := operate.New(addresses, out)
+	defer operator.Peers.Close()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	return fail(errOut, parsed.Run(operator))
+}
+
+const exitUsage = 80 // as kong's own
+
+func fail(errOut io.Writer, err error) int {
+	if err != nil {
+		_, _ = fmt.Fprintf(errOut, "lovagectl: %s\n", operate.Explain(err))
+	}
+	return operate.ExitCode(err)
+}
+
+// readAddresses reads the platform's addresses; checking a folder needs none.
+func readAddresses(file, command string) (settings.Platform, error) {
+	if file != "" {
+		return settings.LoadPlatform(file)
+	}
+	if strings.HasPrefix(command, "config check") {
+		return settings.Platform{}, nil
+	}
+	return settings.Platform{}, fault.New(fault.BadSettings, "the platform's addresses are not known", "name their JSON file with --platform or in LOVAGE_PLATFORM")
 }
--- /dev/null
+++ b/cmd/lovagectl/main_test.go
@@ -0,0 +1,266 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/rpc"
+	"github.com/lovageglade/lovageglade/internal/settings"
+	"github.com/lovageglade/lovageglade/internal/standin"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+const manifest = "0a0b0c0d0a0b0c0d0a0b0c0d0a0b0c0d0a0b0c0d0a0b0c0d0a0b0c0d0a0b0c0d"
+
+const soundConfig = `{
+  "failure_domains": [{"name": "a", "region": "east"}, {"name": "b", "region": "west"}],
+  "workspaces": [{"name": "space"}],
+  "models": [{"name": "brief"}],
+  "versions": [{"name": "v1", "model": "brief", "manifest": "` + manifest + `"}],
+  "services": [
+    {"name": "chat", "kind": "model", "model": "brief", "endpoints": [{"host": "r1", "failure_domain": "a"}],
+     "limits": {"cold": 2, "max": 8, "queue": 4}, "objectives": {"availability": 0.99}},
+    {"name": "bookings", "kind": "plain", "endpoints": [{"host": "p1", "failure_domain": "b"}],
+     "limits": {"cold": 2, "max": 8, "queue": 4}, "objectives": {}}],
+  "rules": [{"name": "chat", "service": "chat", "version": "v1", "replicas": {"a": 1}}]
+}`
+
+// bench is a platform stand-in, hosts that answer by methods of the test's, and the folders that commands name.
+type bench struct {
+	t        *testing.T
+	folder   string
+	platform string // its address
+	hosts    []core.Host
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, folder: t.TempDir()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	b.must(err)
+	b.platform = listener.Addr().String()
+	app := standin.NewPlatform(0).App()
+	go func() { _ = app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	t.Cleanup(func() { _ = app.ShutdownWithTimeout(100 * time.Millisecond) })
+	b.writeJSON("platform.json", settings.Platform{TablesAddress: b.platform, ObjectsAddress: b.platform, HostsAddress: b.platform, OriginAddress: b.platform})
+	b.write("sound", soundConfig)
+	b.write("changed", strings.Replace(soundConfig, `"max": 8`, `"max": 16`, 1))
+	b.write("wrong", strings.Replace(strings.Replace(soundConfig, `"cold": 2`, `"cold": 0`, 1), `"v1", "replicas"`, `"v2", "replicas"`, 1))
+	b.write("unread", `{"services": [{"nam": "x"}]}`)
+	return b
+}
+
+func (b *bench) must(err error) {
+	b.t.Helper()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// write puts a configuration into a folder of its own.
+func (b *bench) write(name, text string) {
+	b.t.Helper()
+	b.must(os.MkdirAll(filepath.Join(b.folder, name), 0o700))
+	b.must(os.WriteFile(filepath.Join(b.folder, name, "all.json"), []byte(text), 0o600))
+}
+
+func (b *bench) writeJSON(name string, value any) {
+	b.t.Helper()
+	raw, err := json.Marshal(value)
+	b.must(err)
+	b.must(os.WriteFile(filepath.Join(b.folder, name), raw, 0o600))
+}
+
+func (b *bench) put(path string, value any) {
+	b.t.Helper()
+	raw, err := json.Marshal(value)
+	b.must(err)
+	request, err := http.NewRequest(http.MethodPut, "http://"+b.platform+path, bytes.NewReader(raw))
+	b.must(err)
+	answer, err := http.DefaultClient.Do(request)
+	b.must(err)
+	_ = answer.Body.Close()
+}
+
+// addHost lists a host that answers by the methods; without any it gives no answer.
+func (b *bench) addHost(id core.HostID, role core.Role, domain core.FailureDomain, methods map[string]rpc.Method) {
+	b.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	b.must(err)
+	host := core.Host{ID: id, Role: role, FailureDomain: domain, Region: "east", ControlAddress: listener.Addr().String(), State: core.HostLive}
+	if methods == nil {
+		_ = listener.Close()
+	} else {
+		server := rpc.Serve(listener, methods)
+		b.t.Cleanup(server.Close)
+	}
+	b.hosts = append(b.hosts, host)
+	b.put("/hosts", b.hosts)
+}
+
+func statusMethod(record wire.Record) map[string]rpc.Method {
+	return map[string]rpc.Method{wire.MethodStatus: rpc.Handle(func(context.Context, struct{}) (wire.Record, error) { return record, nil })}
+}
+
+var (
+	unstable = regexp.MustCompile(`[0-9a-f]{64}|\b[0-9a-f]{24}\b|\b[0-9a-f]{12}\b|\d{4}-\d\d-\d\dT[\d:]+Z|after \d+\.\d\d s`)
+	spaces   = regexp.MustCompile(` +`)
+)
+
+// run carries out a command line, whose folders lie in the bench's. What differs from run to run is shown as "#".
+func (b *bench) run(command string) (code int, out, errOut string) {
+	b.t.Helper()
+	var stdout, stderr bytes.Buffer
+	args := []string{"--platform", filepath.Join(b.folder, "platform.json")}
+	for _, arg := range strings.Fields(command) {
+		args = append(args, strings.Replace(arg, "./", b.folder+"/", 1))
+	}
+	code = run(b.t.Context(), args, &stdout, &stderr, func(int) {})
+	return code, b.stable(stdout.String()), b.stable(stderr.String())
+}
+
+func (b *bench) stable(text string) string {
+	text = strings.ReplaceAll(text, b.folder, ".")
+	text = strings.ReplaceAll(text, b.platform, "PLATFORM")
+	return spaces.ReplaceAllString(unstable.ReplaceAllString(text, "#"), " ")
+}
+
+// step is a command with its exit code and what it must print: all of standard output unless the text ends in
+// "...", and a part of standard error.
+type step struct {
+	command string
+	code    int
+	out     string
+	errOut  string
+}
+
+func (b *bench) follow(steps []step) {
+	b.t.Helper()
+	for _, step := range steps {
+		code, out, errOut := b.run(step.command)
+		begin, open := strings.CutSuffix(step.out, "...")
+		if code != step.code || !strings.HasPrefix(out, begin) || (!open && out != step.out) || !strings.Contains(errOut, step.errOut) {
+			b.t.Errorf("%s: code %d\n%s\n%s\nwant code %d\n%s\n%s", step.command, code, out, errOut, step.code, step.out, step.errOut)
+		}
+	}
+}
+
+func TestConfigCommands(t *testing.T) {
+	b := newBench(t)
+	warning := `warning: all.json: service "bookings": calls: no call is named, so that all are taken as not idempotent; name the calls that may be repeated` + "\n"
+	b.follow([]step{
+		{command: "config check ./sound", out: warning + "the configuration is sound: 2 failure domains, 1 workspaces, 1 models, 1 versions, 2 services, 1 rules\n"},
+		{command: "config check ./unread", code: 3, errOut: "all.json: line 1: nam: there is no such field; correct the file"},
+		{command: "config check ./none", code: 3, errOut: "there are no .json files in ./none; name the folder"},
+		{
+			command: "config check ./wrong", code: 3, out: warning,
+			errOut: `the configuration has 2 problems; correct these
+all.json: service "chat": limits.cold: 0 is not from 1 to 100000; state the requests that a cold endpoint bears at once
+all.json: rule "chat": version: version "v2" does not exist; add the version or correct its name`,
+		},
+		{command: "config check ./wrong --json", code: 3, out: "{\n \"problems\": [\n {\n \"file\": \"all.json\",\n \"kind\": \"service\",..."},
+		{command: "config show", code: 8, errOut: "no configuration was published yet; publish one with lovagectl config apply"},
+		{command: "config history", out: "GENERATION ACCEPTED BY DIGEST NOTE\n"},
+		{command: "config apply ./wrong", code: 3, out: warning, errOut: "2 problems"},
+		{command: "config apply ./sound --by ana --note first", out: warning + "generation 1 is accepted (#)\n"},
+		{command: "config apply ./sound --by ana", out: warning + "generation 1 holds this configuration already; nothing was published\n"},
+		{command: "config diff ./sound", out: "from generation 1:\nno difference\n"},
+		{command: "config diff ./changed", out: "from generation 1:\n~ service \"chat\"\n limits.max: 8 -> 16\n"},
+		{command: "config diff ./changed --json", out: "{\n \"generation\": 1,\n \"changes\": [..."},
+		{command: "domain out b", out: "generation 2 is accepted (#)\n"},
+		{
+			command: "config apply ./changed --base 1 --by ion", code: 4,
+			out:    warning + "generation 2 changed, from generation 1:\n~ failure domain \"b\"\n out: (none) -> true\n",
+			errOut: "generation 2 was accepted from publication # meanwhile, nothing of yours was published; see what differs with lovagectl config diff, then apply again",
+		},
+		{
+			command: "config apply ./changed --base 2 --by ion",
+			out:     warning + "failure domain b stays out; bring it back with lovagectl domain in b\ngeneration 3 is accepted (#)\n",
+		},
+		{command: "config show --head", out: "{\n \"generation\": 3,\n \"digest\": \"#\",\n \"publish_id\": \"#\",\n \"by\": \"ion\",\n \"at_unix_s\": ..."},
+		{command: "config show 1", out: "{\n \"failure_domains\": [\n {\n \"name\": \"a\",\n \"region\": \"east\"\n },..."},
+		{command: "config show 9", code: 8, errOut: "generation 9 was never accepted; the one in force is 3; name one that lovagectl config history lists"},
+		{command: "config rollback 3", code: 8, errOut: "there is no older generation 3; the one in force is 3"},
+		{
+			command: "config rollback 1 --by ana --note slow",
+			out:     "failure domain b stays out; bring it back with lovagectl domain in b\n~ service \"chat\"\n limits.max: 16 -> 8\ngeneration 4 is accepted (#)\n",
+		},
+		{
+			command: "config history --limit 3",
+			out:     "GENERATION ACCEPTED BY DIGEST NOTE\n4 # ana # rollback to 1 slow\n3 # ion # -\n2 # - # -\n",
+		},
+		{command: "config apply ./changed --publish-id mine --by ana", out: warning + "failure domain b stays out; bring it back with lovagectl domain in b\ngeneration 5 is accepted (#)\n"},
+		{command: "domain in b", out: "generation 6 is accepted (#)\n"},
+		{command: "config apply ./changed --publish-id mine", out: warning + "failure domain b stays out; bring it back with lovagectl domain in b\ngeneration 5 is accepted (#)\n"},
+		{command: "config history --limit 1", out: "GENERATION ACCEPTED BY DIGEST NOTE\n6 # - # -\n"},
+		{command: "config apply", code: 80, errOut: "lovagectl --help lists the commands"},
+	})
+}
+
+func TestLostAnswersNameThePublishID(t *testing.T) {
+	b := newBench(t)
+	b.put("/faults", standin.PlatformFaults{Down: true})
+	b.follow([]step{{command: "config show", code: 7, errOut: "status 503; try again"}})
+	b.put("/faults", standin.PlatformFaults{LoseAnswers: true})
+	_, _, errOut := b.run("config apply ./sound --publish-id mine")
+	if !strings.Contains(errOut, "run the command again with --publish-id mine, which publishes once at most") {
+		t.Errorf("the remedy is missing: %s", errOut)
+	}
+	b.put("/faults", standin.PlatformFaults{})
+	b.follow([]step{
+		{command: "config apply ./sound --publish-id mine", out: "warning..."},
+		{command: "config apply ./sound --publish-id mine", out: "warning..."},
+		{command: "config history", out: "GENERATION ACCEPTED BY DIGEST NOTE\n1 # ..."},
+	})
+}
+
+func TestWaitAndStatusNameTheHosts(t *testing.T) {
+	b := newBench(t)
+	b.follow([]step{
+		{command: "config apply ./sound --by ana", out: "warning..."},
+		{command: "config apply ./changed --by ana", out: "warning..."},
+	})
+	serving := []wire.VersionStatus{{Version: manifest, Phase: wire.VersionServing, Have: 3, Total: 3}}
+	b.addHost("e1", core.RoleEntry, "a", statusMethod(wire.Record{Phase: wire.PhaseReady, Generation: 2}))
+	b.addHost("r1", core.RoleAgent, "a", statusMethod(wire.Record{Phase: wire.PhaseReady, Generation: 2, Versions: serving}))
+	b.follow([]step{{command: "config wait", out: "generation 2 is confirmed by all 2 hosts #\n"}})
+	b.follow([]step{{command: "wait", out: "in force and serving everywhere #\n"}})
+	b.addHost("p1", core.RoleAgent, "b", statusMethod(wire.Record{Phase: wire.PhaseReady, Generation: 1}))
+	b.addHost("p2", core.RoleAgent, "b", nil)
+	b.follow([]step{
+		{
+			command: "config wait --timeout 2s", code: 5,
+			errOut: "generation 2 is confirmed by 2 of 4 hosts, not by: p1 in b holds generation 1, p2 in b gave no answer; read these hosts' logs",
+		},
+		{command: "config wait 1 --timeout 2s --json", code: 5, out: "{\n \"generation\": 1,\n \"confirmed\": [\n \"e1\",\n \"p1\",\n \"r1\"\n ],\n \"missing\": [\n {\n \"host\": \"p2\",\n \"failure_domain\": \"b\",\n \"reason\": \"gave no answer\"..."},
+		{command: "wait --timeout 2s", code: 5, errOut: "not yet in force at p1, p2; read these hosts' logs"},
+		{
+			command: "status",
+			out: "HOST ROLE FAILURE DOMAIN PHASE GENERATION VERSION\ne1 entry a ready 2 \np1 agent b ready 1 \np2 agent b no answer 0 \n" +
+				"r1 agent a ready 2 # serving 3/3\ngeneration 2 is in force at 2 of 4 hosts; 1 gave no answer\n",
+		},
+		{command: "status --json", out: "{\n \"generation\": 2,\n \"hosts\": [\n {\n \"host\": \"e1\",..."},
+	})
+}
+
+func TestPlatformFileIsAskedFor(t *testing.T) {
+	var errOut bytes.Buffer
+	t.Setenv("LOVAGE_PLATFORM", "")
+	code := run(t.Context(), []string{"status"}, io.Discard, &errOut, func(int) {})
+	if code != 3 || !strings.Contains(errOut.String(), "name their JSON file with --platform or in LOVAGE_PLATFORM") {
+		t.Fatalf("code %d: %s", code, &errOut)
+	}
+}
--- a/cmd/lovagectl/status.go
+++ b/cmd/lovagectl/status.go
@@ -7,10 +7,12 @@
 	"github.com/lovageglade/lovageglade/internal/operate"
 )
 
-type statusCmd struct{}
+type statusCmd struct {
+	JSON bool `name:"json" help:"Print the status as JSON."`
+}
 
 func (c *statusCmd) Run(ctx context.Context, operator *operate.Operator) error {
-	return operator.Status(ctx)
+	return operator.Status(ctx, c.JSON)
 }
 
 type waitCmd struct {
--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -15,8 +15,9 @@
 	Services       []Service       `json:"services,omitempty"`
 	Rules          []Rule          `json:"rules,omitempty"`
 
-	files files           // where the objects were read, for messages
-	base  core.Generation // the generation that the set was made from, 0 if from none
+	files   files           // where the objects were read, for messages
+	follows core.Generation // the generation that the set was made from
+	derived bool            // whether it was made from one
 }
 
 // FailureDomain is a failure domain and the region that holds it. Out takes it out of service.
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -103,34 +103,52 @@
 // claim returns the publication's row, which the first try writes. It fixes the generation that the publication
 // follows, so that a later try under the same ID cannot publish a second time after others have.
 func (p Publisher) claim(ctx context.Context, publication Publication, digest string) (publicationRow, error) {
-	key := publicationFolder + publication.ID
-	row, err := p.Tables.Get(ctx, configTable, key)
+	row, err := p.Tables.Get(ctx, configTable, publicationFolder+publication.ID)
 	if err != nil {
 		return publicationRow{}, err
 	}
 	if row.Revision == 0 {
-		row, err = p.writeClaim(ctx, publication, key, digest)
+		row, err = p.writeClaim(ctx, publication, publicationFolder+publication.ID, digest)
 		if err != nil {
 			return publicationRow{}, err
 		}
 	}
+	claimed, err := decodePublication(row)
+	if err == nil && claimed.Digest != digest {
+		err = fault.New(fault.Conflict, "the publish id "+publication.ID+" belongs to another configuration", "publish under a new id")
+	}
+	return claimed, err
+}
+
+func decodePublication(row platform.Row) (publicationRow, error) {
 	var claimed publicationRow
 	if err := json.Unmarshal(row.Value, &claimed); err != nil {
-		return claimed, fault.Wrap(err, fault.BadConfig, "the row config/"+key+" cannot be read", "publish under another id")
-	}
-	if claimed.Digest != digest {
-		return claimed, fault.New(fault.Conflict, "the publish id "+publication.ID+" belongs to another configuration", "publish under a new id")
+		return claimed, fault.Wrap(err, fault.BadConfig, "the row config/"+row.Key+" cannot be read", "publish under another id")
 	}
 	return claimed, nil
 }
 
+// PublicationBase returns the generation that a publication follows, and whether any try of it left its row.
+func PublicationBase(ctx context.Context, tables platform.Tables, publishID string) (core.Generation, bool, error) {
+	if publishID == "" {
+		return 0, false, nil
+	}
+	row, err := tables.Get(ctx, configTable, publicationFolder+publishID)
+	if err != nil || row.Revision == 0 {
+		return 0, false, err
+	}
+	claimed, err := decodePublication(row)
+	return claimed.Base, err == nil, err
+}
+
 func (p Publisher) writeClaim(ctx context.Context, publication Publication, key, digest string) (platform.Row, error) {
 	standing, _, err := ReadHead(ctx, p.Tables)
 	if err != nil {
 		return platform.Row{}, err
 	}
-	if base := publication.Set.base; base != 0 && base != standing.Generation {
-		return platform.Row{}, p.lostRace(ctx, standing, base)
+	set := publication.Set
+	if set.derived && set.follows != standing.Generation {
+		return platform.Row{}, p.lostRace(ctx, standing, set.follows)
 	}
 	value, err := json.Marshal(publicationRow{Base: standing.Generation, Digest: digest})
 	if err != nil {
@@ -211,8 +229,10 @@
 	return err
 }
 
-// Rebase returns the set as one that was made from the generation: it is accepted only while that one is in force.
+// Rebase returns the set as one that was made from the generation: it is accepted only while that one is in force;
+// generation 0 stands for none.
 func (s Set) Rebase(generation core.Generation) Set {
-	s.base = generation
+	s.follows = generation
+	s.derived = true
 	return s
 }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -44,7 +44,7 @@
 	if err := json.Unmarshal(raw, &snapshot.Set); err != nil {
 		return nil, fault.Wrap(err, fault.BadConfig, "the published configuration cannot be read", "run this version's lovagectl config apply again")
 	}
-	snapshot.Set.base = generation
+	snapshot.Set = snapshot.Set.Rebase(generation)
 	snapshot.index()
 	return snapshot, nil
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -51,6 +51,7 @@
 	BadConfig      = Namespace.NewType("bad_configuration")
 	BadSettings    = Namespace.NewType("bad_settings")
 	Corrupted      = Namespace.NewType("corrupted")
+	Burning        = Namespace.NewType("objective_burning")
 	Internal       = Namespace.NewType("internal")
 )
 
--- a/internal/fault/refusal.go
+++ b/internal/fault/refusal.go
@@ -81,7 +81,7 @@
 var kindsByName = indexKinds(
 	BadRequest, UnknownService, UnknownSpace, TooLarge, NoEndpoint, Overloaded, Draining, NotReady, Expired, Suspect,
 	KeyConflict, WrongLife, Tombstoned, Forbidden, Interrupted, EndpointFault, LostOutcome, PlatformDown, Conflict,
-	NotFound, BadConfig, BadSettings, Corrupted, Internal,
+	NotFound, BadConfig, BadSettings, Corrupted, Burning, Internal,
 )
 
 func indexKinds(kinds ...*errorx.Type) map[string]*errorx.Type {
--- /dev/null
+++ b/internal/operate/apply.go
@@ -0,0 +1,222 @@
+package operate
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+const publishTries = 5
+
+// Origin says who publishes and why.
+type Origin struct {
+	By        string
+	Note      string
+	PublishID string          // "" for a new one
+	Base      core.Generation // the generation that must be in force, or 0 for any
+}
+
+// CheckFolder checks the folder's configuration and prints everything that is wrong with it.
+func (o *Operator) CheckFolder(folder string, asJSON bool) error {
+	set, err := config.ReadFolder(folder)
+	if err != nil {
+		return err
+	}
+	findings := config.Examine(set)
+	if asJSON {
+		if err := o.printJSON(findings); err != nil {
+			return err
+		}
+		return findings.Err()
+	}
+	o.printWarnings(findings)
+	if err := findings.Err(); err != nil {
+		return err
+	}
+	return o.printf("the configuration is sound: %s\n", describeSet(set))
+}
+
+func (o *Operator) printWarnings(findings config.Findings) {
+	for _, warning := range findings.Warnings {
+		_ = o.printf("warning: %s\n", warning)
+	}
+}
+
+func describeSet(set config.Set) string {
+	return fmt.Sprintf("%d failure domains, %d workspaces, %d models, %d versions, %d services, %d rules",
+		len(set.FailureDomains), len(set.Workspaces), len(set.Models), len(set.Versions), len(set.Services), len(set.Rules))
+}
+
+// Apply checks the folder's configuration and puts it in force. Failure domains that are out stay out. Applying what is
+// in force already publishes nothing.
+func (o *Operator) Apply(ctx context.Context, folder string, origin Origin) error {
+	set, err := config.ReadFolder(folder)
+	if err != nil {
+		return err
+	}
+	findings := config.Examine(set)
+	o.printWarnings(findings)
+	if err := findings.Err(); err != nil {
+		return err
+	}
+	standing, err := o.inForce(ctx)
+	if err != nil {
+		return err
+	}
+	base, claimed, err := config.PublicationBase(ctx, o.Platform, origin.PublishID)
+	if err != nil {
+		return err
+	}
+	if !claimed {
+		base = cmp.Or(origin.Base, standing.Generation)
+	}
+	set, err = o.rebase(ctx, set, base)
+	if err != nil {
+		return err
+	}
+	if !claimed && base == standing.Generation && base > 0 && len(config.Diff(standing.Set, set)) == 0 {
+		return o.printf("generation %d holds this configuration already; nothing was published\n", base)
+	}
+	return o.commit(ctx, config.Publication{Set: set}, origin)
+}
+
+// rebase makes the set one that follows the generation, and keeps out what is out there.
+func (o *Operator) rebase(ctx context.Context, set config.Set, base core.Generation) (config.Set, error) {
+	followed, err := o.snapshotAt(ctx, base)
+	if err != nil {
+		return set, err
+	}
+	return o.keepOut(set, followed.Set).Rebase(base), nil
+}
+
+// inForce returns the snapshot in force, or one of generation 0 before the first publication.
+func (o *Operator) inForce(ctx context.Context) (*config.Snapshot, error) {
+	head, _, err := config.ReadHead(ctx, o.Platform)
+	if err != nil {
+		return nil, err
+	}
+	if head.Generation == 0 {
+		return &config.Snapshot{}, nil
+	}
+	return config.Fetch(ctx, o.Platform, head)
+}
+
+// keepOut keeps out the failure domains that are out in the standing set.
+func (o *Operator) keepOut(set, standing config.Set) config.Set {
+	set.FailureDomains = slices.Clone(set.FailureDomains)
+	for i := range set.FailureDomains {
+		domain := &set.FailureDomains[i]
+		isOut := slices.ContainsFunc(standing.FailureDomains, func(other config.FailureDomain) bool {
+			return other.Name == domain.Name && other.Out
+		})
+		if isOut && !domain.Out {
+			domain.Out = true
+			_ = o.printf("failure domain %s stays out; bring it back with lovagectl domain in %s\n", domain.Name, domain.Name)
+		}
+	}
+	return set
+}
+
+// publish puts a set in force that was changed from the snapshot in force.
+func (o *Operator) publish(ctx context.Context, set config.Set) error {
+	return o.commit(ctx, config.Publication{Set: set}, Origin{})
+}
+
+// commit publishes, and asks again under the same id while answers are lost.
+func (o *Operator) commit(ctx context.Context, publication config.Publication, origin Origin) error {
+	publication.ID = origin.PublishID
+	if publication.ID == "" {
+		publication.ID = core.NewID()
+	}
+	publication.By = origin.By
+	publication.Note = origin.Note
+	publication.AtUnixS = time.Now().Unix()
+	head, err := o.commitWithRetries(ctx, publication)
+	if fault.Is(err, fault.PlatformDown) {
+		message := "it is not known whether the configuration was accepted"
+		remedy := "run the command again with --publish-id " + publication.ID + ", which publishes once at most"
+		return fault.Wrap(err, fault.PlatformDown, message, remedy)
+	}
+	if lost, raced := fault.Find[*config.LostRace](err); raced {
+		o.explainRace(ctx, lost)
+	}
+	if err != nil {
+		return err
+	}
+	return o.printf("generation %d is accepted (%s)\n", head.Generation, head.Digest)
+}
+
+func (o *Operator) commitWithRetries(ctx context.Context, publication config.Publication) (config.Head, error) {
+	publisher := config.Publisher{Tables: o.Platform, Objects: o.Platform}
+	var head config.Head
+	var err error
+	for range publishTries {
+		head, err = publisher.Commit(ctx, publication)
+		if !fault.Is(err, fault.PlatformDown) {
+			return head, err
+		}
+		select {
+		case <-ctx.Done():
+			return head, err
+		case <-time.After(pollInterval):
+		}
+	}
+	return head, err
+}
+
+// explainRace prints what the winner of a race changed.
+func (o *Operator) explainRace(ctx context.Context, lost *config.LostRace) {
+	before, err := o.snapshotAt(ctx, lost.Base)
+	if err != nil {
+		return
+	}
+	after, err := config.Fetch(ctx, o.Platform, lost.Winner)
+	if err != nil {
+		return
+	}
+	_ = o.printf("generation %d changed, from generation %d:\n", lost.Winner.Generation, lost.Base)
+	_ = o.printChanges(config.Diff(before.Set, after.Set))
+}
+
+// snapshotAt returns the snapshot of an accepted generation; generation 0 is the empty one.
+func (o *Operator) snapshotAt(ctx context.Context, generation core.Generation) (*config.Snapshot, error) {
+	if generation == 0 {
+		return &config.Snapshot{}, nil
+	}
+	head, err := config.HeadAt(ctx, o.Platform, generation)
+	if err != nil {
+		return nil, err
+	}
+	return config.Fetch(ctx, o.Platform, head)
+}
+
+// Rollback puts the configuration of an older generation in force again, as a new generation. Generation 0 stands for
+// the one before that in force. Failure domains that are out stay out.
+func (o *Operator) Rollback(ctx context.Context, generation core.Generation, origin Origin) error {
+	standing, err := o.inForce(ctx)
+	if err != nil {
+		return err
+	}
+	if generation == 0 && standing.Generation > 1 {
+		generation = standing.Generation - 1
+	}
+	if generation == 0 || generation >= standing.Generation {
+		message := fmt.Sprintf("there is no older generation %d; the one in force is %d", generation, standing.Generation)
+		return fault.New(fault.NotFound, message, "name an older one that lovagectl config history lists")
+	}
+	older, err := o.snapshotAt(ctx, generation)
+	if err != nil {
+		return err
+	}
+	set := o.keepOut(older.Set, standing.Set).Rebase(standing.Generation)
+	if err := o.printChanges(config.Diff(standing.Set, set)); err != nil {
+		return err
+	}
+	return o.commit(ctx, config.Publication{Set: set, Restores: generation}, origin)
+}
--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -42,22 +42,78 @@
 	}), nil
 }
 
+// StatusReport is what Status prints as JSON.
+type StatusReport struct {
+	Generation core.Generation `json:"generation"` // in force at the platform
+	Hosts      []HostStatus    `json:"hosts"`
+}
+
+// HostStatus is the status of one host.
+type HostStatus struct {
+	Host          core.HostID          `json:"host"`
+	Role          core.Role            `json:"role"`
+	FailureDomain core.FailureDomain   `json:"failure_domain"`
+	Phase         string               `json:"phase"` // "no answer" when it gave none
+	Generation    core.Generation      `json:"generation"`
+	Versions      []wire.VersionStatus `json:"versions,omitempty"`
+	Error         string               `json:"error,omitempty"`
+}
+
+const phaseNoAnswer = "no answer"
+
 // Status prints every host, its generation and its versions.
-func (o *Operator) Status(ctx context.Context) error {
+func (o *Operator) Status(ctx context.Context, asJSON bool) error {
+	head, _, err := config.ReadHead(ctx, o.Platform)
+	if err != nil {
+		return err
+	}
 	nodes, err := o.Gather(ctx)
 	if err != nil {
 		return err
 	}
+	report := StatusReport{Generation: head.Generation, Hosts: []HostStatus{}}
+	for _, node := range nodes {
+		report.Hosts = append(report.Hosts, describeNode(node))
+	}
+	if asJSON {
+		return o.printJSON(report)
+	}
+	return o.printStatus(report)
+}
+
+func describeNode(node NodeStatus) HostStatus {
+	status := HostStatus{
+		Host:          node.Host.ID,
+		Role:          node.Host.Role,
+		FailureDomain: node.Host.FailureDomain,
+		Phase:         string(node.Record.Phase),
+		Generation:    node.Record.Generation,
+		Versions:      node.Record.Versions,
+	}
+	if node.Err != nil {
+		status.Phase = phaseNoAnswer
+		status.Error = Explain(node.Err)
+	}
+	return status
+}
+
+func (o *Operator) printStatus(report StatusReport) error {
 	table := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "HOST\tROLE\tFAILURE DOMAIN\tPHASE\tGENERATION\tVERSION")
-	for _, node := range nodes {
-		phase := string(node.Record.Phase)
-		if node.Err != nil {
-			phase = "no answer"
+	current, silent := 0, 0
+	for _, host := range report.Hosts {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\n", host.Host, host.Role, host.FailureDomain, host.Phase, host.Generation, describeVersions(host.Versions))
+		switch {
+		case host.Phase == phaseNoAnswer:
+			silent++
+		case host.Generation >= report.Generation:
+			current++
 		}
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\n", node.Host.ID, node.Host.Role, node.Host.FailureDomain, phase, node.Record.Generation, describeVersions(node.Record.Versions))
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return o.printf("generation %d is in force at %d of %d hosts; %d gave no answer\n", report.Generation, current, len(report.Hosts), silent)
 }
 
 func describeVersions(versions []wire.VersionStatus) string {
@@ -75,23 +131,25 @@
 	for {
 		late, err := o.late(ctx)
 		if err == nil && len(late) == 0 {
-			_, err = fmt.Fprintf(o.Out, "in force and serving everywhere after %.2f s\n", time.Since(start).Seconds())
-			return err
+			return o.printf("in force and serving everywhere after %.2f s\n", time.Since(start).Seconds())
 		}
 		select {
 		case <-ctx.Done():
-			return fault.New(fault.Expired, "not yet in force at "+strings.Join(late, ", "), "read these hosts' logs and wait again")
+			return describeLate(late, err)
 		case <-time.After(pollInterval):
 		}
 	}
 }
 
-func (o *Operator) late(ctx context.Context) ([]string, error) {
-	head, _, err := config.ReadHead(ctx, o.Platform)
-	if err != nil {
-		return nil, err
+func describeLate(late []string, err error) error {
+	if len(late) == 0 && err != nil {
+		return fault.Wrap(err, fault.Expired, "it is not known which hosts serve the configuration", "wait again with a longer --timeout")
 	}
-	snapshot, err := config.Fetch(ctx, o.Platform, head)
+	return fault.New(fault.Expired, "not yet in force at "+strings.Join(late, ", "), "read these hosts' logs and wait again")
+}
+
+func (o *Operator) late(ctx context.Context) ([]string, error) {
+	snapshot, err := o.inForce(ctx)
 	if err != nil {
 		return nil, err
 	}
