A request's outcome is decided by a pure reducer

Cause: the flow mixed its decisions with I/O. It said "not run" after attempts of unknown fate, restarted nothing apart from what had been passed on, took an attach to another life of an agent for a refusal, and waited for ever on a caller that read no more. The agent's table forgot ended attempts and would then have declared them never run, and a run that may not be stopped was cut at its caller's deadline.

Ruled out: time marks from wall clocks, since hosts differ; ids kept for the agent's whole life, since the memory grows; deduplication of idempotent requests by claims, since each costs a platform write.

Change: package outcome steps typed events to typed effects, and the entry performs them. Package claim writes a row for each key before the first dispatch. The agent's table is bounded; what it forgets raises a horizon of its own time marks, below which it neither runs an attempt nor says that it did not run. Package suspect counts crashes by content. Answers stop when the caller is gone, and writes have a deadline. A shutdown starts no attempt after its wait has begun.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,8 @@
 	"github.com/lovageglade/lovageglade/internal/platform"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
+	"github.com/lovageglade/lovageglade/internal/stream"
+	"github.com/lovageglade/lovageglade/internal/suspect"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/weights"
 	"github.com/lovageglade/lovageglade/internal/wire"
@@ -39,7 +41,9 @@
 	store       *weights.Store
 	loader      *loader
 	draining    atomic.Bool
-	running     conc.WaitGroup // attempts at the back end
+	suspects    *suspect.Registry
+	suspectTurn chan struct{} // held by the one suspect request that runs
+	running     work          // attempts at the back end
 }
 
 // New returns an agent that has not started.
@@ -58,7 +62,9 @@
 		origin:      services,
 		objects:     services,
 		peers:       rpc.NewClient(),
-		table:       attempt.NewTable(),
+		table:       attempt.NewTable(time.Now()),
+		suspects:    suspect.NewRegistry(),
+		suspectTurn: make(chan struct{}, 1),
 		gate:        admission.NewGate(),
 		store:       weights.NewStore(config.WeightsBytes),
 	}
@@ -84,7 +90,9 @@
 	tasks.Go(func() { a.node.Run(inner) })
 	tasks.Go(func() { a.loader.run(inner) })
 	tasks.Go(func() { a.sweep(inner) })
-	tasks.Go(func() { _ = app.Listener(data, fiber.ListenConfig{DisableStartupMessage: true}) })
+	tasks.Go(func() {
+		_ = app.Listener(stream.Listener(data, writeTimeout), fiber.ListenConfig{DisableStartupMessage: true})
+	})
 	a.logger.Info().Uint64("incarnation", uint64(a.incarnation)).Msg("agent started")
 	<-ctx.Done()
 	a.drain(inner, app)
@@ -141,5 +149,7 @@
 func (a *Agent) load() wire.Load {
 	load := a.gate.Load()
 	load.Generation = a.node.View().Self.Generation
+	load.Incarnation = a.incarnation
+	load.Mark = a.table.Mark(time.Now())
 	return load
 }
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -11,6 +11,7 @@
 func (a *Agent) methods() map[string]rpc.Method {
 	methods := a.node.Methods()
 	methods[wire.MethodResolve] = rpc.Handle(a.resolve)
+	methods[wire.MethodCancel] = rpc.Handle(a.cancel)
 	return methods
 }
 
@@ -18,6 +19,12 @@
 	if request.Incarnation != a.incarnation {
 		return wire.Resolved{State: wire.ResolveOtherLife, Incarnation: a.incarnation}, nil
 	}
-	state := a.table.Resolve(request.Attempt, time.Now())
+	state := a.table.Resolve(request.Attempt, request.Mark, time.Now())
 	return wire.Resolved{State: state, Incarnation: a.incarnation}, nil
 }
+
+// cancel stops an attempt whose caller has gone. One that is not idempotent runs on.
+func (a *Agent) cancel(_ context.Context, request wire.Cancel) (wire.Cancelled, error) {
+	record := a.table.Find(request.Attempt, time.Now())
+	return wire.Cancelled{Stopped: record != nil && record.Stop()}, nil
+}
--- a/internal/attempt/record.go
+++ b/internal/attempt/record.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,16 +17,43 @@
 type Record struct {
 	id core.AttemptID
 
+	held *atomic.Int64 // bytes of all answers of the table
+
 	mu      sync.Mutex
 	state   wire.ResolveState
 	head    *wire.Frame
 	body    []byte
+	dropped bool        // the body is no longer held
 	final   *wire.Frame // the end, or the refusal
+	stop    func()
 	changed chan struct{}
 }
 
-func newRecord(id core.AttemptID, state wire.ResolveState) *Record {
-	return &Record{id: id, state: state, changed: make(chan struct{})}
+const maxFrameBytes = 64 << 10
+
+func newRecord(id core.AttemptID, state wire.ResolveState, held *atomic.Int64) *Record {
+	return &Record{id: id, state: state, held: held, changed: make(chan struct{})}
+}
+
+// ID returns the attempt's id.
+func (r *Record) ID() core.AttemptID { return r.id }
+
+// OnStop sets what stops the attempt. An attempt without it cannot be stopped.
+func (r *Record) OnStop(stop func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stop = stop
+}
+
+// Stop stops the attempt if it is running and may be stopped, and tells whether it did.
+func (r *Record) Stop() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stop == nil || r.final != nil {
+		return false
+	}
+	r.stop()
+	return true
 }
 
 // Head records the status and the content type of the endpoint's answer.
@@ -41,6 +69,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.body = append(r.body, data...)
+	r.held.Add(int64(len(data)))
 	r.wake()
 }
 
@@ -95,13 +124,15 @@
 func (r *Record) Read(cursor *Cursor) (frames []wire.Frame, done bool, changed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.dropped {
+		return []wire.Frame{r.droppedFrame()}, true, nil
+	}
 	if r.head != nil && !cursor.HeadRead {
 		frames = append(frames, *r.head)
 		cursor.HeadRead = true
 	}
-	if cursor.Offset < int64(len(r.body)) {
-		frames = append(frames, wire.Frame{Kind: wire.FrameData, Attempt: r.id, Offset: cursor.Offset, Data: r.body[cursor.Offset:len(r.body):len(r.body)]})
-		cursor.Offset = int64(len(r.body))
+	for cursor.Offset < int64(len(r.body)) {
+		frames = append(frames, r.dataFrame(cursor))
 	}
 	if r.final != nil {
 		frames = append(frames, *r.final)
@@ -109,6 +140,32 @@
 	return frames, r.final != nil, r.changed
 }
 
+func (r *Record) dataFrame(cursor *Cursor) wire.Frame {
+	end := min(cursor.Offset+maxFrameBytes, int64(len(r.body)))
+	data := r.body[cursor.Offset:end:end]
+	frame := wire.Frame{Kind: wire.FrameData, Attempt: r.id, Offset: cursor.Offset, Data: data}
+	cursor.Offset = end
+	return frame
+}
+
+func (r *Record) droppedFrame() wire.Frame {
+	err := fault.New(fault.LostOutcome, "the request ran and its answer is no longer held", "read the result from the service")
+	refusal := fault.RefusalOf(err, fault.Unknown)
+	return wire.Frame{Kind: wire.FrameRefusal, Attempt: r.id, Refusal: &refusal}
+}
+
+// drop gives up the held body of an attempt that has ended.
+func (r *Record) drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.final == nil || r.dropped || len(r.body) == 0 {
+		return
+	}
+	r.held.Add(-int64(len(r.body)))
+	r.body = nil
+	r.dropped = true
+}
+
 func (r *Record) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"strings"
 
@@ -10,11 +11,15 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
+const pieceQueue = 256
+
 // answer collects a request's answer. An event stream is passed on as it arrives; any other answer is sent once it
 // is whole.
 type answer struct {
-	started     chan struct{} // closed at the head of a stream, or at the end
-	pieces      chan []byte
+	started chan struct{} // closed at the head of a stream, or at the end
+	gone    chan struct{} // closed when the caller takes no more
+	pieces  chan []byte
+
 	status      int
 	contentType string
 	whole       []byte
@@ -23,30 +28,39 @@
 	err         error
 }
 
-const pieceQueue = 256
-
 func newAnswer() *answer {
-	return &answer{started: make(chan struct{}), pieces: make(chan []byte, pieceQueue)}
+	return &answer{
+		started: make(chan struct{}),
+		gone:    make(chan struct{}),
+		pieces:  make(chan []byte, pieceQueue),
+	}
 }
 
 func (a *answer) streams() bool { return a.streaming }
 
+// head begins the answer, and discards what was collected of another one.
 func (a *answer) head(status int, contentType string) {
 	a.status = status
 	a.contentType = contentType
+	a.whole = nil
 	if strings.HasPrefix(contentType, "text/event-stream") {
 		a.streaming = true
 		close(a.started)
 	}
 }
 
-func (a *answer) data(piece []byte) error {
-	if a.streaming {
-		a.pieces <- piece
-		return nil
+// data adds a piece. It waits while the caller is behind, until the caller is gone or the context ends; the flow ends
+// the answer then.
+func (a *answer) data(ctx context.Context, piece []byte) {
+	if !a.streaming {
+		a.whole = append(a.whole, piece...)
+		return
+	}
+	select {
+	case a.pieces <- piece:
+	case <-a.gone:
+	case <-ctx.Done():
 	}
-	a.whole = append(a.whole, piece...)
-	return nil
 }
 
 func (a *answer) finish(outcome fault.Outcome, err error) {
@@ -61,18 +75,17 @@
 // copyTo writes the event stream. A stream that ends early ends in an error event without the end marker, so that no
 // caller takes it for whole.
 func (a *answer) copyTo(w *bufio.Writer) {
-	gone := false
 	for piece := range a.pieces {
-		if gone {
-			continue
+		_, _ = w.Write(piece) // Flush returns its error
+		if w.Flush() != nil {
+			close(a.gone)
+			return
 		}
-		_, _ = w.Write(piece)
-		gone = w.Flush() != nil
 	}
-	if a.err == nil || gone {
+	if a.err == nil {
 		return
 	}
-	refusal, _ := json.Marshal(fault.RefusalOf(a.err, a.outcome))
+	refusal, _ := json.Marshal(fault.RefusalOf(a.err, a.outcome)) // plain fields always encode
 	_, _ = w.WriteString("\n\ndata: {\"error\":" + string(refusal) + "}\n\n")
 	_ = w.Flush()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	progressTimeout = 4 * time.Second // agents send a frame every second
+	progressTimeout = 4 * time.Second  // agents send a frame every second
+	writeTimeout    = 10 * time.Second // for a caller to take a part of an answer
 	connsPerAgent   = 512
 )
 
@@ -34,6 +35,7 @@
 	peers    *rpc.Client
 	agents   *stream.Client
 	inFlight *inFlight
+	outcomes *outcomes
 	draining atomic.Bool
 }
 
@@ -51,6 +53,7 @@
 		peers:    rpc.NewClient(),
 		agents:   stream.NewClient(progressTimeout, connsPerAgent),
 		inFlight: newInFlight(),
+		outcomes: newOutcomes(services),
 	}
 	self := wire.Record{Host: config.Host, Incarnation: core.NewIncarnation(), Phase: wire.PhaseStarting}
 	e.node = node.NewRunner(self, core.RoleAgent, services, e.peers, e.logger)
@@ -69,7 +72,9 @@
 	inner, stop := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	tasks.Go(func() { e.node.Run(inner) })
-	tasks.Go(func() { _ = app.Listener(data, fiber.ListenConfig{DisableStartupMessage: true}) })
+	tasks.Go(func() {
+		_ = app.Listener(stream.Listener(data, writeTimeout), fiber.ListenConfig{DisableStartupMessage: true})
+	})
 	e.logger.Info().Msg("entry started")
 	<-ctx.Done()
 	e.drain(inner, app)
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -2,42 +2,35 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
 
+	"github.com/lovageglade/lovageglade/internal/claim"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/outcome"
+	"github.com/lovageglade/lovageglade/internal/reduce"
 	"github.com/lovageglade/lovageglade/internal/routing"
-	"github.com/lovageglade/lovageglade/internal/stream"
-	"github.com/lovageglade/lovageglade/internal/wire"
+	"github.com/lovageglade/lovageglade/internal/suspect"
 )
 
-const (
-	maxAttempts    = 4
-	resolveTimeout = time.Second
-	resolveTries   = 3
-)
-
-// sink takes a whole answer piece by piece.
-type sink interface {
-	head(status int, contentType string)
-	data(piece []byte) error
-}
+const hedgeDelay = 2 * time.Second // without an answer, until a second attempt of an idempotent request
 
-// flow carries one request over its attempts.
+// flow carries one request over its attempts: it performs what the reducer of package outcome decides.
 type flow struct {
-	entry    *Entry
-	request  *request
-	sink     sink
-	excluded map[core.HostID]bool
-
-	headSent bool
-	offset   int64
-	hash     *xxhash.Digest
+	entry       *Entry
+	request     *request
+	answer      *answer
+	machine     *outcome.Flow
+	fingerprint uint64
+	excluded    map[core.HostID]bool // what the next pick leaves out
+
+	ctx       context.Context // ends with the flow
+	deadline  context.Context // ends at the caller's deadline
+	events    chan reduce.Event
+	followers map[core.AttemptID]context.CancelFunc
+	tasks     conc.WaitGroup
 }
 
 // attemptTarget is one attempt and the endpoint's life that it is meant for.
@@ -46,156 +39,98 @@
 	endpoint routing.Candidate
 }
 
-func newFlow(e *Entry, r *request, into sink) *flow {
-	return &flow{entry: e, request: r, sink: into, excluded: make(map[core.HostID]bool), hash: xxhash.New()}
-}
-
-// run brings the request to a final outcome: the whole answer in the sink, or an error and whether it ran.
-func (f *flow) run() (fault.Outcome, error) {
-	var last error
-	for range maxAttempts {
-		target, err := f.pick()
-		if err != nil {
-			return fault.NotRun, err
-		}
-		outcome, err := f.attempt(target)
-		if err == nil {
-			return "", nil
-		}
-		last = err
-		f.excluded[target.endpoint.Host.ID] = true
-		if outcome == fault.Unknown && (!f.request.idempotent || f.headSent) {
-			return fault.Unknown, err
-		}
-		if time.Now().After(f.request.deadline) {
-			return outcome, fault.New(fault.Expired, "the deadline passed", "allow more time")
-		}
+func newFlow(e *Entry, r *request, into *answer) *flow {
+	f := &flow{
+		entry:     e,
+		request:   r,
+		answer:    into,
+		events:    make(chan reduce.Event),
+		followers: make(map[core.AttemptID]context.CancelFunc),
 	}
-	return fault.NotRun, last
+	f.fingerprint = f.content().Fingerprint()
+	return f
 }
 
-// attempt runs one attempt to its end. The outcome is NotRun only when the agent said so.
-func (f *flow) attempt(target attemptTarget) (fault.Outcome, error) {
-	host := target.endpoint.Host
-	f.entry.inFlight.add(host.ID, 1)
-	defer f.entry.inFlight.add(host.ID, -1)
-	answer, err := f.dispatch(target)
-	for {
-		if err == nil {
-			var refusal *fault.Refusal
-			refusal, err = f.follow(target, answer)
-			if err == nil && refusal == nil {
-				return "", nil
-			}
-			if refusal != nil {
-				return refusal.Outcome, fault.FromRefusal(*refusal)
-			}
-		}
-		state := f.resolve(target)
-		switch state {
-		case wire.ResolveFinished, wire.ResolveRunning:
-			answer, err = f.attach(target)
-		case wire.ResolveNever, wire.ResolveRefused:
-			return fault.NotRun, fault.New(fault.Interrupted, "the attempt did not reach its endpoint", "it is sent to another endpoint")
-		default:
-			return fault.Unknown, fault.New(fault.LostOutcome, "the endpoint was lost while it may have run the request", "check whether it took effect before sending it again")
-		}
-	}
+func (f *flow) content() claim.Content {
+	r := f.request
+	return claim.Content{Service: r.service.Name, Method: r.method, Path: r.path, ContentType: r.contentType, Body: r.body}
 }
 
-func (f *flow) dispatch(target attemptTarget) (*stream.Response, error) {
-	r := f.request
-	body, err := json.Marshal(wire.Dispatch{
-		Attempt:     target.id,
-		Request:     r.id,
-		Incarnation: target.endpoint.Incarnation,
-		Generation:  r.generation,
-		Service:     r.service.Name,
-		Workspace:   r.workspace,
-		Version:     r.version,
-		Method:      r.method,
-		Path:        r.path,
-		ContentType: r.contentType,
-		Key:         r.key,
-		Body:        r.body,
-		Idempotent:  r.idempotent,
-		Priority:    r.priority,
-		BudgetMS:    time.Until(r.deadline).Milliseconds(),
-	})
-	if err != nil {
-		return nil, err
+// run brings the request to its final answer, and then waits until everything that it started has ended.
+func (f *flow) run() {
+	defer f.tasks.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f.ctx = ctx
+	deadline, stop := context.WithDeadline(ctx, f.request.deadline)
+	defer stop()
+	f.deadline = deadline
+	crashes := f.entry.outcomes.suspects.Crashes(f.fingerprint, time.Now())
+	if crashes >= suspect.MaxCrashes {
+		f.answer.finish(refusedUnseen(f.request.claimed()), errSuspect())
+		return
 	}
-	url := "http://" + target.endpoint.Host.DataAddress + wire.PathAttempts
-	return f.entry.agents.Do(stream.Request{Method: "POST", URL: url, ContentType: "application/json", Body: body})
+	f.machine = outcome.NewFlow(outcome.Request{
+		Idempotent: f.request.idempotent,
+		Claimed:    f.request.claimed(),
+		Suspect:    crashes > 0,
+	})
+	f.loop()
 }
 
-func (f *flow) attach(target attemptTarget) (*stream.Response, error) {
-	url := "http://" + target.endpoint.Host.DataAddress + wire.PathAttempts + "/" + string(target.id) + "?offset=" + strconv.FormatInt(f.offset, 10)
-	return f.entry.agents.Do(stream.Request{Method: "GET", URL: url})
+func (f *flow) loop() {
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	f.step(outcome.Started{})
+	for !f.machine.Done() {
+		select {
+		case event := <-f.events:
+			f.step(event)
+		case <-hedge.C:
+			f.step(outcome.HedgeDue{})
+		case <-f.deadline.Done():
+			f.step(outcome.DeadlinePassed{})
+		case <-f.answer.gone:
+			f.step(outcome.CallerGone{})
+		}
+	}
 }
 
-// follow reads frames until the last one. An error means that the connection was lost before it.
-func (f *flow) follow(target attemptTarget, answer *stream.Response) (*fault.Refusal, error) {
-	defer answer.Close()
-	decoder := json.NewDecoder(answer)
-	for {
-		var frame wire.Frame
-		if err := decoder.Decode(&frame); err != nil {
-			return nil, err
-		}
-		if frame.Load != nil {
-			f.entry.inFlight.report(target.endpoint.Host.ID, *frame.Load)
-		}
-		if frame.Kind != wire.FrameBeat && frame.Attempt != target.id {
-			return nil, fault.New(fault.Corrupted, "an answer of another attempt arrived", "the attempt is resolved anew")
-		}
-		done, err := f.take(frame)
-		if frame.Kind == wire.FrameRefusal {
-			return frame.Refusal, nil
-		}
-		if done || err != nil {
-			_, _ = io.Copy(io.Discard, answer)
-			return nil, err
+// step steps the reducer over the event and over those that follow from its effects at once.
+func (f *flow) step(event reduce.Event) {
+	queue := []reduce.Event{event}
+	for len(queue) > 0 {
+		for _, effect := range f.machine.Step(queue[0]) {
+			if next := f.perform(effect); next != nil {
+				queue = append(queue, next)
+			}
 		}
+		queue = queue[1:]
 	}
 }
 
-func (f *flow) take(frame wire.Frame) (done bool, err error) {
-	switch frame.Kind {
-	case wire.FrameHead:
-		if !f.headSent {
-			f.sink.head(frame.Status, frame.ContentType)
-			f.headSent = true
-		}
-	case wire.FrameData:
-		if frame.Offset != f.offset {
-			return false, fault.New(fault.Corrupted, "a part of the answer is missing", "the attempt is resolved anew")
-		}
-		f.offset += int64(len(frame.Data))
-		_, _ = f.hash.Write(frame.Data)
-		return false, f.sink.data(frame.Data)
-	case wire.FrameEnd:
-		if frame.Length != f.offset || frame.Checksum != f.hash.Sum64() {
-			return false, fault.New(fault.Corrupted, "the answer differs from what the endpoint sent", "the request is reported as failed")
-		}
-		return true, nil
+// post hands an event to the flow, and returns false when the flow or the follower has ended.
+func (f *flow) post(ctx context.Context, event reduce.Event) bool {
+	select {
+	case f.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return false, nil
 }
 
-// resolve asks the agent over a fresh connection what became of the attempt. Without a word from it the answer is
-// ResolveOtherLife: nothing is known.
-func (f *flow) resolve(target attemptTarget) wire.ResolveState {
-	address := target.endpoint.Host.ControlAddress
-	for range resolveTries {
-		f.entry.peers.Forget(address)
-		ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
-		var resolved wire.Resolved
-		err := f.entry.peers.Call(ctx, address, wire.MethodResolve, wire.Resolve{Attempt: target.id, Incarnation: target.endpoint.Incarnation}, &resolved)
-		cancel()
-		if err == nil {
-			return resolved.State
-		}
+// claimed tells whether the request's key must be claimed before a dispatch.
+func (r *request) claimed() bool { return r.key != "" && !r.idempotent }
+
+// refusedUnseen is the outcome of a request that this entry refuses before it has asked what an earlier call with the
+// same key came to.
+func refusedUnseen(claimed bool) fault.Outcome {
+	if claimed {
+		return fault.Unknown
 	}
-	return wire.ResolveOtherLife
+	return fault.NotRun
+}
+
+func errSuspect() error {
+	return fault.New(fault.Suspect, "endpoints crashed while they ran this request", "do not send it again unchanged; have an operator look into it")
 }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -30,15 +30,14 @@
 	snapshot := e.node.View().Snapshot
 	if snapshot == nil {
 		err := fault.New(fault.NotReady, "this entry holds no configuration yet", "come back after the time in Retry-After")
-		return refuse(c, fault.WithRetryAfter(err, 1), fault.NotRun)
+		return refuse(c, fault.WithRetryAfter(err, 1), refusedUnseen(c.Get(headerKey) != ""))
 	}
 	parsed, err := parse(c, snapshot, time.Now())
 	if err != nil {
 		return refuse(c, err, fault.NotRun)
 	}
 	answer := newAnswer()
-	current := newFlow(e, parsed, answer)
-	go func() { answer.finish(current.run()) }()
+	go newFlow(e, parsed, answer).run()
 	<-answer.started
 	if answer.streams() {
 		c.Set(fiber.HeaderContentType, answer.contentType)
--- a/internal/stream/client.go
+++ b/internal/stream/client.go
@@ -17,9 +17,27 @@
 // errAbandoned closes the connection of an answer that was given up.
 var errAbandoned = errors.New("answer given up before its end")
 
+// NotSentError says that no connection could be opened, so that no byte of the request was sent.
+type NotSentError struct{ Cause error }
+
+// Error implements error.
+func (e *NotSentError) Error() string {
+	return "no connection, nothing was sent; check that the process runs: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// NotSent tells whether the request failed before any byte of it was sent.
+func NotSent(err error) bool {
+	var unsent *NotSentError
+	return errors.As(err, &unsent) || errors.Is(err, fasthttp.ErrNoFreeConns)
+}
+
 // Client sends requests and streams their answers.
 type Client struct {
-	http *fasthttp.Client
+	http  *fasthttp.Client
+	fresh *fasthttp.Client
 }
 
 // NewClient returns a client that fails a read after the progress time without a byte.
@@ -28,18 +46,22 @@
 	dial := func(address string) (net.Conn, error) {
 		conn, err := dialer.DialTimeout(address, dialTimeout)
 		if err != nil {
-			return nil, err
+			return nil, &NotSentError{Cause: err}
 		}
 		return &progressConn{Conn: conn, progress: progress}, nil
 	}
-	return &Client{http: &fasthttp.Client{
+	return &Client{http: newHTTP(dial, connsPerHost), fresh: newHTTP(dial, connsPerHost)}
+}
+
+func newHTTP(dial fasthttp.DialFunc, connsPerHost int) *fasthttp.Client {
+	return &fasthttp.Client{
 		Dial:                      dial,
 		StreamResponseBody:        true,
 		MaxConnsPerHost:           connsPerHost,
 		MaxIdemponentCallAttempts: 1, // a retry is the entry's own decision
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader:  true,
-	}}
+	}
 }
 
 // Request is one HTTP request. URL names its host by IP number and port.
@@ -49,6 +71,7 @@
 	ContentType string
 	Header      map[string]string
 	Body        []byte
+	Fresh       bool // over a connection of its own, since a kept one may have gone silent
 }
 
 // Response is an answer whose body is read as it arrives. Close must be called.
@@ -72,8 +95,13 @@
 		out.Header.Set(name, value)
 	}
 	out.SetBodyRaw(request.Body)
+	client := c.http
+	if request.Fresh {
+		client = c.fresh
+		out.SetConnectionClose()
+	}
 	in := fasthttp.AcquireResponse()
-	if err := c.http.Do(out, in); err != nil {
+	if err := client.Do(out, in); err != nil {
 		fasthttp.ReleaseResponse(in)
 		return nil, err
 	}
@@ -106,23 +134,3 @@
 		fasthttp.ReleaseResponse(r.raw)
 	}
 }
-
-// progressConn gives every read and write a deadline of its own.
-type progressConn struct {
-	net.Conn
-	progress time.Duration
-}
-
-func (c *progressConn) Read(into []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.progress)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(into)
-}
-
-func (c *progressConn) Write(from []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.progress)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(from)
-}
--- a/internal/wire/attempt.go
+++ b/internal/wire/attempt.go
@@ -28,6 +28,23 @@
 	Idempotent  bool             `json:"idempotent"`
 	Priority    int              `json:"priority"`  // higher goes first
 	BudgetMS    int64            `json:"budget_ms"` // milliseconds left until the caller's deadline
+	Mark        Mark             `json:"mark,omitempty"`
+	Fingerprint uint64           `json:"fingerprint"`        // of the request's content
+	Suspect     bool             `json:"suspect,omitempty"`  // it has been running when an endpoint crashed
+	Suspects    []Suspicion      `json:"suspects,omitempty"` // what the entry has heard of suspect requests
+}
+
+// Mark is a time of one life of an agent, in seconds since its start. An entry stamps an attempt with the latest mark
+// that it had heard of, which proves that the attempt is not older.
+type Mark uint64
+
+// Suspicion is what is heard of a request by the fingerprint of its content. A whole answer begins a new round; of
+// two reports the one with the higher round and then with more crashes holds.
+type Suspicion struct {
+	Fingerprint uint64 `json:"fingerprint"`
+	Round       uint32 `json:"round"`
+	Crashes     uint32 `json:"crashes"`
+	AgeS        uint32 `json:"age_s"` // seconds since the last change, so that old news dies out
 }
 
 // FrameKind says what a frame carries.
@@ -53,7 +70,8 @@
 	Length      int64          `json:"length,omitempty"`   // end: bytes of the whole body
 	Checksum    uint64         `json:"checksum,omitempty"` // end: xxhash64 of the whole body
 	Refusal     *fault.Refusal `json:"refusal,omitempty"`
-	Load        *Load          `json:"load,omitempty"` // end, refusal and beat: the endpoint's load now
+	Load        *Load          `json:"load,omitempty"`     // end, refusal and beat: the endpoint's load now
+	Suspects    []Suspicion    `json:"suspects,omitempty"` // end and refusal: what the agent has heard of suspect requests
 }
 
 // Load is an endpoint's load as its agent knows it.
@@ -62,6 +80,9 @@
 	Queued     int             `json:"queued"`
 	Limit      int             `json:"limit"`
 	Generation core.Generation `json:"generation"`
+
+	Incarnation core.Incarnation `json:"incarnation,omitempty"` // the agent's life that Mark belongs to
+	Mark        Mark             `json:"mark,omitempty"`
 }
 
 // ResolveState is an agent's word on an attempt.
@@ -74,6 +95,7 @@
 	ResolveRefused   ResolveState = "refused"    // refused before it ran
 	ResolveNever     ResolveState = "never"      // never seen; a tombstone now refuses a late copy
 	ResolveFailed    ResolveState = "failed"     // it reached the endpoint and has no whole answer
+	ResolveForgotten ResolveState = "forgotten"  // it may have run so long ago that the agent no longer knows
 	ResolveOtherLife ResolveState = "other_life" // the agent that was asked for is gone
 )
 
@@ -84,6 +106,7 @@
 type Resolve struct {
 	Attempt     core.AttemptID   `json:"attempt"`
 	Incarnation core.Incarnation `json:"incarnation"`
+	Mark        Mark             `json:"mark,omitempty"`
 }
 
 // Resolved is the answer of MethodResolve.
@@ -94,3 +117,13 @@
 
 // MethodCancel asks an agent to stop an attempt whose caller has gone. An attempt that is not idempotent runs on.
 const MethodCancel = "attempt.cancel"
+
+// Cancel is the request of MethodCancel.
+type Cancel struct {
+	Attempt core.AttemptID `json:"attempt"`
+}
+
+// Cancelled is the answer of MethodCancel.
+type Cancelled struct {
+	Stopped bool `json:"stopped"`
+}
