--- a/internal/outcome/answer.go
+++ b/internal/outcome/answer.go
@@ -88,10 +88,18 @@
 	return f.failed(a, err)
 }
 
+// notSent believes that nothing was sent only of the connection that dispatches, before anything was heard on it.
+func (f *Flow) notSent(a *attempt, err error) []reduce.Effect {
+	if a.headed || a.conns > 1 {
+		return f.lost(a)
+	}
+	return f.notRun(a, err)
+}
+
 // lost resolves an attempt over a fresh connection.
 func (f *Flow) lost(a *attempt) []reduce.Effect {
 	a.resumes++
-	a.conn++ // whatever still arrives on the old connection is void
+	a.conn = noConn
 	if a.resumes > maxResumes {
 		return append([]reduce.Effect{Drop{Attempt: a.ID}}, f.failed(a, errLost())...)
 	}
@@ -101,7 +109,7 @@
 func (f *Flow) resolved(a *attempt, state wire.ResolveState) []reduce.Effect {
 	switch state {
 	case wire.ResolveFinished, wire.ResolveRunning, wire.ResolveFailed:
-		a.conn++
+		a.connect()
 		return []reduce.Effect{Attach{Attempt: a.Attempt, Conn: a.conn, Offset: a.offset}}
 	case wire.ResolveNever, wire.ResolveRefused:
 		if !a.headed {
--- a/internal/outcome/claims.go
+++ b/internal/outcome/claims.go
@@ -10,7 +10,7 @@
 func (f *Flow) claimEvent(event reduce.Event) []reduce.Effect {
 	switch event := event.(type) {
 	case ClaimWritten:
-		return f.on(event.Attempt, 0, func(a *attempt) []reduce.Effect { return f.claimed(a, event) })
+		return f.on(event.Attempt, func(a *attempt) []reduce.Effect { return f.claimed(a, event) })
 	case ClaimStands:
 		return f.follow(event)
 	case ClaimAbsent:
--- a/internal/outcome/flow.go
+++ b/internal/outcome/flow.go
@@ -45,7 +45,8 @@
 // attempt is the state of one attempt.
 type attempt struct {
 	Attempt
-	conn    int
+	conns   int // connections opened
+	conn    int // the one that is read, or noConn
 	open    bool // its fate is not known yet
 	adopted bool // another call dispatched it
 	stale   bool // it was refused for its mark alone
@@ -92,30 +93,40 @@
 func (f *Flow) attemptEvent(event reduce.Event) []reduce.Effect {
 	switch event := event.(type) {
 	case NotSent:
-		return f.on(event.Attempt, event.Conn, func(a *attempt) []reduce.Effect { return f.notRun(a, event.Err) })
+		return f.onConn(event.Attempt, event.Conn, func(a *attempt) []reduce.Effect { return f.notSent(a, event.Err) })
 	case Lost:
-		return f.on(event.Attempt, event.Conn, f.lost)
+		return f.onConn(event.Attempt, event.Conn, f.lost)
 	case FrameArrived:
-		return f.on(event.Attempt, event.Conn, func(a *attempt) []reduce.Effect { return f.frame(a, event.Frame) })
+		return f.onConn(event.Attempt, event.Conn, func(a *attempt) []reduce.Effect { return f.frame(a, event.Frame) })
 	case Resolved:
-		return f.on(event.Attempt, 0, func(a *attempt) []reduce.Effect { return f.resolved(a, event.State) })
+		return f.on(event.Attempt, func(a *attempt) []reduce.Effect { return f.resolved(a, event.State) })
 	case ResolveFailed:
-		return f.on(event.Attempt, 0, f.vanished)
+		return f.on(event.Attempt, f.vanished)
 	}
 	return nil
 }
 
-// on applies the decision to an attempt that is still open. What a connection brings after it was given up is
-// dropped; connection 0 stands for a word that is bound to no connection.
-func (f *Flow) on(id core.AttemptID, conn int, decide func(*attempt) []reduce.Effect) []reduce.Effect {
+// on applies the decision to an attempt that is still open.
+func (f *Flow) on(id core.AttemptID, decide func(*attempt) []reduce.Effect) []reduce.Effect {
 	for _, a := range f.attempts {
-		if a.ID == id && a.open && (conn == 0 || conn == a.conn) {
+		if a.ID == id && a.open {
 			return decide(a)
 		}
 	}
 	return nil
 }
 
+// onConn applies the decision to what the attempt's connection brought. What another connection brings, or one that
+// was given up, is void.
+func (f *Flow) onConn(id core.AttemptID, conn int, decide func(*attempt) []reduce.Effect) []reduce.Effect {
+	return f.on(id, func(a *attempt) []reduce.Effect {
+		if conn != a.conn || a.conn == noConn {
+			return nil
+		}
+		return decide(a)
+	})
+}
+
 func (f *Flow) pick(again bool) []reduce.Effect {
 	f.picking = true
 	var exclude []core.HostID
@@ -128,6 +139,9 @@
 }
 
 func (f *Flow) picked(next Attempt) []reduce.Effect {
+	if !f.picking {
+		return nil
+	}
 	f.picking = false
 	if f.chosen != nil {
 		return nil
@@ -143,7 +157,7 @@
 func (f *Flow) dispatch(a *attempt) []reduce.Effect {
 	f.sent++
 	a.sent = true
-	a.conn++
+	a.connect()
 	return []reduce.Effect{Dispatch{Attempt: a.Attempt, Conn: a.conn, Suspect: f.request.Suspect || f.crashes > 0}}
 }
 
@@ -181,4 +195,12 @@
 	return n
 }
 
+const noConn = 0
+
+// connect numbers the attempt's next connection.
+func (a *attempt) connect() {
+	a.conns++
+	a.conn = a.conns
+}
+
 func streams(contentType string) bool { return strings.HasPrefix(contentType, "text/event-stream") }
