--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -13,6 +13,9 @@
 
 measure ./internal/config '^BenchmarkSnapshot$' 300x
 measure ./internal/rpc '^BenchmarkControlMessage$' 1000x
+measure ./internal/routing '^BenchmarkIndex$' 100x
+measure ./internal/attempt '^BenchmarkHeldAttempts$' 3x
+measure ./internal/claim '^BenchmarkClaims$' 20x
 measure ./systemtest '^Benchmark(Requests|Tokens)$' 1x
 bin/capacity docs/capacity.json "$figures" docs/CAPACITY.md
 echo "written: docs/CAPACITY.md"
