Settings name every wrong field by its JSON name

Cause: wrong settings were reported by Go's field paths and validator tags; repeated fields and data after the end passed; an entry's settings started an agent; 0.0.0.0 passed as an address that others should reach.

Ruled out: resolving host names at the start, since processes talk by IP numbers and a name server may be away.

Change: strict decoding with line numbers; each wrong field on a line with its remedy, all at once; the role is compared with the binary; addresses that nobody can connect to are refused.

Seen failing: the embedded struct's name in "Daemon.seeds" (table test), then mended.

Conclusion: whoever starts a daemon with wrong settings reads what to write.

--- a/cmd/lovage-entry/main.go
+++ b/cmd/lovage-entry/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -10,6 +11,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/lovageglade/lovageglade/internal/entry"
+	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/settings"
 )
 
@@ -20,13 +22,23 @@
 
 func main() {
 	var line commandLine
-	parser := kong.Parse(&line, kong.Name("lovage-entry"), kong.Description("Takes callers' requests, picks an endpoint for each and passes the whole answer on."))
+	kong.Parse(&line, kong.Name("lovage-entry"), kong.Description("Takes callers' requests, picks an endpoint for each and passes the whole answer on."))
 	config, err := settings.LoadEntry(line.Settings)
-	parser.FatalIfErrorf(err)
+	exitOn(err)
 	if line.Check {
+		fmt.Println("the settings are sound")
 		return
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	parser.FatalIfErrorf(entry.New(config).Run(ctx))
+	exitOn(entry.New(config).Run(ctx))
+}
+
+const exitFailed = 1
+
+func exitOn(err error) {
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "lovage-entry: %s\n", fault.Explain(err))
+		os.Exit(exitFailed)
+	}
 }
--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -71,7 +71,7 @@
 
 func fail(errOut io.Writer, err error) int {
 	if err != nil {
-		_, _ = fmt.Fprintf(errOut, "lovagectl: %s\n", operate.Explain(err))
+		_, _ = fmt.Fprintf(errOut, "lovagectl: %s\n", fault.Explain(err))
 	}
 	return operate.ExitCode(err)
 }
--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -44,3 +44,11 @@
 		t.Error("a cause was found where there is none")
 	}
 }
+
+func TestExplainGivesALineToEachCause(t *testing.T) {
+	inner := Wrap(errors.New("first\nsecond"), BadConfig, "inner", "do this")
+	err := errors.Join(Wrap(inner, Conflict, "outer", "do that"), errors.New("other"))
+	if got := Explain(err); got != "outer; do that\ninner; do this\nfirst\nsecond\nother" {
+		t.Errorf("got %q", got)
+	}
+}
--- a/internal/operate/exit.go
+++ b/internal/operate/exit.go
@@ -1,9 +1,6 @@
 package operate
 
 import (
-	"errors"
-	"strings"
-
 	"github.com/joomcode/errorx"
 
 	"github.com/lovageglade/lovageglade/internal/fault"
@@ -45,22 +42,3 @@
 	{fault.PlatformDown, ExitPlatform},
 	{fault.NotFound, ExitNotFound},
 }
-
-// Explain renders the error for an operator: each message with its remedy on a line of its own, causes below.
-func Explain(err error) string {
-	if joined, ok := err.(interface{ Unwrap() []error }); ok {
-		var lines []string
-		for _, part := range joined.Unwrap() {
-			lines = append(lines, Explain(part))
-		}
-		return strings.Join(lines, "\n")
-	}
-	var typed *errorx.Error
-	if !errors.As(err, &typed) {
-		return err.Error()
-	}
-	if typed.Cause() == nil {
-		return typed.Message()
-	}
-	return typed.Message() + "\n" + Explain(typed.Cause())
-}
--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -92,7 +92,7 @@
 	}
 	if node.Err != nil {
 		status.Phase = phaseNoAnswer
-		status.Error = Explain(node.Err)
+		status.Error = fault.Explain(node.Err)
 	}
 	return status
 }
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,137 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/strictjson"
+)
+
+const (
+	maxFileBytes           = 1 << 20
+	anyRole      core.Role = ""
+)
+
+func load(path string, into any, role core.Role) error {
+	info, err := os.Stat(path)
+	if err == nil && info.Size() > maxFileBytes {
+		return fault.New(fault.BadSettings, path+" is larger than 1 MiB", "name the settings file of this daemon")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return fault.Wrap(err, fault.BadSettings, "the settings file "+path+" cannot be read", "name a readable JSON file")
+	}
+	return parse(path, raw, into, role)
+}
+
+// Parse decodes raw JSON strictly and checks its values. All wrong values are reported in one error.
+func Parse(raw []byte, into any) error { return parse("settings", raw, into, anyRole) }
+
+func parse(name string, raw []byte, into any, role core.Role) error {
+	if err := strictjson.Decode(raw, into); err != nil {
+		var wrong *strictjson.Error
+		if errors.As(err, &wrong) {
+			wrong.Field = withoutEmbedding(wrong.Field)
+		}
+		return fault.New(fault.BadSettings, name+": "+err.Error(), "correct the file; docs/operations/configuration.md lists the settings")
+	}
+	var lines []string
+	var invalid validator.ValidationErrors
+	if err := newValidator().Struct(into); errors.As(err, &invalid) {
+		for _, field := range invalid {
+			lines = append(lines, describe(field))
+		}
+	} else if err != nil {
+		return fault.Wrap(err, fault.Internal, "the settings cannot be checked", "report this")
+	}
+	lines = append(lines, checkRole(into, role)...)
+	if len(lines) == 0 {
+		return nil
+	}
+	cause := errors.New(strings.Join(lines, "\n"))
+	return fault.Wrap(cause, fault.BadSettings, fmt.Sprintf("%s: %d fields are wrong", name, len(lines)), "correct these")
+}
+
+// checkRole compares the settings' role with the role of the binary that reads them.
+func checkRole(settings any, role core.Role) []string {
+	var own core.Role
+	switch settings := settings.(type) {
+	case *Entry:
+		own = settings.Host.Role
+	case *Agent:
+		own = settings.Host.Role
+	}
+	if role == anyRole || own == role || (own != core.RoleEntry && own != core.RoleAgent) {
+		return nil
+	}
+	return []string{fmt.Sprintf("host.role: %q is not the role of lovage-%s; write %q or start lovage-%s", own, role, role, own)}
+}
+
+// describe renders a wrong field on one line, by its JSON name and with the remedy.
+func describe(field validator.FieldError) string {
+	_, name, _ := strings.Cut(field.Namespace(), ".")
+	name = withoutEmbedding(name)
+	switch field.Tag() {
+	case "required":
+		return name + ": it is missing; add it"
+	case "ip_port":
+		return fmt.Sprintf("%s: %q is not an IP number with a port; write one such as 10.0.0.1:7001, since no names are resolved", name, field.Value())
+	case "reachable":
+		return fmt.Sprintf("%s: others cannot reach %q; write the IP number and port that they use, and listen_%s to listen elsewhere", name, field.Value(), lastPart(name))
+	case "oneof":
+		return fmt.Sprintf("%s: %q is not allowed; write one of %s", name, fmt.Sprint(field.Value()), strings.ReplaceAll(field.Param(), " ", ", "))
+	case "gte":
+		return fmt.Sprintf("%s: %v is too small; write %s or more", name, field.Value(), field.Param())
+	case "lte":
+		return fmt.Sprintf("%s: %v is too large; write %s or less", name, field.Value(), field.Param())
+	default:
+		return fmt.Sprintf("%s: %v does not satisfy %s; correct it", name, field.Value(), field.Tag())
+	}
+}
+
+// withoutEmbedding drops the name of the embedded struct, which JSON does not show.
+func withoutEmbedding(path string) string { return strings.TrimPrefix(path, "Daemon.") }
+
+func lastPart(name string) string { return name[strings.LastIndex(name, ".")+1:] }
+
+func newValidator() *validator.Validate {
+	validate := validator.New(validator.WithRequiredStructEnabled())
+	_ = validate.RegisterValidation("ip_port", isAddress) // fails only for an empty tag
+	validate.RegisterStructValidation(checkReachable, core.Host{})
+	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		return name
+	})
+	return validate
+}
+
+// isAddress accepts an IP number with a port; host names are refused, since a process resolves no names.
+func isAddress(field validator.FieldLevel) bool {
+	_, err := netip.ParseAddrPort(field.Field().String())
+	return err == nil
+}
+
+// checkReachable refuses addresses of a host that no other process can connect to.
+func checkReachable(level validator.StructLevel) {
+	host, ok := level.Current().Interface().(core.Host)
+	if !ok {
+		return
+	}
+	for _, address := range []struct{ value, name, field string }{
+		{host.DataAddress, "data_address", "DataAddress"},
+		{host.ControlAddress, "control_address", "ControlAddress"},
+	} {
+		parsed, err := netip.ParseAddrPort(address.value)
+		if err == nil && (parsed.Addr().IsUnspecified() || parsed.Port() == 0) {
+			level.ReportError(address.value, address.name, address.field, "reachable", "")
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,19 +1,10 @@
-// Package settings reads the JSON settings of the daemons strictly: an unknown field, a missing value or an address
-// that is not an IP number with a port is an error that names the field and the remedy.
+// Package settings reads the JSON settings of the daemons strictly: an unknown or repeated field, a missing value or an
+// address that is not an IP number with a port is an error that names the field and the remedy.
 package settings
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"net"
-	"net/netip"
-	"os"
-	"strings"
-
-	"github.com/go-playground/validator/v10"
 
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
@@ -89,7 +80,7 @@
 func LoadEntry(path string) (Entry, error) {
 	settings := Entry{MaxBodyBytes: DefaultMaxBodyBytes}
 	settings.DrainS = DefaultDrainS
-	err := load(path, &settings)
+	err := load(path, &settings, core.RoleEntry)
 	return settings, err
 }
 
@@ -97,56 +88,13 @@
 func LoadAgent(path string) (Agent, error) {
 	settings := Agent{WeightsBytes: DefaultWeightsBytes}
 	settings.DrainS = DefaultDrainS
-	err := load(path, &settings)
+	err := load(path, &settings, core.RoleAgent)
 	return settings, err
 }
 
-func load(path string, into any) error {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return fault.Wrap(err, fault.BadSettings, "cannot read the settings file "+path, "name a readable JSON file with --settings")
-	}
-	return Parse(raw, into)
-}
-
-// Parse decodes raw JSON strictly and checks its values. All wrong values are reported in one error.
-func Parse(raw []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return fault.Wrap(err, fault.BadSettings, "the settings are not what this version reads", "correct the field that the cause names")
-	}
-	err := newValidator().Struct(into)
-	var invalid validator.ValidationErrors
-	if errors.As(err, &invalid) {
-		return fault.New(fault.BadSettings, describe(invalid), "correct these fields")
-	}
-	return err
-}
-
-func describe(invalid validator.ValidationErrors) string {
-	lines := make([]string, 0, len(invalid))
-	for _, field := range invalid {
-		lines = append(lines, fmt.Sprintf("%s must satisfy %q", field.Namespace(), strings.TrimSpace(field.Tag()+" "+field.Param())))
-	}
-	return strings.Join(lines, "; ")
-}
-
-func newValidator() *validator.Validate {
-	validate := validator.New(validator.WithRequiredStructEnabled())
-	_ = validate.RegisterValidation("ip_port", isAddress) // fails only for an empty tag
-	return validate
-}
-
-// isAddress accepts an IP number with a port; host names are refused, since a process resolves no names.
-func isAddress(field validator.FieldLevel) bool {
-	_, err := netip.ParseAddrPort(field.Field().String())
-	return err == nil
-}
-
 // LoadPlatform reads and checks a file with the platform's addresses alone.
 func LoadPlatform(path string) (Platform, error) {
 	var addresses Platform
-	err := load(path, &addresses)
+	err := load(path, &addresses, anyRole)
 	return addresses, err
 }
