--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -11,9 +11,10 @@
 	if a.draining.Load() {
 		return fault.New(fault.Draining, "the agent is shutting down", "send it to another endpoint")
 	}
+	a.node.HearGeneration(dispatch.Generation, dispatch.Control)
 	snapshot := a.node.View().Snapshot
-	if snapshot == nil {
-		return fault.New(fault.NotReady, "the agent holds no configuration yet", "send it to another endpoint")
+	if snapshot == nil || !a.node.Fresh() {
+		return fault.New(fault.NotReady, "the agent holds no configuration, or has not compared it since it started or stood still", "send it to another endpoint")
 	}
 	if err := a.permitted(snapshot, dispatch); err != nil {
 		return err
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,6 +39,7 @@
 	store       *weights.Store
 	loader      *loader
 	draining    atomic.Bool
+	domainOut   bool           // of the last view, on the control thread
 	running     conc.WaitGroup // attempts at the back end
 }
 
@@ -63,9 +64,10 @@
 		store:       weights.NewStore(config.WeightsBytes),
 	}
 	self := wire.Record{Host: config.Host, Incarnation: a.incarnation, Phase: wire.PhaseStarting}
-	a.node = node.NewRunner(self, core.RoleAgent, services, a.peers, a.logger)
+	a.node = node.NewRunner(self, core.RoleAgent, config.Seeds, services, a.peers, a.logger)
 	a.loader = newLoader(a)
 	a.node.OnView = a.viewChanged
+	a.node.Running = func() int { return a.gate.Load().Running }
 	return a
 }
 
@@ -134,6 +136,11 @@
 	if service == nil {
 		return
 	}
+	out := view.Snapshot.DomainOut(a.settings.Host.FailureDomain)
+	if a.domainOut && !out {
+		a.gate.TurnCold() // the back end has grown cold while its failure domain was out
+	}
+	a.domainOut = out
 	a.gate.SetBounds(admission.Bounds{Cold: service.Limits.Cold, Max: service.Limits.Max})
 	a.loader.want(view.Snapshot.VersionAt(a.settings.Host.ID))
 }
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -11,6 +11,9 @@
 // pick chooses the endpoint of the next attempt.
 func (f *flow) pick() (attemptTarget, error) {
 	view := f.entry.node.View()
+	if !f.entry.node.Fresh() {
+		return attemptTarget{}, notFresh()
+	}
 	candidates := routing.Candidates(view, f.request.service, f.request.version)
 	f.entry.inFlight.fill(candidates)
 	chosen, ok := routing.Pick(candidates, routing.Query{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,7 +53,7 @@
 		inFlight: newInFlight(),
 	}
 	self := wire.Record{Host: config.Host, Incarnation: core.NewIncarnation(), Phase: wire.PhaseStarting}
-	e.node = node.NewRunner(self, core.RoleAgent, services, e.peers, e.logger)
+	e.node = node.NewRunner(self, core.RoleAgent, config.Seeds, services, e.peers, e.logger)
 	return e
 }
 
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -80,6 +80,9 @@
 	f.entry.inFlight.add(host.ID, 1)
 	defer f.entry.inFlight.add(host.ID, -1)
 	answer, err := f.dispatch(target)
+	if err != nil {
+		f.entry.node.HearFailure(host.ID)
+	}
 	for {
 		if err == nil {
 			var refusal *fault.Refusal
@@ -110,6 +113,7 @@
 		Request:     r.id,
 		Incarnation: target.endpoint.Incarnation,
 		Generation:  r.generation,
+		Control:     f.entry.settings.Host.ControlAddress,
 		Service:     r.service.Name,
 		Workspace:   r.workspace,
 		Version:     r.version,
@@ -145,6 +149,7 @@
 		}
 		if frame.Load != nil {
 			f.entry.inFlight.report(target.endpoint.Host.ID, *frame.Load)
+			f.entry.node.HearGeneration(frame.Load.Generation, target.endpoint.Host.ControlAddress)
 		}
 		if frame.Kind != wire.FrameBeat && frame.Attempt != target.id {
 			return nil, fault.New(fault.Corrupted, "an answer of another attempt arrived", "the attempt is resolved anew")
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -20,7 +20,7 @@
 }
 
 func (e *Entry) handleReady(c fiber.Ctx) error {
-	if e.draining.Load() || e.node.View().Snapshot == nil {
+	if e.draining.Load() || !e.node.Fresh() {
 		return c.SendStatus(fiber.StatusServiceUnavailable)
 	}
 	return c.SendString("ready\n")
--- /dev/null
+++ b/internal/node/calls.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/rpc"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+// Methods returns the control methods that every node answers.
+func (r *Runner) Methods() map[string]rpc.Method {
+	return map[string]rpc.Method{
+		wire.MethodStatus:   rpc.Handle(r.status),
+		wire.MethodSnapshot: rpc.Handle(r.heldSnapshot),
+		wire.MethodExchange: rpc.Handle(r.exchangeAsked),
+		wire.MethodProbe:    rpc.Handle(r.probe),
+	}
+}
+
+// none is the parameter of methods that take none.
+type none struct{}
+
+func (r *Runner) status(context.Context, none) (wire.Record, error) {
+	record := r.View().Self
+	if r.Running != nil {
+		record.Running = r.Running()
+	}
+	return record, nil
+}
+
+func (r *Runner) heldSnapshot(context.Context, none) (wire.Snapshot, error) {
+	snapshot := r.View().Snapshot
+	if snapshot == nil {
+		return wire.Snapshot{}, nil
+	}
+	return wire.Snapshot{Generation: snapshot.Generation, Digest: snapshot.Digest, Raw: snapshot.Raw}, nil
+}
+
+func (r *Runner) exchangeAsked(ctx context.Context, message wire.Exchange) (wire.Exchange, error) {
+	answers := make(chan wire.Exchange, 1)
+	r.mu.Lock()
+	r.token++
+	token := r.token
+	r.waiting[token] = answers
+	r.mu.Unlock()
+	defer r.forget(token)
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	r.Loop.Post(ctx, ExchangeAsked{Token: token, Message: message})
+	select {
+	case answer := <-answers:
+		return answer, nil
+	case <-ctx.Done():
+		return wire.Exchange{}, fault.New(fault.Interrupted, "the node's control thread gave no answer in time", "ask another node")
+	}
+}
+
+func (r *Runner) forget(token uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, token)
+}
+
+func (r *Runner) answer(effect AnswerExchange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answers := r.waiting[effect.Token]; answers != nil {
+		answers <- effect.Message
+	}
+}
+
+// probe reaches another node for a caller that cannot.
+func (r *Runner) probe(ctx context.Context, request wire.Probe) (wire.Probed, error) {
+	_, err := r.callTwice(ctx, request.Address, r.quietMessage())
+	return wire.Probed{Reached: err == nil}, nil
+}
+
+// quietMessage tells nothing but who asks.
+func (r *Runner) quietMessage() wire.Exchange {
+	self := r.View().Self
+	return wire.Exchange{From: self.Host.ID, Address: self.Host.ControlAddress, Generation: self.Generation}
+}
+
+func (r *Runner) exchange(ctx context.Context, effect Exchange) {
+	answer, err := r.callTwice(ctx, effect.Address, effect.Message)
+	if err != nil {
+		r.Loop.Post(ctx, ExchangeFailed{Sent: effect})
+		return
+	}
+	r.Loop.Post(ctx, ExchangeAnswered{Sent: effect, Message: answer})
+}
+
+// callTwice tries a second time over a fresh connection, since an old one can have gone silent.
+func (r *Runner) callTwice(ctx context.Context, address string, message wire.Exchange) (wire.Exchange, error) {
+	answer, err := r.callExchange(ctx, address, message, exchangeTimeout)
+	if err == nil {
+		return answer, nil
+	}
+	r.Peers.Forget(address)
+	return r.callExchange(ctx, address, message, retryTimeout)
+}
+
+func (r *Runner) callExchange(ctx context.Context, address string, message wire.Exchange, timeout time.Duration) (wire.Exchange, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var answer wire.Exchange
+	err := r.Peers.Call(ctx, address, wire.MethodExchange, message, &answer)
+	return answer, err
+}
+
+func (r *Runner) askProbe(ctx context.Context, effect AskProbe) {
+	limited, cancel := context.WithTimeout(ctx, viaTimeout)
+	defer cancel()
+	var probed wire.Probed
+	err := r.Peers.Call(limited, effect.Via.ControlAddress, wire.MethodProbe, wire.Probe{Address: effect.Target.ControlAddress}, &probed)
+	r.Loop.Post(ctx, ProbeAnswered{Target: effect.Target.ID, Answered: err == nil, Reached: probed.Reached})
+}
+
+func (r *Runner) readHead(ctx context.Context, effect ReadHead) {
+	limited, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	head, _, err := config.ReadHead(limited, r.Platform)
+	if err != nil {
+		r.Logger.Warn().Err(err).Msg("configuration head not read")
+		r.Loop.Post(ctx, HeadFailed{})
+		return
+	}
+	r.Loop.Post(ctx, HeadRead{Head: head, Asked: effect.Asked})
+}
+
+func (r *Runner) fetchSnapshot(ctx context.Context, effect FetchSnapshot) {
+	limited, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	snapshot, err := r.snapshotFrom(limited, effect)
+	if err != nil {
+		r.Logger.Warn().Err(err).Uint64("generation", uint64(effect.Head.Generation)).Str("source", effect.Address).Msg("configuration not fetched")
+		r.Loop.Post(ctx, FetchFailed{Generation: effect.Head.Generation})
+		return
+	}
+	r.Loop.Post(ctx, SnapshotFetched{Snapshot: snapshot})
+}
+
+func (r *Runner) snapshotFrom(ctx context.Context, effect FetchSnapshot) (*config.Snapshot, error) {
+	if effect.Address == "" {
+		return config.Fetch(ctx, r.Platform, effect.Head)
+	}
+	var held wire.Snapshot
+	if err := r.Peers.Call(ctx, effect.Address, wire.MethodSnapshot, nil, &held); err != nil {
+		return nil, err
+	}
+	if held.Generation < effect.Head.Generation {
+		return nil, fault.New(fault.NotFound, "the node does not hold the generation", "ask another node or the platform")
+	}
+	return config.Decode(held.Generation, held.Digest, held.Raw)
+}
+
+func (r *Runner) listHosts(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	hosts, err := r.Platform.ListHosts(limited)
+	if err != nil {
+		r.Logger.Warn().Err(err).Msg("host list not read")
+		return
+	}
+	r.Loop.Post(ctx, HostsListed{Hosts: hosts})
+}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -20,29 +20,68 @@
 // HeadRead brings the head of the configuration as the platform has it.
 type HeadRead struct {
 	reduce.IsEvent
-	Head config.Head
+	Head  config.Head
+	Asked time.Duration // when the read began
 }
 
+// HeadFailed says that the platform gave no head.
+type HeadFailed struct{ reduce.IsEvent }
+
 // SnapshotFetched brings a decoded configuration.
 type SnapshotFetched struct {
 	reduce.IsEvent
 	Snapshot *config.Snapshot
 }
 
+// FetchFailed says that the source of a configuration did not give it.
+type FetchFailed struct {
+	reduce.IsEvent
+	Generation core.Generation
+}
+
 // HostsListed brings the platform's host list.
 type HostsListed struct {
 	reduce.IsEvent
 	Hosts []core.Host
 }
 
-// StatusRead brings another node's record.
-type StatusRead struct {
+// ExchangeAsked brings another node's exchange, which waits for an answer under the token.
+type ExchangeAsked struct {
+	reduce.IsEvent
+	Token   uint64
+	Message wire.Exchange
+}
+
+// ExchangeAnswered brings the answer to an own exchange.
+type ExchangeAnswered struct {
+	reduce.IsEvent
+	Sent    Exchange
+	Message wire.Exchange
+}
+
+// ExchangeFailed says that an own exchange got no answer, over a fresh connection either.
+type ExchangeFailed struct {
+	reduce.IsEvent
+	Sent Exchange
+}
+
+// ProbeAnswered says what became of a probe through another node.
+type ProbeAnswered struct {
+	reduce.IsEvent
+	Target   core.HostID
+	Answered bool // the node that was asked gave its word
+	Reached  bool // the target answered it
+}
+
+// GenerationHeard says that a message between traffic goroutines carried a generation.
+type GenerationHeard struct {
 	reduce.IsEvent
-	Record wire.Record
+	Generation core.Generation
+	Address    string // control address of the node that holds it
 }
 
-// StatusFailed says that a node gave no record.
-type StatusFailed struct {
+// ContactFailed says that a traffic goroutine could not connect to a host.
+type ContactFailed struct {
 	reduce.IsEvent
 	Host core.HostID
 }
@@ -57,21 +96,43 @@
 type DrainStarted struct{ reduce.IsEvent }
 
 // ReadHead asks for the head of the configuration from the platform.
-type ReadHead struct{ reduce.IsEffect }
+type ReadHead struct {
+	reduce.IsEffect
+	Asked time.Duration
+}
 
-// FetchSnapshot asks for the snapshot that the head names.
+// FetchSnapshot asks for the configuration of a generation: from the node at the address, or from the platform by the
+// head when the address is empty.
 type FetchSnapshot struct {
 	reduce.IsEffect
-	Head config.Head
+	Address string
+	Head    config.Head
 }
 
 // ListHosts asks for the platform's host list.
 type ListHosts struct{ reduce.IsEffect }
 
-// ReadStatus asks a node for its record.
-type ReadStatus struct {
+// Exchange sends a message to a node and asks for its answer.
+type Exchange struct {
+	reduce.IsEffect
+	Peer    core.HostID // "" for a seed, of which only the address is known
+	Address string
+	Asked   time.Duration
+	Message wire.Exchange
+}
+
+// AnswerExchange answers another node's exchange.
+type AnswerExchange struct {
+	reduce.IsEffect
+	Token   uint64
+	Message wire.Exchange
+}
+
+// AskProbe asks a node to reach the target.
+type AskProbe struct {
 	reduce.IsEffect
-	Host core.Host
+	Via    core.Host
+	Target core.Host
 }
 
 // PublishView puts a view before the traffic goroutines.
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,428 @@
+package node
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/reduce"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+const (
+	envelopeBytes   = 140 // of a message: JSON-RPC envelope, TCP and IP headers, acknowledgement
+	connectionBytes = 280 // to open and close a connection, counted for every exchange
+	headAnswerBytes = 500 // of a read of the head over HTTP
+	deadTimeout     = exchangeTimeout + retryTimeout
+)
+
+// failer is the part of a test, a benchmark or a property test that the harness uses.
+type failer interface {
+	Helper()
+	Fatal(...any)
+	Fatalf(string, ...any)
+}
+
+// fleet runs the reducers of many nodes in virtual time over a network with delays, loss and cuts.
+type fleet struct {
+	tb        failer
+	random    *rand.Rand
+	now       time.Duration
+	queue     eventQueue
+	scheduled uint64
+	nodes     []*fleetNode
+	byAddress map[string]*fleetNode
+	byID      map[core.HostID]*fleetNode
+	domains   int
+
+	snapshots   map[core.Generation]*config.Snapshot
+	packed      map[core.Generation]int // bytes of the snapshot between nodes
+	head        config.Head
+	hosts       []core.Host
+	hostsBytes  int
+	published   time.Duration
+	platformCut map[core.FailureDomain]bool
+	cut         map[core.FailureDomain]bool // from all other failure domains
+	loss        float64                     // share of exchanges lost
+	late        time.Duration               // most that an answer of the platform is late
+	reads       int                         // of the platform
+	noSpread    bool                        // switches the spread of news among nodes off
+}
+
+// fleetNode is one node of the fleet.
+type fleetNode struct {
+	host    core.Host
+	state   *State
+	start   time.Duration
+	life    int // restarts
+	down    bool
+	frozen  bool
+	view    *View
+	bytes   int
+	peak    int // most bytes in one window
+	marked  int
+	msgs    int
+	spent   time.Duration // in the reducer
+	inForce time.Duration // when the head's generation was taken
+}
+
+type scheduledEvent struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+type eventQueue []scheduledEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduledEvent)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	(*q)[len(*q)-1] = scheduledEvent{}
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// newFleet starts entries and agents that know each other and hold generation 1, spread over five failure domains.
+func newFleet(tb failer, entries, agents int, seed uint64) *fleet {
+	f := &fleet{
+		tb:          tb,
+		random:      rand.New(rand.NewPCG(seed, 1)),
+		byAddress:   make(map[string]*fleetNode),
+		byID:        make(map[core.HostID]*fleetNode),
+		domains:     5,
+		snapshots:   make(map[core.Generation]*config.Snapshot),
+		packed:      make(map[core.Generation]int),
+		platformCut: make(map[core.FailureDomain]bool),
+		cut:         make(map[core.FailureDomain]bool),
+	}
+	for i := range entries + agents {
+		f.addHost(i, entries)
+	}
+	raw, _ := json.Marshal(f.hosts)
+	f.hostsBytes = len(raw)
+	f.publish(func(*config.Set) {})
+	for _, node := range f.nodes {
+		f.boot(node)
+	}
+	f.acquaint()
+	return f
+}
+
+func (f *fleet) addHost(i, entries int) {
+	role, name := core.RoleEntry, fmt.Sprintf("entry-%d", i)
+	if i >= entries {
+		role, name = core.RoleAgent, fmt.Sprintf("runner-%d", i)
+	}
+	place := i % f.domains
+	ip := fmt.Sprintf("10.%d.%d.%d", 20+place, i/200, 10+i%200)
+	host := core.Host{
+		ID: core.HostID(name), Role: role, State: core.HostLive,
+		FailureDomain: core.FailureDomain(fmt.Sprintf("domain-%c", 'a'+place)), Region: core.Region(fmt.Sprintf("region-%d", place/3)),
+		DataAddress: ip + ":7001", ControlAddress: ip + ":7002",
+	}
+	node := &fleetNode{host: host}
+	f.hosts = append(f.hosts, host)
+	f.nodes = append(f.nodes, node)
+	f.byAddress[host.ControlAddress] = node
+	f.byID[host.ID] = node
+}
+
+// boot starts a process on the host, in a new life.
+func (f *fleet) boot(node *fleetNode) {
+	node.life++
+	node.start = f.now
+	node.view = nil
+	node.down = false
+	self := wire.Record{Host: node.host, Incarnation: core.Incarnation(f.random.Uint64() >> 11), Life: 1764799000 + uint64(f.now/time.Second), Phase: wire.PhaseStarting}
+	node.state = NewState(Start{Self: self, Watch: core.RoleAgent, Seed: f.random.Uint64()})
+	f.tickLater(node, node.life, time.Duration(f.random.Int64N(int64(tickInterval))))
+}
+
+// acquaint gives every node all members and the head's snapshot, as after a long quiet time.
+func (f *fleet) acquaint() {
+	var all wire.Updates
+	for _, node := range f.nodes {
+		node.state.Step(HostsListed{Hosts: []core.Host{node.host}})
+		node.state.Step(SnapshotFetched{Snapshot: f.snapshots[1]})
+		node.state.Step(HeadRead{Head: f.head})
+		all = append(all, node.state.table.About(node.host.ID)...)
+	}
+	for _, node := range f.nodes {
+		for _, update := range all {
+			node.state.table.Merge(update, "", 0)
+		}
+		for node.state.table.Spreading() {
+			node.state.table.Rumours("")
+		}
+		node.state.exchange.differs = false
+		node.state.hostsDue = node.state.hostsWait()
+		node.state.head.due = time.Duration(f.random.Int64N(int64(headInterval)))
+		node.state.exchange.due = time.Duration(f.random.Int64N(int64(exchangeInterval)))
+		node.state.membersChanged = true
+		f.perform(node, node.state.Step(nil))
+	}
+}
+
+// publish puts a changed configuration in force at the platform.
+func (f *fleet) publish(change func(*config.Set)) {
+	f.tb.Helper()
+	var set config.Set
+	if before := f.snapshots[f.head.Generation]; before != nil {
+		if err := json.Unmarshal(before.Raw, &set); err != nil {
+			f.tb.Fatal(err)
+		}
+	} else {
+		set = fleetSet(f.hosts)
+	}
+	change(&set)
+	set.Workspaces = append(set.Workspaces, config.Workspace{Name: core.Workspace(fmt.Sprintf("workspace-%d", f.head.Generation))})
+	raw, digest, _ := config.Encode(set)
+	f.head = config.Head{Generation: f.head.Generation + 1, Digest: digest}
+	snapshot, err := config.Decode(f.head.Generation, digest, raw)
+	if err != nil {
+		f.tb.Fatal(err)
+	}
+	f.snapshots[f.head.Generation] = snapshot
+	f.packed[f.head.Generation] = sizeOf(wire.Snapshot{Generation: f.head.Generation, Digest: digest, Raw: raw})
+	f.published = f.now
+}
+
+func fleetSet(hosts []core.Host) config.Set {
+	var set config.Set
+	models := config.Service{Name: "models", Kind: config.KindModel}
+	for _, host := range hosts {
+		if host.Role == core.RoleAgent {
+			models.Endpoints = append(models.Endpoints, config.Endpoint{Host: host.ID, FailureDomain: host.FailureDomain})
+		}
+	}
+	for _, host := range hosts[:5] {
+		set.FailureDomains = append(set.FailureDomains, config.FailureDomain{Name: host.FailureDomain, Region: host.Region})
+	}
+	set.Services = []config.Service{models}
+	return set
+}
+
+func sizeOf(message any) int {
+	raw, _ := json.Marshal(message)
+	return len(raw)
+}
+
+func (f *fleet) after(delay time.Duration, run func()) {
+	f.scheduled++
+	heap.Push(&f.queue, scheduledEvent{at: f.now + delay, order: f.scheduled, run: run})
+}
+
+// run lets virtual time pass.
+func (f *fleet) run(duration time.Duration) {
+	until := f.now + duration
+	for len(f.queue) > 0 && f.queue[0].at <= until {
+		next := heap.Pop(&f.queue).(scheduledEvent)
+		f.now = next.at
+		next.run()
+	}
+	f.now = until
+}
+
+// runUntil lets virtual time pass until the condition holds, checked ten times a second, or the limit has passed.
+func (f *fleet) runUntil(limit time.Duration, condition func() bool) bool {
+	for until := f.now + limit; f.now < until; {
+		f.run(tickInterval)
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) tickLater(node *fleetNode, life int, delay time.Duration) {
+	f.after(delay, func() {
+		if node.life != life || node.down {
+			return
+		}
+		if !node.frozen {
+			f.step(node, Tick{Now: f.now - node.start})
+		}
+		f.tickLater(node, life, tickInterval)
+	})
+}
+
+func (f *fleet) step(node *fleetNode, event reduce.Event) []reduce.Effect {
+	began := time.Now()
+	effects := node.state.Step(event)
+	node.spent += time.Since(began)
+	f.perform(node, effects)
+	return effects
+}
+
+// later steps the node with an event unless it has ended since.
+func (f *fleet) later(node *fleetNode, delay time.Duration, event reduce.Event) {
+	life := node.life
+	f.after(delay, func() {
+		if node.life == life && !node.down {
+			if node.frozen {
+				f.later(node, tickInterval, event)
+				return
+			}
+			f.step(node, event)
+		}
+	})
+}
+
+func (f *fleet) perform(node *fleetNode, effects []reduce.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case PublishView:
+			f.viewed(node, effect.View)
+		case ReadHead:
+			f.readHead(node, effect)
+		case ListHosts:
+			f.listHosts(node)
+		case FetchSnapshot:
+			f.fetch(node, effect)
+		case Exchange:
+			f.exchange(node, effect)
+		case AskProbe:
+			f.askProbe(node, effect)
+		}
+	}
+}
+
+// viewed checks that no node's generation falls within a life.
+func (f *fleet) viewed(node *fleetNode, view *View) {
+	if node.view != nil && view.Self.Generation < node.view.Self.Generation {
+		f.tb.Fatalf("the generation of %s fell from %d to %d", node.host.ID, node.view.Self.Generation, view.Self.Generation)
+	}
+	if view.Self.Generation == f.head.Generation && (node.view == nil || node.view.Self.Generation < f.head.Generation) {
+		node.inForce = f.now
+	}
+	node.view = view
+}
+
+// delay draws how long a message takes between two failure domains.
+func (f *fleet) delay(a, b *fleetNode) time.Duration {
+	base := 300 * time.Microsecond
+	if a.host.FailureDomain != b.host.FailureDomain {
+		base = 2 * time.Millisecond
+	}
+	return base + time.Duration(f.random.ExpFloat64()*float64(base))
+}
+
+func (f *fleet) readHead(node *fleetNode, effect ReadHead) {
+	if f.platformCut[node.host.FailureDomain] {
+		f.later(node, platformTimeout, HeadFailed{})
+		return
+	}
+	f.reads++
+	f.charge(node, headAnswerBytes)
+	head := f.head
+	f.later(node, f.platformDelay(), HeadRead{Head: head, Asked: effect.Asked})
+}
+
+func (f *fleet) platformDelay() time.Duration {
+	return 10*time.Millisecond + time.Duration(f.random.Float64()*float64(f.late))
+}
+
+func (f *fleet) listHosts(node *fleetNode) {
+	if f.platformCut[node.host.FailureDomain] {
+		return
+	}
+	f.reads++
+	f.charge(node, f.hostsBytes)
+	f.later(node, f.platformDelay(), HostsListed{Hosts: f.hosts})
+}
+
+func (f *fleet) fetch(node *fleetNode, effect FetchSnapshot) {
+	if effect.Address == "" {
+		f.reads++
+		f.charge(node, len(f.snapshots[effect.Head.Generation].Raw))
+		f.later(node, f.platformDelay(), SnapshotFetched{Snapshot: f.snapshots[effect.Head.Generation]})
+		return
+	}
+	source := f.byAddress[effect.Address]
+	if f.lost(node, source) || source.view.Snapshot == nil {
+		f.later(node, exchangeTimeout, FetchFailed{Generation: effect.Head.Generation})
+		return
+	}
+	held := source.view.Snapshot
+	bytes := f.packed[held.Generation] + 2*envelopeBytes + connectionBytes
+	f.charge(source, bytes)
+	f.charge(node, bytes)
+	f.later(node, 2*f.delay(node, source), SnapshotFetched{Snapshot: held})
+}
+
+func (f *fleet) charge(node *fleetNode, bytes int) {
+	node.bytes += bytes
+	node.msgs++
+}
+
+// lost tells whether a call between two nodes gets no answer.
+func (f *fleet) lost(a, b *fleetNode) bool {
+	if b.down || b.frozen || f.random.Float64() < f.loss {
+		return true
+	}
+	from, to := a.host.FailureDomain, b.host.FailureDomain
+	return from != to && (f.cut[from] || f.cut[to])
+}
+
+func (f *fleet) exchange(node *fleetNode, effect Exchange) {
+	peer := f.byAddress[effect.Address]
+	bytes := sizeOf(effect.Message) + envelopeBytes + connectionBytes
+	f.charge(node, bytes)
+	if f.lost(node, peer) || f.noSpread {
+		f.later(node, deadTimeout, ExchangeFailed{Sent: effect})
+		return
+	}
+	there := f.delay(node, peer)
+	life := peer.life
+	f.after(there, func() {
+		if peer.down || peer.life != life {
+			f.later(node, deadTimeout, ExchangeFailed{Sent: effect})
+			return
+		}
+		f.charge(peer, bytes)
+		for _, made := range f.step(peer, ExchangeAsked{Message: effect.Message}) {
+			if answer, ok := made.(AnswerExchange); ok {
+				answerBytes := sizeOf(answer.Message) + envelopeBytes
+				f.charge(peer, answerBytes)
+				f.charge(node, answerBytes)
+				f.later(node, there, ExchangeAnswered{Sent: effect, Message: answer.Message})
+			}
+		}
+	})
+}
+
+func (f *fleet) askProbe(node *fleetNode, effect AskProbe) {
+	via, target := f.byID[effect.Via.ID], f.byID[effect.Target.ID]
+	f.charge(node, 2*envelopeBytes+connectionBytes)
+	if f.lost(node, via) {
+		f.later(node, viaTimeout, ProbeAnswered{Target: target.host.ID})
+		return
+	}
+	f.charge(via, 4*envelopeBytes+2*connectionBytes)
+	reached := !f.lost(via, target)
+	delay := 2 * f.delay(node, via)
+	if !reached {
+		delay += deadTimeout
+	}
+	f.later(node, delay, ProbeAnswered{Target: target.host.ID, Answered: true, Reached: reached})
+}
+
+// live returns the nodes that run.
+func (f *fleet) live() []*fleetNode {
+	var live []*fleetNode
+	for _, node := range f.nodes {
+		if !node.down {
+			live = append(live, node)
+		}
+	}
+	return live
+}
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
-	"github.com/lovageglade/lovageglade/internal/config"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/platform"
 	"github.com/lovageglade/lovageglade/internal/reduce"
@@ -18,7 +18,9 @@
 
 const (
 	tickInterval    = 100 * time.Millisecond
-	statusTimeout   = 400 * time.Millisecond
+	exchangeTimeout = 700 * time.Millisecond
+	retryTimeout    = 500 * time.Millisecond // of the second try, over a fresh connection
+	viaTimeout      = 1800 * time.Millisecond
 	platformTimeout = 3 * time.Second
 )
 
@@ -30,56 +32,91 @@
 }
 
 // Runner performs the effects of a node's reducer and holds its view. OnView, if set, is called on the
-// control thread after each new view and must not wait.
+// control thread after each new view and must not wait. Running, if set, counts the attempts at the back end.
 type Runner struct {
 	Loop     *reduce.Loop
 	Platform Platform
 	Peers    *rpc.Client
 	Logger   *log.Logger
 	OnView   func(*View)
-
-	view atomic.Pointer[View]
+	Running  func() int
+
+	start   time.Time
+	ticked  atomic.Int64 // time of the last tick that the reducer took, in nanoseconds since start
+	view    atomic.Pointer[View]
+	mu      sync.Mutex
+	waiting map[uint64]chan wire.Exchange // by token
+	token   uint64
 }
 
-// NewRunner returns the runner of a process that starts as self and follows the nodes of the role.
-func NewRunner(self wire.Record, watch core.Role, services Platform, peers *rpc.Client, logger *log.Logger) *Runner {
-	runner := &Runner{Platform: services, Peers: peers, Logger: logger}
-	runner.view.Store(&View{Self: self})
-	runner.Loop = reduce.NewLoop(NewState(self, watch).Step, runner.apply, runner.perform)
+// NewRunner returns the runner of a process that starts as self, follows the nodes of the role and asks the seeds, by
+// their control addresses, for peers.
+func NewRunner(self wire.Record, watch core.Role, seeds []string, services Platform, peers *rpc.Client, logger *log.Logger) *Runner {
+	runner := &Runner{
+		Platform: services,
+		Peers:    peers,
+		Logger:   logger,
+		start:    time.Now(),
+		waiting:  make(map[uint64]chan wire.Exchange),
+	}
+	self.Life = uint64(runner.start.Unix())
+	runner.view.Store(&View{Self: self, Stale: true})
+	state := NewState(Start{Self: self, Watch: watch, Seeds: seeds, Seed: rand.Uint64()})
+	runner.Loop = reduce.NewLoop(runner.stepping(state), runner.apply, runner.perform)
 	return runner
 }
 
+// stepping keeps the time up to which the reducer has decided, behind all effects of the step.
+func (r *Runner) stepping(state *State) func(reduce.Event) []reduce.Effect {
+	return func(event reduce.Event) []reduce.Effect {
+		effects := state.Step(event)
+		if tick, ok := event.(Tick); ok {
+			effects = append(effects, ticked{at: tick.Now})
+		}
+		return effects
+	}
+}
+
+// ticked is applied after the other effects of a tick.
+type ticked struct {
+	reduce.IsEffect
+	at time.Duration
+}
+
 // View returns the latest view. It is never nil.
 func (r *Runner) View() *View { return r.view.Load() }
 
+// Fresh tells whether work may be decided under the view: a configuration is held, it was compared with the platform
+// or with peers since the process started, and the process has not stood still since.
+func (r *Runner) Fresh() bool {
+	view := r.View()
+	idle := time.Since(r.start) - time.Duration(r.ticked.Load())
+	return view.Snapshot != nil && !view.Stale && idle < frozenGap
+}
+
+// HearGeneration takes note that the node at the control address holds the generation. It does not wait.
+func (r *Runner) HearGeneration(generation core.Generation, address string) {
+	if generation > r.View().Self.Generation {
+		r.Loop.Offer(GenerationHeard{Generation: generation, Address: address})
+	}
+}
+
+// HearFailure takes note that traffic could not connect to the host. It does not wait.
+func (r *Runner) HearFailure(host core.HostID) {
+	r.Loop.Offer(ContactFailed{Host: host})
+}
+
 // Run steps the reducer until the context ends.
 func (r *Runner) Run(ctx context.Context) {
 	go r.tick(ctx)
 	r.Loop.Run(ctx)
 }
 
-// Methods returns the control methods that every node answers.
-func (r *Runner) Methods() map[string]rpc.Method {
-	return map[string]rpc.Method{
-		wire.MethodStatus: func(context.Context, json.RawMessage) (any, error) {
-			return r.View().Self, nil
-		},
-		wire.MethodSnapshot: func(context.Context, json.RawMessage) (any, error) {
-			snapshot := r.View().Snapshot
-			if snapshot == nil {
-				return wire.Snapshot{}, nil
-			}
-			return wire.Snapshot{Generation: snapshot.Generation, Digest: snapshot.Digest, Raw: snapshot.Raw}, nil
-		},
-	}
-}
-
 func (r *Runner) tick(ctx context.Context) {
-	start := time.Now()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		r.Loop.Post(ctx, Tick{Now: time.Since(start)})
+		r.Loop.Post(ctx, Tick{Now: time.Since(r.start)})
 		select {
 		case <-ctx.Done():
 			return
@@ -91,69 +128,40 @@
 func (r *Runner) perform(ctx context.Context, effect reduce.Effect) {
 	switch effect := effect.(type) {
 	case ReadHead:
-		r.readHead(ctx)
+		r.readHead(ctx, effect)
 	case FetchSnapshot:
-		r.fetchSnapshot(ctx, effect.Head)
+		r.fetchSnapshot(ctx, effect)
 	case ListHosts:
 		r.listHosts(ctx)
-	case ReadStatus:
-		r.readStatus(ctx, effect.Host)
+	case Exchange:
+		r.exchange(ctx, effect)
+	case AskProbe:
+		r.askProbe(ctx, effect)
 	}
 }
 
-func (r *Runner) readHead(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	head, _, err := config.ReadHead(ctx, r.Platform)
-	if err != nil {
-		r.Logger.Warn().Err(err).Msg("configuration head not read")
-		return
-	}
-	r.Loop.Post(ctx, HeadRead{Head: head})
-}
-
-func (r *Runner) fetchSnapshot(ctx context.Context, head config.Head) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	snapshot, err := config.Fetch(ctx, r.Platform, head)
-	if err != nil {
-		r.Logger.Warn().Err(err).Uint64("generation", uint64(head.Generation)).Msg("configuration not fetched")
-		return
-	}
-	r.Loop.Post(ctx, SnapshotFetched{Snapshot: snapshot})
-}
-
-func (r *Runner) listHosts(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	hosts, err := r.Platform.ListHosts(ctx)
-	if err != nil {
-		r.Logger.Warn().Err(err).Msg("host list not read")
-		return
-	}
-	r.Loop.Post(ctx, HostsListed{Hosts: hosts})
-}
-
-func (r *Runner) readStatus(ctx context.Context, host core.Host) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	var record wire.Record
-	if err := r.Peers.Call(ctx, host.ControlAddress, wire.MethodStatus, nil, &record); err != nil {
-		r.Loop.Post(context.WithoutCancel(ctx), StatusFailed{Host: host.ID})
-		return
+// apply performs on the control thread what must keep its order: views follow each other, and answers tell the state
+// of the step that they belong to.
+func (r *Runner) apply(effect reduce.Effect) bool {
+	switch effect := effect.(type) {
+	case PublishView:
+		r.publish(effect.View)
+	case AnswerExchange:
+		r.answer(effect)
+	case ticked:
+		r.ticked.Store(int64(effect.at))
+	default:
+		return false
 	}
-	r.Loop.Post(ctx, StatusRead{Record: record})
+	return true
 }
 
-// apply puts a view in place on the control thread, so that views follow each other in order.
-func (r *Runner) apply(effect reduce.Effect) bool {
-	publish, ok := effect.(PublishView)
-	if !ok {
-		return false
+func (r *Runner) publish(view *View) {
+	if before := r.View(); before.Self.Generation != view.Self.Generation || before.Stale != view.Stale {
+		r.Logger.Info().Uint64("generation", uint64(view.Self.Generation)).Bool("stale", view.Stale).Msg("configuration held")
 	}
-	r.view.Store(publish.View)
+	r.view.Store(view)
 	if r.OnView != nil {
-		r.OnView(publish.View)
+		r.OnView(view)
 	}
-	return true
 }
--- /dev/null
+++ b/internal/node/spread_test.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+func unchanged(*config.Set) {}
+
+// all tells whether the condition holds for every node that runs.
+func (f *fleet) all(condition func(*fleetNode) bool) func() bool {
+	return func() bool {
+		for _, node := range f.live() {
+			if node.view == nil || !condition(node) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (f *fleet) holdsHead(node *fleetNode) bool {
+	return node.view.Self.Generation == f.head.Generation
+}
+
+// knowsAll tells whether the node's view shows exactly the agents that run, each in its present life.
+func (f *fleet) knowsAll(node *fleetNode) bool {
+	agents := 0
+	for _, other := range f.live() {
+		if other == node || other.host.Role != core.RoleAgent {
+			continue
+		}
+		agents++
+		record, ok := node.view.Records[other.host.ID]
+		if !ok || record.Incarnation != other.state.table.Self().Incarnation || record.Phase != wire.PhaseReady {
+			return false
+		}
+	}
+	return len(node.view.Records) == agents
+}
+
+func (f *fleet) awaits(t failer, what string, limit time.Duration, condition func(*fleetNode) bool) {
+	t.Helper()
+	if !f.runUntil(limit, f.all(condition)) {
+		t.Fatalf("after %v of virtual time not yet: %s", limit, what)
+	}
+}
+
+func TestFleetMeetsFromTheHostList(t *testing.T) {
+	f := newFleet(t, 10, 20, 1)
+	for _, node := range f.nodes {
+		f.boot(node)
+	}
+	f.awaits(t, "every node knows every agent", 10*time.Second, f.knowsAll)
+}
+
+func TestGenerationReachesDomainCutFromPlatform(t *testing.T) {
+	f := newFleet(t, 20, 40, 2)
+	f.platformCut["domain-b"] = true
+	for _, node := range f.nodes[:3] {
+		node.down = true
+	}
+	f.publish(unchanged)
+	f.awaits(t, "every live node holds the head", 4*time.Second, f.holdsHead)
+}
+
+func TestNodeStartsWithPlatformAway(t *testing.T) {
+	f := newFleet(t, 5, 0, 3)
+	for _, node := range f.nodes {
+		f.platformCut[node.host.FailureDomain] = true
+		f.cut[node.host.FailureDomain] = true
+	}
+	node := f.nodes[0]
+	f.boot(node)
+	f.run(20 * time.Second)
+	if node.view != nil && (!node.view.Stale || node.view.Snapshot != nil) {
+		t.Fatal("a node with neither platform nor peers takes itself for ready")
+	}
+	clear(f.cut)
+	f.boot(node)
+	node.state.seeds = []string{f.nodes[1].host.ControlAddress}
+	f.awaits(t, "the node holds its peers' generation and is ready", 10*time.Second, func(node *fleetNode) bool {
+		return f.holdsHead(node) && !node.view.Stale && node.view.Self.Phase == wire.PhaseReady
+	})
+}
+
+func TestWokenNodeIsStaleUntilItHasLooked(t *testing.T) {
+	f := newFleet(t, 5, 0, 4)
+	f.run(2 * time.Second)
+	node := f.nodes[0]
+	node.frozen = true
+	f.run(time.Minute)
+	f.publish(unchanged)
+	f.platformCut[node.host.FailureDomain] = true
+	f.cut[node.host.FailureDomain] = true
+	node.frozen = false
+	f.run(20 * time.Second)
+	if !node.view.Stale {
+		t.Fatal("the woken node decides under what it held before, without having looked")
+	}
+	clear(f.cut)
+	f.awaits(t, "the woken node is fresh again", 10*time.Second, func(node *fleetNode) bool {
+		return f.holdsHead(node) && !node.view.Stale
+	})
+}
+
+func TestDeadHostLeavesViewsAndItsReplacementEnters(t *testing.T) {
+	f := newFleet(t, 10, 20, 5)
+	f.run(2 * time.Second)
+	lost := f.nodes[12]
+	lost.down = true
+	f.awaits(t, "no view shows the dead agent", 30*time.Second, f.knowsAll)
+	f.boot(lost)
+	f.awaits(t, "every view shows its replacement", 10*time.Second, f.knowsAll)
+}
+
+func TestCutDomainsMeetAgain(t *testing.T) {
+	f := newFleet(t, 10, 20, 6)
+	f.cut["domain-c"] = true
+	f.run(time.Minute)
+	f.cut["domain-c"] = false
+	f.awaits(t, "every view shows every agent", 30*time.Second, f.knowsAll)
+}
+
+// TestFaultsNeverRevertGeneration kills, freezes and cuts at random. The fleet's harness fails when a generation
+// falls; afterwards all nodes must agree again.
+func TestFaultsNeverRevertGeneration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 5, 10, rapid.Uint64().Draw(t, "seed"))
+		f.loss = 0.05
+		f.late = 3 * time.Second
+		for range 12 {
+			f.disturb(t)
+			f.run(time.Duration(rapid.IntRange(1, 8000).Draw(t, "pause in ms")) * time.Millisecond)
+		}
+		f.calm()
+		f.awaits(t, "every node holds the head and knows every agent", 90*time.Second, func(node *fleetNode) bool {
+			return f.holdsHead(node) && !node.view.Stale && f.knowsAll(node)
+		})
+	})
+}
+
+func (f *fleet) disturb(t *rapid.T) {
+	node := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")]
+	domain := node.host.FailureDomain
+	switch rapid.SampledFrom([]string{"kill", "boot", "freeze", "wake", "cut", "mend", "outage", "publish"}).Draw(t, "fault") {
+	case "kill":
+		node.down = true
+	case "boot":
+		f.boot(node)
+	case "freeze":
+		node.frozen = true
+	case "wake":
+		node.frozen = false
+	case "cut":
+		f.cut[domain] = true
+	case "mend":
+		f.cut[domain] = false
+	case "outage":
+		f.platformCut[domain] = !f.platformCut[domain]
+	case "publish":
+		f.publish(unchanged)
+	}
+}
+
+// calm ends all faults.
+func (f *fleet) calm() {
+	clear(f.cut)
+	clear(f.platformCut)
+	f.loss = 0
+	f.late = 0
+	for _, node := range f.nodes {
+		node.frozen = false
+		if node.down {
+			f.boot(node)
+		}
+	}
+}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -1,12 +1,12 @@
 package node
 
 import (
-	"maps"
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/config"
 	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/membership"
 	"github.com/lovageglade/lovageglade/internal/reduce"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
@@ -14,166 +14,179 @@
 // View is what a process knows at one moment. It is immutable.
 type View struct {
 	Snapshot *config.Snapshot // nil until a configuration is held
+	Stale    bool             // nothing may be decided under the snapshot: it was not compared since the process started or woke
 	Self     wire.Record
-	Records  map[core.HostID]wire.Record // other nodes that answer
+	Records  map[core.HostID]wire.Record // nodes of the role that this process follows, which run and can be reached
 	Hosts    map[core.HostID]core.Host   // the platform's host list
 }
 
-const (
-	headInterval   = time.Second
-	hostsInterval  = 2 * time.Second
-	statusInterval = 500 * time.Millisecond
-	statusMisses   = 3 // unanswered reads until a node's record is dropped
-)
-
 // State is the reducer's state.
 type State struct {
-	self      wire.Record
-	snapshot  *config.Snapshot
-	hosts     map[core.HostID]core.Host
-	records   map[core.HostID]wire.Record
-	misses    map[core.HostID]int
-	headDue   time.Duration
-	hostsDue  time.Duration
-	statusDue time.Duration
-	watch     core.Role // the role whose nodes this process follows
+	watch    core.Role // the role whose nodes the views show
+	seeds    []string  // control addresses of peers to ask at start
+	random   *rand.Rand
+	now      time.Duration
+	table    *membership.Table
+	snapshot *config.Snapshot
+
+	look     look
+	head     headPolling
+	fetch    fetching
+	exchange exchanging
+	hostsDue time.Duration
+
+	unreachable map[core.HostID]bool // members that gave this node no answer
+	contacting  map[core.HostID]bool // members with an exchange under way
+	probes      map[core.HostID]*probe
+
+	effects        []reduce.Effect
+	viewChanged    bool
+	membersChanged bool
+	records        map[core.HostID]wire.Record
+	hosts          map[core.HostID]core.Host
+}
+
+// Start is what a process knows at its start.
+type Start struct {
+	Self  wire.Record
+	Watch core.Role // the role whose nodes the process follows
+	Seeds []string  // control addresses of peers to ask first
+	Seed  uint64    // of all random choices
 }
 
-// NewState returns the state of a process that starts as self and follows the nodes of the role.
-func NewState(self wire.Record, watch core.Role) *State {
-	return &State{
-		self:    self,
-		watch:   watch,
-		hosts:   make(map[core.HostID]core.Host),
-		records: make(map[core.HostID]wire.Record),
-		misses:  make(map[core.HostID]int),
+// NewState returns the state of a process that starts.
+func NewState(start Start) *State {
+	s := &State{
+		watch:       start.Watch,
+		seeds:       start.Seeds,
+		random:      rand.New(rand.NewPCG(start.Seed, start.Seed)),
+		table:       membership.NewTable(start.Self),
+		unreachable: make(map[core.HostID]bool),
+		contacting:  make(map[core.HostID]bool),
+		probes:      make(map[core.HostID]*probe),
 	}
+	s.look.begin(0)
+	s.exchange.differs = true
+	s.exchange.tokens = hurryBurst
+	if len(start.Seeds) > 0 {
+		s.hostsDue = seedPatience
+	}
+	return s
 }
 
 // Step takes one event and returns what has to be done.
 func (s *State) Step(event reduce.Event) []reduce.Effect {
+	s.effects = nil
+	s.handle(event)
+	if s.membersChanged || s.viewChanged {
+		s.publish()
+	}
+	return s.effects
+}
+
+func (s *State) handle(event reduce.Event) {
 	switch event := event.(type) {
 	case Tick:
-		return s.tick(event.Now)
+		s.tick(event.Now)
 	case HeadRead:
-		return s.headRead(event.Head)
+		s.headRead(event)
+	case HeadFailed:
+		s.head.failures++
 	case SnapshotFetched:
-		return s.snapshotFetched(event.Snapshot)
+		s.snapshotFetched(event.Snapshot)
+	case FetchFailed:
+		s.fetchFailed(event.Generation)
 	case HostsListed:
-		return s.hostsListed(event.Hosts)
-	case StatusRead:
-		return s.statusRead(event.Record)
-	case StatusFailed:
-		return s.statusFailed(event.Host)
+		s.hostsListed(event.Hosts)
+	case ExchangeAsked:
+		s.exchangeAsked(event)
+	case ExchangeAnswered:
+		s.exchangeAnswered(event)
+	case ExchangeFailed:
+		s.exchangeFailed(event.Sent)
+	case ProbeAnswered:
+		s.probeAnswered(event)
+	case GenerationHeard:
+		s.hear(event.Generation, event.Address)
+	case ContactFailed:
+		s.contact(event.Host)
 	case VersionsChanged:
-		s.self.Versions = event.Versions
-		return s.selfChanged()
+		s.versionsChanged(event.Versions)
 	case DrainStarted:
-		s.self.Phase = wire.PhaseDraining
-		return s.selfChanged()
-	}
-	return nil
-}
-
-func (s *State) tick(now time.Duration) []reduce.Effect {
-	var effects []reduce.Effect
-	if now >= s.headDue {
-		s.headDue = now + headInterval
-		effects = append(effects, ReadHead{})
-	}
-	if now >= s.hostsDue {
-		s.hostsDue = now + hostsInterval
-		effects = append(effects, ListHosts{})
-	}
-	if now >= s.statusDue {
-		s.statusDue = now + statusInterval
-		effects = append(effects, s.readStatuses()...)
+		s.setPhase(wire.PhaseDraining)
 	}
-	return effects
 }
 
-func (s *State) readStatuses() []reduce.Effect {
-	var effects []reduce.Effect
-	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
-		host := s.hosts[id]
-		if host.Role == s.watch && id != s.self.Host.ID {
-			effects = append(effects, ReadStatus{Host: host})
-		}
+func (s *State) tick(now time.Duration) {
+	if now-s.now > frozenGap {
+		s.wake(now)
 	}
-	return effects
-}
-
-func (s *State) headRead(head config.Head) []reduce.Effect {
-	if head.Generation <= s.generation() {
-		return nil
+	s.now = now
+	if s.table.Expire(now) {
+		s.membersChanged = true
 	}
-	return []reduce.Effect{FetchSnapshot{Head: head}}
+	s.expireProbes()
+	s.pollHead()
+	s.pollHosts()
+	s.pollPeers()
 }
 
-// snapshotFetched takes only a higher generation, so that a configuration in force never reverts.
-func (s *State) snapshotFetched(snapshot *config.Snapshot) []reduce.Effect {
-	if snapshot.Generation <= s.generation() {
-		return nil
-	}
-	s.snapshot = snapshot
-	s.self.Generation = snapshot.Generation
-	if s.self.Phase == wire.PhaseStarting {
-		s.self.Phase = wire.PhaseReady
-	}
-	return s.selfChanged()
-}
+func (s *State) perform(effect reduce.Effect) { s.effects = append(s.effects, effect) }
 
-func (s *State) generation() core.Generation {
-	if s.snapshot == nil {
-		return 0
+func (s *State) versionsChanged(versions []wire.VersionStatus) {
+	tell := phasesDiffer(s.table.Self().Versions, versions)
+	s.table.SetSelf(func(self *wire.Record) { self.Versions = versions }, tell)
+	s.viewChanged = true
+	if tell {
+		s.hurry()
 	}
-	return s.snapshot.Generation
 }
 
-func (s *State) hostsListed(hosts []core.Host) []reduce.Effect {
-	clear(s.hosts)
-	for _, host := range hosts {
-		s.hosts[host.ID] = host
+// phasesDiffer tells whether others have to hear of a change; how many chunks a host holds stays with it.
+func phasesDiffer(before, after []wire.VersionStatus) bool {
+	if len(before) != len(after) {
+		return true
 	}
-	for id := range s.records {
-		if _, listed := s.hosts[id]; !listed {
-			delete(s.records, id)
+	for i := range before {
+		if before[i].Version != after[i].Version || before[i].Phase != after[i].Phase {
+			return true
 		}
 	}
-	return s.publish()
+	return false
 }
 
-func (s *State) statusRead(record wire.Record) []reduce.Effect {
-	id := record.Host.ID
-	s.misses[id] = 0
-	known, ok := s.records[id]
-	if ok && known.Incarnation == record.Incarnation && known.Sequence >= record.Sequence {
-		return nil
-	}
-	s.records[id] = record
-	return s.publish()
+func (s *State) setPhase(phase wire.Phase) {
+	s.table.SetSelf(func(self *wire.Record) { self.Phase = phase }, true)
+	s.viewChanged = true
+	s.hurry()
 }
 
-func (s *State) statusFailed(id core.HostID) []reduce.Effect {
-	s.misses[id]++
-	if _, ok := s.records[id]; !ok || s.misses[id] < statusMisses {
-		return nil
+func (s *State) publish() {
+	if s.membersChanged || s.records == nil {
+		s.collectMembers()
 	}
-	delete(s.records, id)
-	return s.publish()
-}
-
-func (s *State) selfChanged() []reduce.Effect {
-	s.self.Sequence++
-	return s.publish()
+	s.membersChanged = false
+	s.viewChanged = false
+	s.perform(PublishView{View: &View{
+		Snapshot: s.snapshot,
+		Stale:    s.look.stale,
+		Self:     s.table.Self(),
+		Records:  s.records,
+		Hosts:    s.hosts,
+	}})
 }
 
-func (s *State) publish() []reduce.Effect {
-	view := &View{
-		Snapshot: s.snapshot,
-		Self:     s.self,
-		Records:  maps.Clone(s.records),
-		Hosts:    maps.Clone(s.hosts),
+func (s *State) collectMembers() {
+	s.records = make(map[core.HostID]wire.Record)
+	s.hosts = make(map[core.HostID]core.Host)
+	for id, member := range s.table.All {
+		if member.Listing != "" {
+			host := member.ListedAt
+			host.State = member.Listing
+			s.hosts[id] = host
+		}
+		if id != s.table.Self().Host.ID && member.Usable() && !s.unreachable[id] && member.Record.Host.Role == s.watch {
+			s.records[id] = member.Record
+		}
 	}
-	return []reduce.Effect{PublishView{View: view}}
 }
--- a/internal/reduce/reduce.go
+++ b/internal/reduce/reduce.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// Offer hands an event to the control thread unless the queue is full. It does not wait.
+func (l *Loop) Offer(event Event) {
+	select {
+	case l.events <- event:
+	default:
+	}
+}
+
 // Run steps the reducer until the context ends, then waits for the effects under way.
 func (l *Loop) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
--- a/internal/wire/attempt.go
+++ b/internal/wire/attempt.go
@@ -17,6 +17,7 @@
 	Request     core.RequestID   `json:"request"`
 	Incarnation core.Incarnation `json:"incarnation"` // the agent's life that this attempt is meant for
 	Generation  core.Generation  `json:"generation"`  // the configuration that the entry decided under
+	Control     string           `json:"control"`     // control address of the entry, which gives that configuration
 	Service     core.Service     `json:"service"`
 	Workspace   core.Workspace   `json:"workspace"`
 	Version     core.VersionID   `json:"version,omitempty"` // for a model: the version that must answer
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -15,13 +15,16 @@
 	PhaseDraining Phase = "draining"
 )
 
-// Record is what a node says of itself. A higher Sequence of the same incarnation supersedes a lower one.
+// Record is what a node says of itself. A higher Life of the same host supersedes a lower one, and within a life a
+// higher Sequence a lower one.
 type Record struct {
 	Host        core.Host        `json:"host"`
 	Incarnation core.Incarnation `json:"incarnation"`
+	Life        uint64           `json:"life,omitempty"` // seconds of the host's clock at start, or one above an earlier life that it heard of
 	Sequence    uint64           `json:"sequence"`
 	Phase       Phase            `json:"phase"`
-	Generation  core.Generation  `json:"generation"`
+	Generation  core.Generation  `json:"generation"`         // spread among nodes only along with other changes
+	Running     int              `json:"running,omitempty"`  // attempts at the back end; only in the answer of MethodStatus
 	Versions    []VersionStatus  `json:"versions,omitempty"` // of an agent with a model engine
 }
 
@@ -52,7 +55,7 @@
 type Snapshot struct {
 	Generation core.Generation `json:"generation"`
 	Digest     string          `json:"digest"` // SHA-256 of Raw in lower-case hex
-	Raw        []byte          `json:"raw"`
+	Raw        Packed          `json:"raw"`
 }
 
 // PathChunks is the HTTP path of verified chunks on an agent's data address; the chunk's digest follows it.
