--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -124,8 +124,8 @@
 	return strings.Join(parts, ", ")
 }
 
-// Wait returns once every host holds the head's generation and serves the version that it asks of the host. It ends
-// with an error that names the hosts which do not when the context ends.
+// Wait returns once every host holds the head's generation and serves the version that it asks of the host, and every
+// entry sends work there. It ends with an error that names the hosts which do not when the context ends.
 func (o *Operator) Wait(ctx context.Context) error {
 	start := time.Now()
 	for {
@@ -163,7 +163,10 @@
 			late = append(late, string(node.Host.ID))
 		}
 	}
-	return late, nil
+	if len(late) > 0 {
+		return late, nil
+	}
+	return o.entriesBehind(ctx, snapshot, nodes), nil
 }
 
 func current(snapshot *config.Snapshot, node NodeStatus) bool {
--- a/internal/routing/index.go
+++ b/internal/routing/index.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lovageglade/lovageglade/internal/config"
@@ -56,6 +58,20 @@
 	return service
 }
 
+// Hosts returns the hosts of all endpoints that may be picked, in order of name.
+func (i *Index) Hosts() []core.HostID {
+	hosts := []core.HostID{}
+	for _, service := range i.services {
+		for _, tier := range service.tiers {
+			for _, endpoint := range tier {
+				hosts = append(hosts, endpoint.Host.ID)
+			}
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
 func buildService(view *node.View, service *config.Service, here Place, meters *Meters) *Service {
 	built := &Service{}
 	wanted := view.Snapshot.VersionOf(service.Name)
