Metrics by expvar, a line for each request, and lovagectl burn

Cause: entries and agents published no metrics of their own, log lines named no request, and operators saw no burn.

Ruled out: a log line at info for each request, since 3,400 a second would drown the rest: whole answers are logged at debug, others at warn; counting a caller's own faults against the budget.

Change: the observer of an entry stands between a request's flow and its answer.

Seen failing with a fault put in: silent entries not listed, TestBurnReport.

The plot was parsed and not rendered: no renderer is at hand.

Conclusion: what callers get is measured where they get it, and gathered without a store.

--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -35,6 +35,7 @@
 	Version  versionCmd `cmd:"" help:"Add model versions."`
 	Domain   domainCmd  `cmd:"" help:"Take a failure domain out of service and bring it back."`
 	Status   statusCmd  `cmd:"" help:"Show every host, its configuration and its versions."`
+	Burn     burnCmd    `cmd:"" help:"Show how fast each service-level objective's budget is spent."`
 	Wait     waitCmd    `cmd:"" help:"Wait until the configuration is in force and its versions are served everywhere."`
 }
 
--- a/cmd/lovagectl/main_test.go
+++ b/cmd/lovagectl/main_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/lovageglade/lovageglade/internal/burn"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
@@ -264,3 +265,43 @@
 		t.Fatalf("code %d: %s", code, &errOut)
 	}
 }
+
+// burnMethods answer as an entry that saw the requests, all with a first token after a second.
+func burnMethods(requests, bad int) map[string]rpc.Method {
+	recorder := burn.NewRecorder()
+	for i := range requests {
+		recorder.Record(time.Hour, burn.Key{Service: "chat", Workspace: "space"}, burn.Observation{Bad: i < bad, FirstToken: time.Second})
+	}
+	return map[string]rpc.Method{burn.MethodWindows: rpc.Handle(func(_ context.Context, request burn.WindowsRequest) (burn.WindowsAnswer, error) {
+		return recorder.Windows(time.Hour, request, nil)
+	})}
+}
+
+func TestBurnReport(t *testing.T) {
+	b := newBench(t)
+	b.follow([]step{{command: "config apply ./sound", out: "warning..."}})
+	b.addHost("e0", core.RoleEntry, "a", nil)
+	b.follow([]step{{command: "burn", code: 1, out: "SERVICE...", errOut: "no entry answered; check the network"}})
+	b.addHost("e1", core.RoleEntry, "a", burnMethods(900, 1))
+	b.addHost("e2", core.RoleEntry, "a", burnMethods(100, 4))
+	b.addHost("e3", core.RoleEntry, "b", nil)
+	table := `SERVICE WORKSPACE OBJECTIVE TARGET 10m 1h 6h 24h BUDGET LEFT
+chat * availability 99% 0.50 0.50 0.50 0.50 50.0%
+chat space availability 99% 0.50 0.50 0.50 0.50 50.0%
+window 6h holds the last 1h0m0s alone: no entry has run longer
+window 24h holds the last 1h0m0s alone: no entry has run longer
+failure domain a was reached in part: no answer from [e0]
+failure domain b was not reached: none of its 1 entries answered; its requests are missing above
+`
+	b.follow([]step{
+		{command: "burn", out: table},
+		{command: "burn --threshold 0.6", out: table},
+		{command: "burn --threshold 0.4", code: 6, out: table, errOut: "above the burn rate 0.4: chat / * availability at 0.50, chat / space availability at 0.50; look at"},
+		{command: "burn --json --svg ./plot.svg", out: "{\n \"generation\": 1,\n \"windows\": [\n \"10m\",..."},
+		{command: "burn --windows 1m", code: 3, errOut: "the window 1m0s is not kept; name windows from 5m to 24h with --windows"},
+	})
+	plot, err := os.ReadFile(filepath.Join(b.folder, "plot.svg"))
+	if err != nil || !bytes.Contains(plot, []byte("chat / space: availability, 99%")) {
+		t.Fatalf("plot %s, %v", plot, err)
+	}
+}
--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -89,7 +89,7 @@
 
 // Objectives are a service's service-level objectives. A value of 0 sets no objective.
 type Objectives struct {
-	Availability    float64 `json:"availability,omitempty"`      // share of requests answered whole, such as 0.999
+	Availability    float64 `json:"availability,omitempty"`      // share of requests answered whole and without a server error, such as 0.999
 	FirstTokenMS    int     `json:"first_token_ms,omitempty"`    // milliseconds until the first token, for 95 in 100
 	BetweenTokensMS int     `json:"between_tokens_ms,omitempty"` // milliseconds between tokens, for 95 in 100
 	ReplicasS       int     `json:"replicas_s,omitempty"`        // seconds until a version runs on its replicas
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,6 +35,7 @@
 	agents   *stream.Client
 	inFlight *inFlight
 	draining atomic.Bool
+	observer *observer
 }
 
 // New returns an entry that has not started.
@@ -54,6 +55,8 @@
 	}
 	self := wire.Record{Host: config.Host, Incarnation: core.NewIncarnation(), Phase: wire.PhaseStarting}
 	e.node = node.NewRunner(self, core.RoleAgent, services, e.peers, e.logger)
+	e.observer = newObserver(e.logger)
+	e.node.OnView = e.observer.viewChanged
 	return e
 }
 
@@ -63,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	server := rpc.Serve(control, e.node.Methods())
+	server := rpc.Serve(control, e.observer.methods(e.node.Methods()))
 	defer server.Close()
 	app := e.routes()
 	inner, stop := context.WithCancel(context.Background())
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -58,6 +58,7 @@
 		if err != nil {
 			return fault.NotRun, err
 		}
+		f.observeAttempt(target.id)
 		outcome, err := f.attempt(target)
 		if err == nil {
 			return "", nil
--- /dev/null
+++ b/internal/entry/observe_test.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/lovageglade/lovageglade/internal/burn"
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
+)
+
+type nullSink struct{}
+
+func (nullSink) head(int, string)  {}
+func (nullSink) data([]byte) error { return nil }
+
+func observed(out *bytes.Buffer) *observer {
+	logger := telemetry.NewLogger("debug", "e1")
+	logger.Writer = &log.IOWriter{Writer: out}
+	return newObserver(logger)
+}
+
+func observedRequest() *request {
+	return &request{id: "req", service: &config.Service{Name: "chat", Kind: config.KindModel}, workspace: "space"}
+}
+
+// total returns the sum over the last hour, decoded.
+func total(t *testing.T, o *observer) *burn.Sum {
+	t.Helper()
+	answer, err := o.recorder.Windows(o.now(), burn.WindowsRequest{WindowsS: []int64{3600}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(answer.Series) == 0 {
+		return &burn.Sum{}
+	}
+	if key := answer.Series[0].Key; key != (burn.Key{Service: "chat", Workspace: "space"}) {
+		t.Errorf("recorded under %+v", key)
+	}
+	sum, err := answer.Series[0].Windows[0].Decode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sum
+}
+
+func TestOutcomesSpendBudget(t *testing.T) {
+	refusal := fault.New(fault.Overloaded, "too much", "come back")
+	for _, test := range []struct {
+		name       string
+		status     int
+		outcome    fault.Outcome
+		err        error
+		total, bad uint64
+	}{
+		{"whole", 200, "", nil, 1, 0},
+		{"answered with a caller's error", 404, "", nil, 1, 0},
+		{"answered with a server error", 500, "", nil, 1, 1},
+		{"refused", 200, fault.NotRun, refusal, 1, 1},
+		{"unknown", 200, fault.Unknown, fault.New(fault.LostOutcome, "lost", "look"), 1, 1},
+		{"caller's fault", 200, fault.NotRun, fault.New(fault.KeyConflict, "other body", "send a new key"), 0, 0},
+	} {
+		var out bytes.Buffer
+		o := observed(&out)
+		current := o.observe(observedRequest(), nullSink{})
+		current.head(test.status, "application/json")
+		if outcome, err := current.finish(test.outcome, test.err); outcome != test.outcome || err != test.err {
+			t.Errorf("%s: passed on %v, %v", test.name, outcome, err)
+		}
+		if sum := total(t, o); sum.Total != test.total || sum.Bad != test.bad {
+			t.Errorf("%s: %d requests, %d bad", test.name, sum.Total, sum.Bad)
+		}
+	}
+}
+
+func TestStreamsAreTimed(t *testing.T) {
+	var out bytes.Buffer
+	o := observed(&out)
+	for _, contentType := range []string{"text/event-stream", "application/json"} {
+		current := o.observe(observedRequest(), nullSink{})
+		current.started = current.started.Add(-400 * time.Millisecond)
+		current.head(200, contentType)
+		for range 4 {
+			if err := current.data([]byte("x")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, _ = current.finish("", nil)
+	}
+	sum := total(t, o)
+	firsts, late := sum.Count(burn.FirstToken, 399)
+	gaps, _ := sum.Count(burn.BetweenTokens, 0)
+	if sum.Total != 2 || firsts != 1 || late != 1 || gaps != 3 {
+		t.Errorf("%d requests, %d first tokens of which %d late, %d gaps", sum.Total, firsts, late, gaps)
+	}
+}
+
+func TestRequestLineNamesRequestAndAttempt(t *testing.T) {
+	var out bytes.Buffer
+	current := observed(&out).observe(observedRequest(), nullSink{})
+	current.attempted("one")
+	current.attempted("two")
+	_, _ = current.finish(fault.Unknown, fault.New(fault.LostOutcome, "lost", "look"))
+	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
+	var line struct {
+		Request, Attempt, Service, Workspace, Outcome, Level, Message string
+		Attempts                                                      int
+	}
+	if err := json.Unmarshal(lines[len(lines)-1], &line); err != nil {
+		t.Fatal(err)
+	}
+	if line.Request != "req" || line.Attempt != "two" || line.Attempts != 2 || line.Outcome != "unknown" || line.Level != "warn" || line.Message != "request ended" {
+		t.Errorf("line %s", lines[len(lines)-1])
+	}
+}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -8,6 +8,7 @@
 	"github.com/gofiber/fiber/v3/middleware/expvar"
 
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
 func (e *Entry) routes() *fiber.App {
@@ -34,11 +35,13 @@
 	}
 	parsed, err := parse(c, snapshot, time.Now())
 	if err != nil {
+		telemetry.RequestRefused(fault.Kind(err))
 		return refuse(c, err, fault.NotRun)
 	}
 	answer := newAnswer()
-	current := newFlow(e, parsed, answer)
-	go func() { answer.finish(current.run()) }()
+	observed := e.observer.observe(parsed, answer)
+	current := newFlow(e, parsed, observed)
+	go func() { answer.finish(observed.finish(current.run())) }()
 	<-answer.started
 	if answer.streams() {
 		c.Set(fiber.HeaderContentType, answer.contentType)
--- /dev/null
+++ b/internal/operate/burn.go
@@ -0,0 +1,223 @@
+package operate
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"github.com/lovageglade/lovageglade/internal/burn"
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+const burnTimeout = 5 * time.Second
+
+// BurnOptions say what the burn report shows.
+type BurnOptions struct {
+	Windows   []time.Duration
+	Threshold float64 // burn rate above which the report ends with an error of kind Burning, or 0 for none
+	JSON      bool
+	SVG       string // file of the plot, or ""
+}
+
+// BurnReport is the burn of every objective over all entries that answered.
+type BurnReport struct {
+	Generation core.Generation `json:"generation"` // the configuration whose objectives were taken
+	Windows    []string        `json:"windows"`
+	CoveredS   []float64       `json:"covered_s"` // seconds of each window that the entry which runs longest has recorded
+	Domains    []DomainReach   `json:"failure_domains"`
+	Rows       []burn.Row      `json:"rows"`
+}
+
+// DomainReach says how many of a failure domain's entries answered.
+type DomainReach struct {
+	FailureDomain core.FailureDomain `json:"failure_domain"`
+	Entries       int                `json:"entries"`
+	Silent        []core.HostID      `json:"silent"` // those that gave no answer
+}
+
+// entryAnswer is what one entry answered.
+type entryAnswer struct {
+	host    core.Host
+	windows burn.WindowsAnswer
+	err     error
+}
+
+// Burn gathers the sums of all entries and reports the burn of every objective.
+func (o *Operator) Burn(ctx context.Context, options BurnOptions) error {
+	snapshot, err := o.inForce(ctx)
+	if err != nil {
+		return err
+	}
+	answers, err := o.gatherBurn(ctx, options.Windows)
+	if err != nil {
+		return err
+	}
+	report, err := mergeBurn(snapshot, options.Windows, answers)
+	if err != nil {
+		return err
+	}
+	if err := o.printBurn(report, options); err != nil {
+		return err
+	}
+	if options.SVG != "" {
+		if err := writePlot(report, options); err != nil {
+			return err
+		}
+	}
+	return judge(report, options)
+}
+
+func (o *Operator) gatherBurn(ctx context.Context, windows []time.Duration) ([]entryAnswer, error) {
+	hosts, err := o.Platform.ListHosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var request burn.WindowsRequest
+	for _, window := range windows {
+		request.WindowsS = append(request.WindowsS, int64(window/time.Second))
+	}
+	entries := slices.DeleteFunc(hosts, func(host core.Host) bool { return host.Role != core.RoleEntry })
+	return iter.Map(entries, func(host *core.Host) entryAnswer {
+		ctx, cancel := context.WithTimeout(ctx, burnTimeout)
+		defer cancel()
+		answer := entryAnswer{host: *host}
+		answer.err = o.Peers.Call(ctx, host.ControlAddress, burn.MethodWindows, request, &answer.windows)
+		return answer
+	}), nil
+}
+
+func mergeBurn(snapshot *config.Snapshot, windows []time.Duration, answers []entryAnswer) (BurnReport, error) {
+	merged := burn.NewMerged(windows)
+	report := BurnReport{Generation: snapshot.Generation, CoveredS: make([]float64, len(windows))}
+	for _, window := range windows {
+		report.Windows = append(report.Windows, burn.FormatWindow(window))
+	}
+	for _, answer := range answers {
+		if answer.err != nil {
+			continue
+		}
+		if err := merged.Add(answer.windows); err != nil {
+			return report, err
+		}
+		for i, covered := range answer.windows.CoveredS {
+			if i < len(windows) {
+				report.CoveredS[i] = max(report.CoveredS[i], covered)
+			}
+		}
+	}
+	report.Rows = merged.Rows(snapshot.Set)
+	report.Domains = reach(snapshot.Set, answers)
+	return report, nil
+}
+
+// reach lists every failure domain of the configuration, and those that only the host list knows.
+func reach(set config.Set, answers []entryAnswer) []DomainReach {
+	domains := make([]DomainReach, 0, len(set.FailureDomains))
+	at := make(map[core.FailureDomain]int)
+	place := func(name core.FailureDomain) *DomainReach {
+		if _, ok := at[name]; !ok {
+			at[name] = len(domains)
+			domains = append(domains, DomainReach{FailureDomain: name, Silent: []core.HostID{}})
+		}
+		return &domains[at[name]]
+	}
+	for _, domain := range set.FailureDomains {
+		place(domain.Name)
+	}
+	for _, answer := range answers {
+		domain := place(answer.host.FailureDomain)
+		domain.Entries++
+		if answer.err != nil {
+			domain.Silent = append(domain.Silent, answer.host.ID)
+		}
+	}
+	return domains
+}
+
+func (o *Operator) printBurn(report BurnReport, options BurnOptions) error {
+	if options.JSON {
+		return o.printJSON(report)
+	}
+	table := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(table, "SERVICE\tWORKSPACE\tOBJECTIVE\tTARGET\t%s\tBUDGET LEFT\n", strings.Join(report.Windows, "\t"))
+	for _, row := range report.Rows {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%.1f%%\n", row.Service, row.Workspace, row.Objective, row.Target, describeRates(row.Rates), row.BudgetLeft*100)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for i, window := range options.Windows {
+		if report.CoveredS[i] < window.Seconds() {
+			_ = o.printf("window %s holds the last %s alone: no entry has run longer\n", report.Windows[i], time.Duration(report.CoveredS[i])*time.Second)
+		}
+	}
+	for _, domain := range report.Domains {
+		if text := describeReach(domain); text != "" {
+			_ = o.printf("%s\n", text)
+		}
+	}
+	return nil
+}
+
+func describeRates(rates []burn.Rate) string {
+	parts := make([]string, 0, len(rates))
+	for _, rate := range rates {
+		if rate.Total == 0 {
+			parts = append(parts, "-")
+			continue
+		}
+		parts = append(parts, fmt.Sprintf("%.2f", rate.Burn))
+	}
+	return strings.Join(parts, "\t")
+}
+
+func describeReach(domain DomainReach) string {
+	switch {
+	case domain.Entries == 0:
+		return fmt.Sprintf("failure domain %s has no entry in the host list", domain.FailureDomain)
+	case len(domain.Silent) == domain.Entries:
+		return fmt.Sprintf("failure domain %s was not reached: none of its %d entries answered; its requests are missing above", domain.FailureDomain, domain.Entries)
+	case len(domain.Silent) > 0:
+		return fmt.Sprintf("failure domain %s was reached in part: no answer from %v", domain.FailureDomain, domain.Silent)
+	}
+	return ""
+}
+
+func writePlot(report BurnReport, options BurnOptions) error {
+	file, err := os.Create(options.SVG)
+	if err != nil {
+		return fault.Wrap(err, fault.BadRequest, "the plot cannot be written", "name a file that can be written with --svg")
+	}
+	if err := burn.WriteSVG(file, report.Rows, options.Windows, options.Threshold); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+// judge returns an error when no entry answered or when a burn rate is above the threshold.
+func judge(report BurnReport, options BurnOptions) error {
+	reached := slices.ContainsFunc(report.Domains, func(domain DomainReach) bool { return domain.Entries > len(domain.Silent) })
+	if !reached {
+		return fault.New(fault.Interrupted, "no entry answered", "check the network between here and the entries' control addresses")
+	}
+	var above []string
+	for _, row := range report.Rows {
+		if options.Threshold > 0 && row.Worst() > options.Threshold {
+			above = append(above, fmt.Sprintf("%s / %s %s at %.2f", row.Service, row.Workspace, row.Objective, row.Worst()))
+		}
+	}
+	if len(above) == 0 {
+		return nil
+	}
+	message := fmt.Sprintf("above the burn rate %g: %s", options.Threshold, strings.Join(above, ", "))
+	return fault.New(fault.Burning, message, "look at these services' endpoints with lovagectl status")
+}
