--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -19,11 +19,11 @@
 // testPlatform is the platform's stand-in behind its real client, with its address for faults.
 type testPlatform struct {
 	*platform.Client
-	t       *testing.T
+	t       testing.TB
 	address string
 }
 
-func newTestPlatform(t *testing.T) *testPlatform {
+func newTestPlatform(t testing.TB) *testPlatform {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -47,7 +47,7 @@
 // observe returns a sink that passes the request's answer on and takes its times.
 func (o *observer) observe(r *request, into sink) *observation {
 	telemetry.RequestStarted(r.service.Name)
-	return &observation{sink: into, observer: o, request: r, started: time.Now(), status: http.StatusOK}
+	return &observation{sink: into, observer: o, request: r, started: time.Now()}
 }
 
 // viewChanged takes note of a new view. It runs on the control thread.
@@ -83,7 +83,7 @@
 	attempts int
 	attempt  core.AttemptID // the latest
 
-	status    int
+	status    int // of the answer; 0 without one
 	streaming bool
 	last      time.Time // when the caller's side had taken the latest part of a stream
 	seen      burn.Observation
--- a/internal/operate/burn.go
+++ b/internal/operate/burn.go
@@ -149,7 +149,7 @@
 	table := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(table, "SERVICE\tWORKSPACE\tOBJECTIVE\tTARGET\t%s\tBUDGET LEFT\n", strings.Join(report.Windows, "\t"))
 	for _, row := range report.Rows {
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%.1f%%\n", row.Service, row.Workspace, row.Objective, row.Target, describeRates(row.Rates), row.BudgetLeft*100)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", row.Service, row.Workspace, row.Objective, row.Target, describeRates(row.Rates), describeBudget(row))
 	}
 	if err := table.Flush(); err != nil {
 		return err
@@ -194,6 +194,14 @@
 	return strings.Join(parts, "\t")
 }
 
+// describeBudget renders the budget that is left, or "-" when there is nothing to judge by.
+func describeBudget(row burn.Row) string {
+	if !slices.ContainsFunc(row.Rates, func(rate burn.Rate) bool { return rate.Total > 0 }) {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", row.BudgetLeft*100)
+}
+
 func describeReach(domain DomainReach) string {
 	switch {
 	case domain.Entries == 0:
