--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -35,6 +35,7 @@
 	Version  versionCmd `cmd:"" help:"Add model versions."`
 	Domain   domainCmd  `cmd:"" help:"Take a failure domain out of service and bring it back."`
 	Status   statusCmd  `cmd:"" help:"Show every host, its configuration and its versions."`
+	Burn     burnCmd    `cmd:"" help:"Show how fast each service-level objective's budget is spent."`
 	Wait     waitCmd    `cmd:"" help:"Wait until the configuration is in force and its versions are served everywhere."`
 }
 
@@ -62,6 +63,7 @@
 		return fail(errOut, err)
 	}
 	operator := operate.New(addresses, out)
+	operator.By = os.Getenv("USER")
 	defer operator.Peers.Close()
 	parsed.BindTo(ctx, (*context.Context)(nil))
 	return fail(errOut, parsed.Run(operator))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,7 @@
 	inFlight *inFlight
 	outcomes *outcomes
 	draining atomic.Bool
+	observer *observer
 }
 
 // New returns an entry that has not started.
@@ -57,6 +58,8 @@
 	}
 	self := wire.Record{Host: config.Host, Incarnation: core.NewIncarnation(), Phase: wire.PhaseStarting}
 	e.node = node.NewRunner(self, core.RoleAgent, config.Seeds, services, e.peers, e.logger)
+	e.observer = newObserver(e.logger)
+	e.node.OnView = e.observer.viewChanged
 	return e
 }
 
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -21,7 +21,7 @@
 type flow struct {
 	entry       *Entry
 	request     *request
-	answer      *answer
+	answer      *observation
 	machine     *outcome.Flow
 	fingerprint uint64
 	excluded    map[core.HostID]bool // what the next pick leaves out
@@ -39,7 +39,7 @@
 	endpoint routing.Candidate
 }
 
-func newFlow(e *Entry, r *request, into *answer) *flow {
+func newFlow(e *Entry, r *request, into *observation) *flow {
 	f := &flow{
 		entry:     e,
 		request:   r,
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -8,6 +8,7 @@
 	"github.com/gofiber/fiber/v3/middleware/expvar"
 
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
 func (e *Entry) routes() *fiber.App {
@@ -34,10 +35,11 @@
 	}
 	parsed, err := parse(c, snapshot, time.Now())
 	if err != nil {
+		telemetry.RequestRefused(fault.Kind(err))
 		return refuse(c, err, fault.NotRun)
 	}
 	answer := newAnswer()
-	go newFlow(e, parsed, answer).run()
+	go newFlow(e, parsed, e.observer.observe(parsed, answer)).run()
 	<-answer.started
 	if answer.streams() {
 		c.Set(fiber.HeaderContentType, answer.contentType)
