--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"errors"
 	"strconv"
 	"time"
 
@@ -173,24 +172,3 @@
 func shown(value string) string {
 	return strconv.Quote(value[:min(len(value), shownBytes)])
 }
-
-// refuseUnread answers a request that the HTTP library refused before a handler saw it, such as an oversized one.
-func refuseUnread(c fiber.Ctx, err error) error {
-	return refuse(c, errUnread(err), fault.NotRun)
-}
-
-func errUnread(err error) error {
-	var known *fiber.Error
-	if !errors.As(err, &known) {
-		return fault.Wrap(err, fault.Internal, "the request could not be handled", "send it again, and report it if that fails too")
-	}
-	switch known.Code {
-	case fiber.StatusRequestEntityTooLarge:
-		return fault.New(fault.TooLarge, "the body is larger than this entry takes", "send a smaller body or have an operator raise max_body_bytes")
-	case fiber.StatusRequestHeaderFieldsTooLarge:
-		return fault.New(fault.TooLarge, "the headers are larger than this entry takes", "send fewer or shorter headers")
-	case fiber.StatusNotFound:
-		return errNoService()
-	}
-	return fault.New(fault.BadRequest, "the request is not valid HTTP for this entry: "+known.Message, "correct the request")
-}
--- /dev/null
+++ b/systemtest/admission_test.go
@@ -0,0 +1,158 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/load"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+// limit changes the limits of the services and applies them.
+func (c *cluster) limit(limits config.Limits) {
+	c.t.Helper()
+	for i := range c.set.Services {
+		c.set.Services[i].Limits = limits
+	}
+	c.apply()
+}
+
+// loadOf asks an agent for its load, by a dispatch that it refuses since it names no life.
+func (c *cluster) loadOf(id core.HostID) wire.Load {
+	c.t.Helper()
+	raw, err := json.Marshal(wire.Dispatch{Attempt: core.AttemptID(core.NewID())})
+	c.must(err)
+	answer, err := http.Post("http://"+c.nodes[id].host.DataAddress+wire.PathAttempts, "application/json", bytes.NewReader(raw))
+	c.must(err)
+	defer answer.Body.Close()
+	var frame wire.Frame
+	c.must(json.NewDecoder(answer.Body).Decode(&frame))
+	if frame.Load == nil {
+		c.t.Fatalf("%s reports no load: %+v", id, frame)
+	}
+	return *frame.Load
+}
+
+// newSlowCluster adds a service whose two runners take a fifth of a second for an answer.
+func newSlowCluster(t *testing.T, limits config.Limits) *cluster {
+	c := newPathCluster(t)
+	c.addRunner("slow-a", "a", 20, 10*time.Millisecond)
+	c.addRunner("slow-b", "b", 20, 10*time.Millisecond)
+	slow := config.Service{Name: "slow", Kind: config.KindModel, Limits: limits, Endpoints: endpoints("slow")}
+	rule := config.Rule{Name: "slow", Service: "slow", Version: "brief-v1", Replicas: map[core.FailureDomain]int{"a": 1, "b": 1}}
+	c.set.Services = append(c.set.Services, slow)
+	c.set.Rules = append(c.set.Rules, rule)
+	c.apply()
+	c.await("the slow service answers", func() bool {
+		report := load.Run(context.Background(), c.slowLoad(10, 200*time.Millisecond))
+		return report.Whole == report.Sent
+	})
+	return c
+}
+
+// slowLoad describes a load of requests to the slow service alone.
+func (c *cluster) slowLoad(rate float64, duration time.Duration) load.Options {
+	options := c.loadOptions(duration)
+	options.ModelService = "slow"
+	options.BookingShare = 0
+	options.Rate = rate
+	return options
+}
+
+func TestColdRunnerIsGivenNoMoreThanItsLimit(t *testing.T) {
+	const bears = 3                                              // requests at once, above which the engine fails
+	const rate = 60                                              // requests a second, which keep 12 under way
+	c := newSlowCluster(t, config.Limits{Cold: 1000, Max: 1000}) // as good as no limit
+	for _, id := range []core.HostID{"slow-a", "slow-b"} {
+		c.put(c.backendAddr(id), "/faults", fmt.Sprintf(`{"crash_above_run":%d}`, bears))
+	}
+	if report := load.Run(context.Background(), c.slowLoad(rate, time.Second)); report.Kinds[""] == 0 {
+		t.Fatalf("without a limit no runner failed, so that the load shows nothing: %+v", report)
+	}
+
+	c.limit(config.Limits{Cold: bears, Max: bears, Queue: 2})
+	c.await("the runners are idle", func() bool {
+		return c.loadOf("slow-a").Running == 0 && c.loadOf("slow-b").Running == 0
+	})
+	report := load.Run(context.Background(), c.slowLoad(rate, 2*time.Second))
+	if report.Unknown != 0 || report.Cut != 0 || report.Kinds[""] != 0 {
+		t.Errorf("a runner was given more than it bears: %+v", report)
+	}
+	if report.Whole == 0 || report.NotRun == 0 || report.Whole+report.NotRun != report.Sent {
+		t.Errorf("not every request was answered or refused: %+v", report)
+	}
+}
+
+func TestRunnerThatRestartsWithoutWarningTurnsCold(t *testing.T) {
+	c := newSlowCluster(t, config.Limits{Cold: 2, Max: 12, Queue: 8})
+	c.await("the limit has risen", func() bool {
+		load.Run(context.Background(), c.slowLoad(60, 500*time.Millisecond))
+		return c.loadOf("slow-a").Limit > 4
+	})
+	answer, err := http.Post("http://"+c.backendAddr("slow-a")+"/admin/restart", "", nil)
+	c.must(err)
+	c.must(answer.Body.Close())
+	c.await("the limit is the cold one", func() bool {
+		load.Run(context.Background(), c.slowLoad(20, 100*time.Millisecond))
+		return c.loadOf("slow-a").Limit == 2
+	})
+}
+
+// madeAt counts the bookings that one plain service made.
+func (c *cluster) madeAt(id core.HostID) int {
+	c.t.Helper()
+	answer, err := http.Get("http://" + c.backendAddr(id) + "/bookings")
+	c.must(err)
+	defer answer.Body.Close()
+	made := make(map[string]int)
+	c.must(json.NewDecoder(answer.Body).Decode(&made))
+	return len(made)
+}
+
+// bookAtA sends bookings to entry-a alone.
+func (c *cluster) bookAtA(rate float64) load.Report {
+	options := c.loadOptions(500 * time.Millisecond)
+	options.Entries = c.entries("entry-a")
+	options.BookingShare = 1
+	options.Rate = rate
+	return load.Run(context.Background(), options)
+}
+
+// booksNothingAt sends bookings to entry-a and tells whether all were answered without the plain service.
+func (c *cluster) booksNothingAt(id core.HostID) bool {
+	before := c.madeAt(id)
+	report := c.bookAtA(20)
+	return report.Whole == report.Sent && c.madeAt(id) == before
+}
+
+func TestLocalFailureDomainFirstThenSpillOver(t *testing.T) {
+	c := newPathCluster(t)
+	c.warm()
+
+	c.await("a light load stays local", func() bool { return c.booksNothingAt("plain-b") })
+
+	c.limit(config.Limits{Cold: 2, Max: 2, Queue: 2})
+	c.put(c.backendAddr("plain-a"), "/faults", `{"delay_ms":300}`)
+	c.put(c.backendAddr("plain-b"), "/faults", `{"delay_ms":20}`)
+	before := c.madeAt("plain-b")
+	report := c.bookAtA(30)
+	c.checkBookings(report)
+	if spilled := c.madeAt("plain-b") - before; spilled == 0 || report.Whole != report.Sent {
+		t.Errorf("%d bookings spilled over from a full failure domain: %+v", spilled, report)
+	}
+
+	c.put(c.backendAddr("plain-a"), "/faults", `{}`)
+	c.set.FailureDomains[0].Out = true
+	c.apply()
+	c.await("no booking goes to the failure domain that is out", func() bool { return c.booksNothingAt("plain-a") })
+	c.set.FailureDomains[0].Out = false
+	c.apply()
+	c.await("bookings are local again", func() bool { return c.booksNothingAt("plain-b") })
+}
--- /dev/null
+++ b/systemtest/request_test.go
@@ -0,0 +1,69 @@
+package systemtest
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+// send sends one request to entry-a and returns the status, the Retry-After header and the refusal.
+func (c *cluster) send(method, path string, header map[string]string, body []byte) (int, fault.Refusal) {
+	c.t.Helper()
+	request, err := http.NewRequest(method, "http://"+c.nodes["entry-a"].host.DataAddress+path, bytes.NewReader(body))
+	c.must(err)
+	request.Header.Set("Lovage-Workspace", "space")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	c.must(err)
+	defer answer.Body.Close()
+	var refusal fault.Refusal
+	if answer.StatusCode != http.StatusOK {
+		c.must(json.NewDecoder(answer.Body).Decode(&refusal))
+	}
+	return answer.StatusCode, refusal
+}
+
+func TestBadInputIsRefusedTypedAndNothingIsDispatched(t *testing.T) {
+	c := newPathCluster(t)
+	c.warm()
+	before := len(c.made())
+	const booking = "/services/bookings/bookings"
+	id := []byte(`{"id":"bad-input"}`)
+	for name, bad := range map[string]struct {
+		method, path string
+		header       map[string]string
+		body         []byte
+		status       int
+		kind         string
+	}{
+		"oversized body":     {"POST", booking, nil, make([]byte, 2<<20), 413, "too_large"},
+		"oversized headers":  {"POST", booking, map[string]string{"X-Long": strings.Repeat("x", 64<<10)}, id, 413, "too_large"},
+		"malformed priority": {"POST", booking, map[string]string{"Lovage-Priority": "urgent"}, id, 400, "bad_request"},
+		"malformed deadline": {"POST", booking, map[string]string{"Lovage-Deadline-Ms": "1e3"}, id, 400, "bad_request"},
+		"malformed key":      {"POST", booking, map[string]string{"Idempotency-Key": "a b"}, id, 400, "bad_request"},
+		"encoded body":       {"POST", booking, map[string]string{"Content-Encoding": "gzip"}, id, 400, "bad_request"},
+		"unknown service":    {"POST", "/services/none/bookings", nil, id, 404, "unknown_service"},
+		"unknown workspace":  {"POST", booking, map[string]string{"Lovage-Workspace": "none"}, id, 403, "unknown_workspace"},
+		"path with dots":     {"POST", "/services/bookings/profile/%2e%2e/bookings", nil, id, 400, "bad_request"},
+		"no service":         {"POST", "/bookings", nil, id, 400, "bad_request"},
+		"bad chat":           {"POST", "/v1/chat/completions", nil, []byte(`{"model":"models"`), 400, "bad_request"},
+		"chat unknown model": {"POST", "/v1/chat/completions", nil, []byte(`{"model":"none","messages":[{}]}`), 404, "unknown_service"},
+	} {
+		status, refusal := c.send(bad.method, bad.path, bad.header, bad.body)
+		if status != bad.status || refusal.Kind != bad.kind || refusal.Outcome != fault.NotRun || refusal.Remedy == "" {
+			t.Errorf("%s: status %d, %+v", name, status, refusal)
+		}
+	}
+	if after := len(c.made()); after != before {
+		t.Errorf("%d bookings were made of bad input", after-before)
+	}
+	if status, refusal := c.send("POST", booking, nil, id); status != http.StatusOK {
+		t.Errorf("a good booking after bad input: status %d, %+v", status, refusal)
+	}
+}
