--- a/cmd/lovage-load/main.go
+++ b/cmd/lovage-load/main.go
@@ -22,6 +22,7 @@
 	ModelService core.Service   `required:"" help:"Service of the model requests."`
 	PlainService core.Service   `required:"" help:"Service of the bookings."`
 	Rate         float64        `default:"50" help:"Requests a second."`
+	Concurrency  int            `help:"Requests at once, in place of a rate."`
 	Duration     time.Duration  `default:"2s" help:"How long requests start."`
 	BookingShare float64        `default:"0.25" help:"Share of the requests that are bookings."`
 	Deadline     time.Duration  `default:"10s" help:"Time that a caller waits."`
@@ -38,6 +39,7 @@
 		ModelService: line.ModelService,
 		PlainService: line.PlainService,
 		Rate:         line.Rate,
+		Concurrency:  line.Concurrency,
 		Duration:     line.Duration,
 		BookingShare: line.BookingShare,
 		Deadline:     line.Deadline,
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -20,13 +20,15 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
-// Options describe a load. Requests start at their due time, whether or not earlier ones have ended.
+// Options describe a load. Requests start at their due time, whether or not earlier ones have ended; with a concurrency
+// instead of a rate, each request starts when one before it has ended.
 type Options struct {
 	Entries      []string // IP numbers and ports, taken in turn
 	Workspace    core.Workspace
 	ModelService core.Service
 	PlainService core.Service
 	Rate         float64 // requests a second
+	Concurrency  int     // requests at once, in place of a rate
 	Duration     time.Duration
 	BookingShare float64 // share of the requests that are bookings
 	Deadline     time.Duration
@@ -34,6 +36,7 @@
 
 // Report is what a load came to. Times are in milliseconds.
 type Report struct {
+	Seconds    float64        `json:"seconds"` // from the first request's start to the last one's end
 	Sent       int            `json:"sent"`
 	Whole      int            `json:"whole"`
 	NotRun     int            `json:"not_run"`
@@ -44,6 +47,7 @@
 	P95        float64        `json:"p95_ms"`
 	P99        float64        `json:"p99_ms"`
 	FirstToken float64        `json:"first_token_p95_ms"`
+	Tokens     int            `json:"tokens"` // of all streams
 	Booked     []string       `json:"-"` // ids of bookings that were answered whole
 	Refused    []string       `json:"-"` // ids of bookings that were refused as not run
 }
@@ -73,7 +77,13 @@
 	}
 	r.report.Kinds = make(map[string]int)
 	defer r.client.CloseIdleConnections()
-	r.schedule(ctx)
+	began := time.Now()
+	if options.Concurrency > 0 {
+		r.keepUnderWay(ctx)
+	} else {
+		r.schedule(ctx)
+	}
+	r.report.Seconds = time.Since(began).Seconds()
 	r.report.P50 = milliseconds(r.whole, 50)
 	r.report.P95 = milliseconds(r.whole, 95)
 	r.report.P99 = milliseconds(r.whole, 99)
@@ -102,6 +112,20 @@
 	}
 }
 
+// keepUnderWay keeps as many requests under way as the concurrency says.
+func (r *run) keepUnderWay(ctx context.Context) {
+	end := time.Now().Add(r.options.Duration)
+	var callers conc.WaitGroup
+	defer callers.Wait()
+	for caller := range r.options.Concurrency {
+		callers.Go(func() {
+			for i := caller; ctx.Err() == nil && time.Now().Before(end); i += r.options.Concurrency {
+				r.one(i, time.Now())
+			}
+		})
+	}
+}
+
 func (r *run) one(i int, due time.Time) {
 	entry := r.options.Entries[i%len(r.options.Entries)]
 	booking := int(float64(i+1)*r.options.BookingShare) > int(float64(i)*r.options.BookingShare)
@@ -164,6 +188,7 @@
 			return
 		case line == "data: [DONE]":
 			r.answered(due, "")
+			r.countTokens(tokens)
 			return
 		case strings.HasPrefix(line, "data: "):
 			r.token(tokens, due)
@@ -199,6 +224,12 @@
 	_ = r.first.RecordValue(max(1, time.Since(due).Microseconds()))
 }
 
+func (r *run) countTokens(tokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Tokens += tokens
+}
+
 func (r *run) answered(due time.Time, booking string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/systemtest/entry_bench_test.go
@@ -0,0 +1,92 @@
+package systemtest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovageglade/lovageglade/internal/load"
+)
+
+const (
+	benchRate    = 20 // requests a second
+	benchTime    = 4 * time.Second
+	benchCallers = 64
+)
+
+// engineAddresses returns the addresses of the engines, past the entry and the agents.
+func (c *cluster) engineAddresses() []string {
+	addresses := make([]string, 0, len(c.engines))
+	for id := range c.engines {
+		addresses = append(addresses, c.backendAddr(id))
+	}
+	return addresses
+}
+
+func (c *cluster) warmEntry() {
+	c.t.Helper()
+	c.await("the entry answers", func() bool {
+		report := load.Run(context.Background(), c.modelLoad(benchRate, 200*time.Millisecond))
+		return report.Whole == report.Sent
+	})
+}
+
+// wantWhole fails the benchmark unless every answer was whole.
+func wantWhole(b *testing.B, report load.Report) {
+	b.Helper()
+	if report.Whole != report.Sent {
+		b.Fatalf("not every answer was whole: %+v", report)
+	}
+}
+
+// BenchmarkEntryLatency compares answers through the entry with answers from the engines, under two equal loads at the
+// same time.
+func BenchmarkEntryLatency(b *testing.B) {
+	c := newCapacityCluster(b, 200)
+	c.warmEntry()
+	var through, direct load.Report
+	for b.Loop() {
+		options := c.modelLoad(benchRate, benchTime)
+		past := options
+		past.Entries = c.engineAddresses()
+		var loads conc.WaitGroup
+		loads.Go(func() { through = load.Run(context.Background(), options) })
+		loads.Go(func() { direct = load.Run(context.Background(), past) })
+		loads.Wait()
+	}
+	wantWhole(b, through)
+	wantWhole(b, direct)
+	b.ReportMetric(direct.P50, "direct-p50-ms")
+	b.ReportMetric(direct.P95, "direct-p95-ms")
+	b.ReportMetric(through.P50-direct.P50, "added-p50-ms")
+	b.ReportMetric(through.P95-direct.P95, "added-p95-ms")
+	b.ReportMetric(through.FirstToken-direct.FirstToken, "added-first-token-p95-ms")
+	b.ReportMetric(through.P50/direct.P50, "ratio-p50")
+	b.ReportMetric(through.P95/direct.P95, "ratio-p95")
+}
+
+// saturate keeps callers under way through one entry.
+func saturate(b *testing.B, tokens int) load.Report {
+	c := newCapacityCluster(b, tokens)
+	c.warmEntry()
+	var report load.Report
+	for b.Loop() {
+		options := c.modelLoad(0, benchTime)
+		options.Concurrency = benchCallers
+		report = load.Run(context.Background(), options)
+	}
+	wantWhole(b, report)
+	return report
+}
+
+func BenchmarkEntryRequests(b *testing.B) {
+	report := saturate(b, 4)
+	b.ReportMetric(float64(report.Whole)/report.Seconds, "requests/s")
+}
+
+func BenchmarkEntryTokens(b *testing.B) {
+	report := saturate(b, 500)
+	b.ReportMetric(float64(report.Tokens)/report.Seconds, "tokens/s")
+}
