--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -77,12 +77,14 @@
 func (o observed) Call(ctx context.Context, call backend.Call) (*stream.Response, error) {
 	began := time.Now()
 	answer, err := o.Engine.Call(ctx, call)
-	if err != nil || answer.Status >= http.StatusInternalServerError {
+	switch {
+	case ctx.Err() != nil: // its caller withdrew it or waits no longer
+	case err != nil || answer.Status >= http.StatusInternalServerError:
 		o.gate.Failed()
-		return answer, err
+	default:
+		o.gate.Observe(time.Since(began))
 	}
-	o.gate.Observe(time.Since(began))
-	return answer, nil
+	return answer, err
 }
 
 // State implements backend.Engine.
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/retry"
@@ -11,38 +13,37 @@
 
 // pick chooses the endpoint of the next attempt. Each attempt after the first draws on the service's retry budget.
 func (f *flow) pick() (attemptTarget, error) {
-	if err := f.spend(); err != nil {
-		return attemptTarget{}, err
+	service := f.entry.index().Service(f.request.service.Name)
+	if !f.mayAttempt() {
+		return attemptTarget{}, f.comeBack(service, fault.Overloaded, "too many requests of "+string(f.request.service.Name)+" are being retried")
 	}
-	chosen := f.entry.index().Service(f.request.service.Name).Pick(routing.Query{
+	chosen := service.Pick(routing.Query{
 		Exclude: f.excluded,
 		Prefix:  f.request.prefix,
 		Seed:    rand.Uint64(),
 		Now:     f.entry.inFlight.now(),
 	})
 	if chosen == nil {
-		return attemptTarget{}, f.noEndpoint()
+		return attemptTarget{}, f.comeBack(service, fault.NoEndpoint, "no endpoint of "+string(f.request.service.Name)+" takes the request now")
 	}
 	return attemptTarget{id: core.AttemptID(core.NewID()), endpoint: chosen.Candidate}, nil
 }
 
-// spend counts the attempt in the retry budget of its service.
-func (f *flow) spend() error {
+// mayAttempt counts the attempt in the retry budget of its service, and tells whether it may be made.
+func (f *flow) mayAttempt() bool {
 	budget := f.entry.inFlight.budgets.Of(f.request.service.Name)
-	if len(f.excluded) == 0 {
-		budget.Earn()
-		return nil
-	}
-	if budget.Spend() {
-		return nil
+	if len(f.excluded) > 0 {
+		return budget.Spend()
 	}
-	err := fault.New(fault.Overloaded, "too many requests of "+string(f.request.service.Name)+" are being retried", "come back after the time in Retry-After")
-	return fault.WithRetryAfter(err, retry.After(1, 1, rand.Uint64()))
+	budget.Earn()
+	return true
 }
 
-func (f *flow) noEndpoint() error {
-	err := fault.New(fault.NoEndpoint, "no endpoint of "+string(f.request.service.Name)+" takes the request now", "come back after the time in Retry-After")
-	return fault.WithRetryAfter(err, retry.After(1, 1, rand.Uint64()))
+// comeBack returns a refusal whose Retry-After spreads callers by the load of the service.
+func (f *flow) comeBack(service *routing.Service, kind *errorx.Type, message string) error {
+	load, limit := service.Pressure(f.entry.inFlight.now())
+	err := fault.New(kind, message, "come back after the time in Retry-After")
+	return fault.WithRetryAfter(err, retry.After(int(load), int(limit), rand.Uint64()))
 }
 
 // index returns the index of the latest view. The first request that finds a new view builds it; requests that come
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -48,8 +48,8 @@
 	P99        float64        `json:"p99_ms"`
 	FirstToken float64        `json:"first_token_p95_ms"`
 	Tokens     int            `json:"tokens"` // of all streams
-	Booked     []string       `json:"-"` // ids of bookings that were answered whole
-	Refused    []string       `json:"-"` // ids of bookings that were refused as not run
+	Booked     []string       `json:"-"`      // ids of bookings that were answered whole
+	Refused    []string       `json:"-"`      // ids of bookings that were refused as not run
 }
 
 const (
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -2,11 +2,7 @@
 // when many endpoints fail at once, and says when callers and hedges may try again.
 package retry
 
-import (
-	"sync"
-
-	"github.com/lovageglade/lovageglade/internal/core"
-)
+import "sync"
 
 // The budget of each service.
 const (
@@ -44,30 +40,3 @@
 	b.tokens--
 	return true
 }
-
-// Budgets keeps one budget for each service, so that a failing service spends none of another's. It is safe for
-// concurrent use.
-type Budgets struct {
-	mu        sync.RWMutex
-	byService map[core.Service]*Budget
-}
-
-// NewBudgets returns full budgets.
-func NewBudgets() *Budgets { return &Budgets{byService: make(map[core.Service]*Budget)} }
-
-// Of returns the budget of the service.
-func (b *Budgets) Of(service core.Service) *Budget {
-	b.mu.RLock()
-	budget := b.byService[service]
-	b.mu.RUnlock()
-	if budget != nil {
-		return budget
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if budget = b.byService[service]; budget == nil {
-		budget = NewBudget(budgetShare, budgetMost)
-		b.byService[service] = budget
-	}
-	return budget
-}
--- a/internal/routing/pick_test.go
+++ b/internal/routing/pick_test.go
@@ -158,6 +158,25 @@
 	}
 }
 
+func TestPickRampsAFailureDomainThatReturns(t *testing.T) {
+	meters := NewMeters()
+	view := newView(t, 50, nil)
+	service := Build(view, here, meters).Service("models")
+	for id := range view.Hosts {
+		meters.Of(id).Report(wire.Load{Limit: 32}, 0)
+	}
+	const domainHolds = 10 * coldLimit
+	returned := Query{Now: time.Hour} // no report since it went out
+	if counts := pickMany(service, meters, 2*domainHolds, returned); counts["d0"] != domainHolds {
+		t.Errorf("the returned failure domain got %v before it reported a limit", counts)
+	}
+	meters.Of("h0").Report(wire.Load{Running: coldLimit, Limit: 32}, time.Hour)
+	returned.Seed = 1000
+	if counts := pickMany(service, meters, 20, returned); counts["d0"] != 20 {
+		t.Errorf("an endpoint that reports room got %v", counts)
+	}
+}
+
 func benchmarkQuery(i int, prefixes bool) Query {
 	query := Query{Seed: uint64(i)}
 	if prefixes {
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -22,3 +22,14 @@
 	others := (other.Meter.Load(now) + 1) * e.limit(now)
 	return mine < others
 }
+
+// Pressure returns the requests at all endpoints of the service, and how many they are believed to bear.
+func (s *Service) Pressure(now time.Duration) (load, limit int64) {
+	for _, tier := range s.tiers {
+		for _, endpoint := range tier {
+			load += endpoint.Meter.Load(now)
+			limit += endpoint.limit(now)
+		}
+	}
+	return load, limit
+}
