Keyed calls recorded across two entries and checked by porcupine

Cause: nothing showed that a key holds across entries, and a call whose own attempt another call had declared never run said "not run" although that other call could have moved the claim and run it.

Ruled out: counting doubled bookings alone, since it does not see a false "not run"; a lock in the platform's table, since its holder can be paused.

Change: an attempt that was tombstoned, refused for its mark or not reached leaves the claim to be read before "not run" is said.

--- a/internal/outcome/claims.go
+++ b/internal/outcome/claims.go
@@ -1,8 +1,11 @@
 package outcome
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/reduce"
 )
@@ -42,6 +45,10 @@
 		f.prior = false
 		return f.refuse(errKeyConflict())
 	}
+	if f.provedNotRun(event.Attempt.ID) {
+		f.prior = false
+		return f.refuse(f.last)
+	}
 	f.claims++
 	if f.claims > maxClaims {
 		f.prior = true
@@ -54,6 +61,10 @@
 	return []reduce.Effect{Resolve{Attempt: a.Attempt}}
 }
 
+func (f *Flow) provedNotRun(id core.AttemptID) bool {
+	return slices.ContainsFunc(f.attempts, func(a *attempt) bool { return a.ID == id && a.proved })
+}
+
 // closeUnsent forgets attempts that were never dispatched.
 func (f *Flow) closeUnsent() {
 	kept := f.attempts[:0]
--- a/internal/outcome/finish.go
+++ b/internal/outcome/finish.go
@@ -12,9 +12,10 @@
 // notRun closes an attempt that did not and will not run.
 func (f *Flow) notRun(a *attempt, err error) []reduce.Effect {
 	a.open = false
+	a.proved = true
 	f.last = err
 	if f.request.Claimed {
-		f.prior = false
+		f.prior = movable(err)
 	}
 	if final(err) {
 		return f.refuse(err)
@@ -22,6 +23,12 @@
 	return f.again()
 }
 
+// movable tells whether another call may have moved the claim meanwhile, since it may have been the one that had the
+// attempt declared never run.
+func movable(err error) bool {
+	return fault.Is(err, fault.Tombstoned) || fault.Is(err, fault.WrongLife) || fault.Is(err, fault.Interrupted)
+}
+
 // failed closes an attempt that may have run and has no whole answer.
 func (f *Flow) failed(a *attempt, err error) []reduce.Effect {
 	a.open = false
@@ -45,11 +52,20 @@
 		return nil
 	}
 	if f.sent >= maxAttempts {
-		return f.refuse(f.last)
+		return f.giveUp()
 	}
 	return f.pick(f.sent > 0)
 }
 
+// giveUp ends the flow without a further attempt. A call with a key first has to read what other calls with that key
+// came to.
+func (f *Flow) giveUp() []reduce.Effect {
+	if f.prior {
+		return []reduce.Effect{ReadClaim{}}
+	}
+	return f.refuse(f.last)
+}
+
 func (f *Flow) expire() []reduce.Effect {
 	return f.refuse(fault.New(fault.Expired, "the deadline passed", "allow more time"))
 }
--- a/internal/outcome/flow.go
+++ b/internal/outcome/flow.go
@@ -45,9 +45,10 @@
 // attempt is the state of one attempt.
 type attempt struct {
 	Attempt
-	conns   int // connections opened
-	conn    int // the one that is read, or noConn
+	conns   int  // connections opened
+	conn    int  // the one that is read, or noConn
 	open    bool // its fate is not known yet
+	proved  bool // it did not and will not run
 	adopted bool // another call dispatched it
 	stale   bool // it was refused for its mark alone
 	sent    bool
@@ -161,8 +162,7 @@
 	return []reduce.Effect{Dispatch{Attempt: a.Attempt, Conn: a.conn, Suspect: f.request.Suspect || f.crashes > 0}}
 }
 
-// pickFailed ends the flow, unless another attempt is open. A call with a key first has to read what other calls
-// with that key came to.
+// pickFailed ends the flow, unless another attempt is open.
 func (f *Flow) pickFailed(err error) []reduce.Effect {
 	f.picking = false
 	if f.opened() > 0 {
@@ -171,10 +171,7 @@
 	if f.last == nil {
 		f.last = err
 	}
-	if f.prior {
-		return []reduce.Effect{ReadClaim{}}
-	}
-	return f.refuse(f.last)
+	return f.giveUp()
 }
 
 func (f *Flow) hedge() []reduce.Effect {
--- a/internal/outcome/flow_test.go
+++ b/internal/outcome/flow_test.go
@@ -188,3 +188,36 @@
 		t.Fatalf("hedged: %v", effects)
 	}
 }
+
+// claimedFlow returns a flow whose claim names the attempt "own", which was dispatched.
+func claimedFlow() *Flow {
+	flow := NewFlow(Request{Claimed: true})
+	flow.Step(Started{})
+	flow.Step(Picked{Attempt: Attempt{ID: "own"}})
+	flow.Step(ClaimWritten{Attempt: "own", Revision: 1})
+	return flow
+}
+
+func TestTombstonedAttemptFollowsTheMovedClaim(t *testing.T) {
+	flow := claimedFlow()
+	refusal := fault.RefusalOf(fault.New(fault.Tombstoned, "never", "send anew"), fault.NotRun)
+	flow.Step(FrameArrived{Attempt: "own", Conn: 1, Frame: wire.Frame{Kind: wire.FrameRefusal, Attempt: "own", Refusal: &refusal}})
+	if effects := flow.Step(PickFailed{Err: errNotReached()}); len(effects) != 1 || effects[0] != (ReadClaim{}) {
+		t.Fatalf("the claim was not read: %v", effects)
+	}
+	effects := flow.Step(ClaimStands{Attempt: Attempt{ID: "other"}, Revision: 2, Same: true})
+	if len(effects) != 1 || effects[0].(Resolve).Attempt.ID != "other" {
+		t.Fatalf("the claim's attempt was not asked for: %v", effects)
+	}
+}
+
+func TestUnmovedClaimProvesNotRun(t *testing.T) {
+	flow := claimedFlow()
+	flow.Step(Lost{Attempt: "own", Conn: 1})
+	flow.Step(Resolved{Attempt: "own", State: wire.ResolveNever})
+	flow.Step(PickFailed{Err: errNotReached()})
+	effects := flow.Step(ClaimStands{Attempt: Attempt{ID: "own"}, Revision: 1, Same: true})
+	if len(effects) != 1 || effects[0].(Refuse).Outcome != fault.NotRun {
+		t.Fatalf("not run was not said: %v", effects)
+	}
+}
--- a/internal/outcome/world_test.go
+++ b/internal/outcome/world_test.go
@@ -64,6 +64,7 @@
 type world struct {
 	script script
 	next   int
+	last   core.AttemptID
 	fates  map[core.AttemptID]fate
 	got    []byte
 	result result
@@ -88,7 +89,10 @@
 		return []reduce.Event{Picked{Attempt: Attempt{ID: core.AttemptID(fmt.Sprint("a", w.next))}}}
 	case Claim:
 		return []reduce.Event{w.claim(effect)}
+	case ReadClaim:
+		return []reduce.Event{ClaimStands{Attempt: Attempt{ID: w.last}, Revision: 9, Same: true}}
 	case Dispatch:
+		w.last = effect.Attempt.ID
 		w.result.dispatches++
 		w.fates[effect.Attempt.ID] = w.script.fates[w.next%len(w.script.fates)]
 		w.next++
--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -79,6 +79,7 @@
 	nodes        map[core.HostID]*process
 	plains       map[core.HostID]*standin.Plain
 	engines      map[core.HostID]*standin.Engine
+	forwarders   map[core.HostID][]*forwarder
 }
 
 // process is one entry or agent.
@@ -101,7 +102,9 @@
 		nodes:   make(map[core.HostID]*process),
 		plains:  make(map[core.HostID]*standin.Plain),
 		engines: make(map[core.HostID]*standin.Engine),
-		peers:   rpc.NewClient(),
+
+		forwarders: make(map[core.HostID][]*forwarder),
+		peers:      rpc.NewClient(),
 	}
 	c.platform = standin.NewPlatform(0)
 	c.platformAddr = fmt.Sprintf("%s:%d", c.newIP(), dataPort)
@@ -176,9 +179,15 @@
 }
 
 func (c *cluster) addPlain(id core.HostID, domain core.FailureDomain) *standin.Plain {
+	c.t.Helper()
+	return c.addPlainAt(id, domain, nil)
+}
+
+// addPlainAt starts a plain service whose agent's settings may be altered first.
+func (c *cluster) addPlainAt(id core.HostID, domain core.FailureDomain, change func(*settings.Agent)) *standin.Plain {
 	c.t.Helper()
 	c.plains[id] = standin.NewPlain()
-	c.addAgent(id, domain, "plain", c.plains[id].App(), nil)
+	c.addAgent(id, domain, "plain", c.plains[id].App(), change)
 	return c.plains[id]
 }
 
--- /dev/null
+++ b/systemtest/outcome_keys_test.go
@@ -0,0 +1,216 @@
+package systemtest
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+const (
+	callDeadline = 8 * time.Second
+	callerLimit  = 5 * time.Second // callers may hang up before their deadline
+	checkLimit   = time.Minute
+)
+
+// newBookingCluster starts two entries and two plain services whose agents stand behind forwarders.
+func newBookingCluster(t *testing.T) *cluster {
+	c := newCluster(t)
+	c.addEntry("entry-a", "a", nil)
+	c.addEntry("entry-b", "b", nil)
+	c.addForwardedPlain("plain-a", "a")
+	c.addForwardedPlain("plain-b", "b")
+	c.set = config.Set{
+		FailureDomains: []config.FailureDomain{{Name: "a", Region: "a"}, {Name: "b", Region: "b"}},
+		Workspaces:     []config.Workspace{{Name: "space"}},
+		Services: []config.Service{{
+			Name:      "bookings",
+			Kind:      config.KindPlain,
+			Limits:    config.Limits{Cold: 16, Max: 32, Queue: 8},
+			Endpoints: endpoints("plain"),
+			Calls:     []config.Call{{Method: "GET", Path: "/", Idempotent: true}},
+		}},
+	}
+	c.apply()
+	client := newCaller(t)
+	for _, entry := range c.entries("entry-a", "entry-b") {
+		c.await("the entry books", func() bool {
+			return book(client, entry, "", fmt.Sprint("warm", time.Now().UnixNano()), callDeadline).said == booked
+		})
+	}
+	return c
+}
+
+func newCaller(t *testing.T) *http.Client {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: callerLimit}
+	t.Cleanup(client.CloseIdleConnections)
+	return client
+}
+
+// bookAll books each key from both entries at once, each until it is booked or a few calls were made.
+func bookAll(h *history, client *http.Client, entries []string, keys, workers int) *conc.WaitGroup {
+	var callers conc.WaitGroup
+	for worker := range workers {
+		callers.Go(func() {
+			for key := worker; key < keys; key += workers {
+				var pair conc.WaitGroup
+				for i, entry := range entries {
+					pair.Go(func() { bookUntilKnown(h, client, worker*len(entries)+i, entry, fmt.Sprint("key-", key)) })
+				}
+				pair.Wait()
+			}
+		})
+	}
+	return &callers
+}
+
+func bookUntilKnown(h *history, client *http.Client, number int, entry, key string) {
+	for range 3 {
+		if h.book(client, number, entry, key, callDeadline).said == booked {
+			return
+		}
+	}
+}
+
+// faultStep is a fault that lasts while a number of calls end.
+type faultStep struct {
+	name       string
+	begin, end func()
+}
+
+func (c *cluster) faultSteps() []faultStep {
+	both := func(act func(*forwarder)) func() {
+		return func() {
+			for _, forwarders := range c.forwarders {
+				for _, f := range forwarders {
+					act(f)
+				}
+			}
+		}
+	}
+	none := func() {}
+	platform := func(faults string) func() {
+		return func() { c.put(c.platformAddr, "/faults", faults) }
+	}
+	return []faultStep{
+		{"silent connections", both((*forwarder).silence), none},
+		{"cut connections", both((*forwarder).cut), none},
+		{"lost platform answers", platform(`{"lose_answers":true}`), platform(`{}`)},
+		{"agent frozen", func() { c.signal("plain-a", syscall.SIGSTOP) }, func() { c.signal("plain-a", syscall.SIGCONT) }},
+		{"entry frozen", func() { c.signal("entry-a", syscall.SIGSTOP) }, func() { c.signal("entry-a", syscall.SIGCONT) }},
+		{"agent killed", func() { c.kill("plain-b") }, func() { c.relaunch("plain-b") }},
+		{"platform down", platform(`{"down":true}`), platform(`{}`)},
+		{"silent connections again", both((*forwarder).silence), none},
+	}
+}
+
+// checkHistory adds how often each key's booking was made and checks the whole.
+func (c *cluster) checkHistory(h *history, keys int) {
+	c.t.Helper()
+	made := c.made()
+	for key := range keys {
+		name := fmt.Sprint("key-", key)
+		h.record(-1, call{key: name, count: true}, h.now(), answered{made: made[name]})
+	}
+	c.t.Logf("what was said: %v", h.kinds)
+	if result := porcupine.CheckOperationsTimeout(bookingModel, h.operations, checkLimit); result != porcupine.Ok {
+		c.t.Fatalf("what callers were told does not hold (%s); bookings made: %v", result, repeated(made))
+	}
+}
+
+func repeated(made map[string]int) map[string]int {
+	more := make(map[string]int)
+	for id, count := range made {
+		if count > 1 {
+			more[id] = count
+		}
+	}
+	return more
+}
+
+func TestKeyedCallsHoldUnderFaults(t *testing.T) {
+	c := newBookingCluster(t)
+	c.put(c.backendAddr("plain-a"), "/faults", `{"delay_ms":40}`)
+	c.put(c.backendAddr("plain-b"), "/faults", `{"delay_ms":40}`)
+	const keys, workers, callsPerFault = 400, 8, 16
+	h := newHistory()
+	callers := bookAll(h, newCaller(t), c.entries("entry-a", "entry-b"), keys, workers)
+	for _, step := range c.faultSteps() {
+		c.awaitCalls(h, callsPerFault, keys)
+		step.begin()
+		t.Logf("%s after %d calls", step.name, h.length())
+		c.awaitCalls(h, callsPerFault, keys)
+		step.end()
+	}
+	callers.Wait()
+	c.checkHistory(h, keys)
+}
+
+// awaitCalls waits until more calls have ended, or all have.
+func (c *cluster) awaitCalls(h *history, more, keys int) {
+	c.t.Helper()
+	goal := min(h.length()+more, 2*keys)
+	c.await("calls end", func() bool { return h.length() >= goal })
+}
+
+func TestResendAfterAgentsEndIsNotRunAgain(t *testing.T) {
+	c := newBookingCluster(t)
+	h := newHistory()
+	client := newCaller(t)
+	if first := h.book(client, 0, c.entries("entry-a")[0], "key-0", callDeadline); first.said != booked {
+		t.Fatalf("the booking came to %+v", first)
+	}
+	for id := range c.plains {
+		c.kill(id)
+		c.relaunch(id)
+		c.await("the agent is ready again", func() bool {
+			record, err := c.record(id)
+			return err == nil && record.Phase == wire.PhaseReady
+		})
+	}
+	if again := h.book(client, 0, c.entries("entry-b")[0], "key-0", callDeadline); again.said != unknown {
+		t.Errorf("the resend was told %+v after the agents' lives had ended", again)
+	}
+	c.checkHistory(h, 1)
+}
+
+func TestKeyOfOtherContentIsRefused(t *testing.T) {
+	c := newBookingCluster(t)
+	client := newCaller(t)
+	book(client, c.entries("entry-a")[0], "key", "first", callDeadline)
+	second := book(client, c.entries("entry-b")[0], "key", "second", callDeadline)
+	if second.kind != "idempotency_conflict" || c.made()["second"] != 0 {
+		t.Fatalf("another request under the same key came to %+v", second)
+	}
+}
+
+func TestKeyedCallInPlatformOutageRunsNothing(t *testing.T) {
+	c := newBookingCluster(t)
+	client := newCaller(t)
+	c.put(c.platformAddr, "/faults", `{"down":true}`)
+	outage := book(client, c.entries("entry-a")[0], "key-0", "key-0", callDeadline)
+	if outage.kind != "platform_unavailable" || outage.said != unknown || c.made()["key-0"] != 0 {
+		t.Errorf("in the outage the call came to %+v", outage)
+	}
+	c.put(c.platformAddr, "/faults", `{}`)
+	c.await("the resend is booked", func() bool {
+		return book(client, c.entries("entry-b")[0], "key-0", "key-0", callDeadline).said == booked
+	})
+	if made := c.made()["key-0"]; made != 1 {
+		t.Errorf("the booking was made %d times", made)
+	}
+}
+
+func (c *cluster) addForwardedPlain(id core.HostID, domain core.FailureDomain) {
+	c.t.Helper()
+	c.addPlainAt(id, domain, c.behindForwarder)
+}
