--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -47,7 +47,7 @@
 		Generation:  r.generation,
 		Service:     r.service.Name,
 		Workspace:   r.workspace,
-		Version:     r.version,
+		Version:     effect.Attempt.Target.Version,
 		Method:      r.method,
 		Path:        r.path,
 		ContentType: r.contentType,
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -78,7 +78,7 @@
 		return outcome.PickFailed{Err: err}
 	}
 	host := chosen.endpoint.Host
-	target := outcome.Target{Host: host, Incarnation: chosen.endpoint.Incarnation}
+	target := outcome.Target{Host: host, Incarnation: chosen.endpoint.Incarnation, Version: chosen.endpoint.Version}
 	target.Mark = f.entry.outcomes.marks.of(host.ID, target.Incarnation)
 	return outcome.Picked{Attempt: outcome.Attempt{ID: chosen.id, Target: target}}
 }
--- a/internal/outcome/events.go
+++ b/internal/outcome/events.go
@@ -12,6 +12,7 @@
 
 // Target is one life of an agent.
 type Target struct {
+	Version     core.VersionID // of a model: the version that must answer
 	Host        core.Host
 	Incarnation core.Incarnation
 	Mark        wire.Mark // the agent's latest time mark that the entry had heard of
