--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -42,6 +42,9 @@
 func (a *Agent) admitAndRun(dispatch wire.Dispatch, record *attempt.Record) {
 	ctx, cancel := runContext(dispatch)
 	defer cancel()
+	if dispatch.Idempotent {
+		record.OnStop(cancel)
+	}
 	if dispatch.Suspect {
 		if !a.takeSuspectTurn(dispatch) {
 			record.Refuse(errSuspectWaits(), a.load())
@@ -71,11 +74,6 @@
 }
 
 func (a *Agent) run(ctx context.Context, dispatch wire.Dispatch, record *attempt.Record) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if dispatch.Idempotent {
-		record.OnStop(cancel)
-	}
 	err := a.copyAnswer(ctx, dispatch, record)
 	a.gate.Leave(err == nil)
 	switch {
--- /dev/null
+++ b/internal/attempt/table_test.go
@@ -0,0 +1,130 @@
+package attempt
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+// ended adds an attempt that has ended with an answer.
+func ended(t *testing.T, table *Table, id core.AttemptID, idempotent bool, answer int, now time.Time) {
+	t.Helper()
+	record, fresh, err := table.Begin(Start{ID: id, Mark: table.Mark(now), Idempotent: idempotent}, now)
+	if err != nil || !fresh {
+		t.Fatalf("%s: fresh %t, %v", id, fresh, err)
+	}
+	record.Append(make([]byte, answer))
+	record.Finish(wire.Load{})
+}
+
+func TestAttemptRunsOrIsNeverRun(t *testing.T) {
+	table := NewTable(start)
+	for i := range 2000 {
+		id := core.AttemptID(fmt.Sprint(i))
+		var runs, never atomic.Int32
+		var both conc.WaitGroup
+		both.Go(func() {
+			if _, fresh, err := table.Begin(Start{ID: id}, start); err == nil && fresh {
+				runs.Add(1)
+			}
+		})
+		both.Go(func() {
+			if table.Resolve(id, 0, start) == wire.ResolveNever {
+				never.Add(1)
+			}
+		})
+		both.Wait()
+		if runs.Load()+never.Load() != 1 {
+			t.Fatalf("attempt %s ran %d times and was declared never run %d times", id, runs.Load(), never.Load())
+		}
+	}
+}
+
+func TestForgottenAttemptIsNotDeclaredNeverRun(t *testing.T) {
+	table := NewTable(start)
+	ended(t, table, "old", false, 10, start)
+	late := start.Add(retention)
+	table.Sweep(late)
+	table.Sweep(late.Add(retention + time.Second))
+	if state := table.Resolve("old", 0, late); state != wire.ResolveForgotten {
+		t.Errorf("the forgotten attempt was called %s", state)
+	}
+	if _, _, err := table.Begin(Start{ID: "older"}, late); !fault.Is(err, fault.WrongLife) {
+		t.Errorf("an attempt with a mark below the horizon came to %v", err)
+	}
+	if state := table.Resolve("new", table.Mark(late), late); state != wire.ResolveNever {
+		t.Errorf("a newer attempt was called %s", state)
+	}
+}
+
+func TestAttemptEndedLateIsKeptForItsRetention(t *testing.T) {
+	table := NewTable(start)
+	record, _, _ := table.Begin(Start{ID: "long"}, start)
+	late := start.Add(2 * retention)
+	record.Finish(wire.Load{})
+	table.Sweep(late)
+	if state := table.Resolve("long", 0, late); state != wire.ResolveFinished {
+		t.Errorf("the attempt was called %s right after its end", state)
+	}
+}
+
+func TestHeldAnswersStayWithinTheirBound(t *testing.T) {
+	table := NewTable(start)
+	const size = 1 << 20
+	for i := range 2 * maxHeldBytes / size {
+		ended(t, table, core.AttemptID(fmt.Sprint(i)), i%2 == 0, size, start.Add(time.Duration(i)*time.Second))
+		if held := table.held.Load(); held > maxHeldBytes {
+			t.Fatalf("%d bytes are held", held)
+		}
+	}
+	frames, done, _ := table.Find("0", start).Read(&Cursor{})
+	if !done || frames[0].Refusal == nil || frames[0].Refusal.Outcome != fault.Unknown {
+		t.Errorf("the dropped answer was read as %+v", frames)
+	}
+}
+
+func TestRecordsStayWithinTheirBound(t *testing.T) {
+	table := NewTable(start)
+	for i := range maxRecords + 10 {
+		ended(t, table, core.AttemptID(fmt.Sprint(i)), false, 0, start.Add(time.Duration(i)*time.Second))
+	}
+	if len(table.records) > maxRecords {
+		t.Errorf("%d records are held", len(table.records))
+	}
+	if state := table.Resolve("0", 0, start); state != wire.ResolveForgotten {
+		t.Errorf("the oldest attempt was called %s", state)
+	}
+}
+
+func TestFullTableOfRunningAttemptsRefuses(t *testing.T) {
+	table := NewTable(start)
+	record, _, _ := table.Begin(Start{ID: "running"}, start)
+	record.Append(make([]byte, maxHeldBytes))
+	if _, _, err := table.Begin(Start{ID: "next"}, start); !fault.Is(err, fault.Overloaded) {
+		t.Errorf("the next attempt came to %v", err)
+	}
+}
+
+func TestAnswerIsReadInBoundedFrames(t *testing.T) {
+	table := NewTable(start)
+	ended(t, table, "large", true, 3*maxFrameBytes+10, start)
+	cursor := Cursor{Offset: 5}
+	frames, done, _ := table.Find("large", start).Read(&cursor)
+	if !done || len(frames) != 5 || frames[0].Offset != 5 || frames[4].Kind != wire.FrameEnd {
+		t.Fatalf("%d frames from offset %d", len(frames), frames[0].Offset)
+	}
+	for _, frame := range frames {
+		if len(frame.Data) > maxFrameBytes {
+			t.Errorf("a frame of %d bytes", len(frame.Data))
+		}
+	}
+}
--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,160 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/platform"
+)
+
+var errLost = errors.New("answer lost")
+
+// fakeTables is a table service that fails the next calls as the script says.
+type fakeTables struct {
+	platform.Tables
+	mu     sync.Mutex
+	rows   map[string]platform.Row
+	lose   int // writes that take effect without an answer
+	drop   int // writes that take no effect and get no answer
+	trips  int
+	before func() // runs before a write takes effect
+}
+
+func newFakeTables() *fakeTables { return &fakeTables{rows: make(map[string]platform.Row)} }
+
+func (f *fakeTables) Get(_ context.Context, _, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rows[key], nil
+}
+
+func (f *fakeTables) Write(_ context.Context, writes []platform.Write) ([]platform.WriteResult, error) {
+	if f.before != nil {
+		f.before()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.trips++
+	if f.drop > 0 {
+		f.drop--
+		return nil, errLost
+	}
+	results := make([]platform.WriteResult, len(writes))
+	for i, write := range writes {
+		results[i].Row = f.rows[write.Key]
+		if results[i].Row.Revision == write.IfRevision {
+			results[i] = platform.WriteResult{Written: true, Row: platform.Row{Key: write.Key, Value: write.Value, Revision: write.IfRevision + 1}}
+			f.rows[write.Key] = results[i].Row
+		}
+	}
+	if f.lose > 0 {
+		f.lose--
+		return nil, errLost
+	}
+	return results, nil
+}
+
+var key = Key{Workspace: "space", Service: "bookings", Key: "k"}
+
+func TestTake(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		lose, drop int
+		standing   core.AttemptID // the claim that was there first
+		want       core.AttemptID
+	}{
+		{name: "free", want: "own"},
+		{name: "held", standing: "other", want: "other"},
+		{name: "answer lost after the write", lose: 1, want: "own"},
+		{name: "answer lost, held by another", lose: 1, standing: "other", want: "other"},
+		{name: "write lost", drop: 1, want: "own"},
+		{name: "write lost, answer of the next lost", drop: 1, lose: 1, want: "own"},
+		{name: "every write lost", drop: 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tables := newFakeTables()
+			claimer := NewClaimer(tables)
+			if test.standing != "" {
+				_, _ = claimer.Take(context.Background(), key, Holder{Attempt: test.standing}, 0)
+			}
+			tables.lose, tables.drop = test.lose, test.drop
+			standing, err := claimer.Take(context.Background(), key, Holder{Attempt: "own"}, 0)
+			if standing.Holder.Attempt != test.want || (err != nil) != (test.want == "") {
+				t.Errorf("the claim names %q, %v", standing.Holder.Attempt, err)
+			}
+		})
+	}
+}
+
+func TestMoveLosesToAnEarlierMove(t *testing.T) {
+	claimer := NewClaimer(newFakeTables())
+	first, _ := claimer.Take(context.Background(), key, Holder{Attempt: "first"}, 0)
+	_, _ = claimer.Take(context.Background(), key, Holder{Attempt: "second"}, first.Revision)
+	standing, err := claimer.Take(context.Background(), key, Holder{Attempt: "third"}, first.Revision)
+	if err != nil || standing.Holder.Attempt != "second" {
+		t.Errorf("the claim names %q, %v", standing.Holder.Attempt, err)
+	}
+}
+
+func TestWritesShareRoundTrips(t *testing.T) {
+	tables := newFakeTables()
+	entered, release := make(chan struct{}, 64), make(chan struct{})
+	tables.before = func() {
+		entered <- struct{}{}
+		<-release
+	}
+	claimer := NewClaimer(tables)
+	var calls conc.WaitGroup
+	take := func(i int) {
+		own := core.AttemptID(fmt.Sprint(i))
+		standing, err := claimer.Take(context.Background(), Key{Key: fmt.Sprint(i)}, Holder{Attempt: own}, 0)
+		if err != nil || standing.Holder.Attempt != own {
+			t.Errorf("claim %d names %q, %v", i, standing.Holder.Attempt, err)
+		}
+	}
+	calls.Go(func() { take(0) })
+	<-entered
+	for i := range maxBatch {
+		calls.Go(func() { take(i + 1) })
+	}
+	for claimer.batch.length() < maxBatch {
+		runtime.Gosched()
+	}
+	close(release)
+	calls.Wait()
+	if tables.trips != 2 {
+		t.Errorf("%d round trips", tables.trips)
+	}
+}
+
+func (b *batcher) length() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.waiting)
+}
+
+func TestFingerprintTellsContentApart(t *testing.T) {
+	seen := make(map[uint64]Content)
+	for _, content := range []Content{
+		{},
+		{Service: "a"},
+		{Method: "a"},
+		{Path: "a"},
+		{ContentType: "a"},
+		{Body: []byte("a")},
+		{Service: "a", Method: "b"},
+		{Service: "ab"},
+	} {
+		if other, ok := seen[content.Fingerprint()]; ok {
+			t.Errorf("%+v and %+v have one fingerprint", content, other)
+		}
+		seen[content.Fingerprint()] = content
+	}
+}
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -15,8 +15,6 @@
 	"github.com/lovageglade/lovageglade/internal/suspect"
 )
 
-const hedgeDelay = 2 * time.Second // without an answer, until a second attempt of an idempotent request
-
 // flow carries one request over its attempts: it performs what the reducer of package outcome decides.
 type flow struct {
 	entry       *Entry
@@ -24,6 +22,7 @@
 	answer      *answer
 	machine     *outcome.Flow
 	fingerprint uint64
+	begun       time.Time
 	excluded    map[core.HostID]bool // what the next pick leaves out
 
 	ctx       context.Context // ends with the flow
@@ -44,6 +43,7 @@
 		entry:     e,
 		request:   r,
 		answer:    into,
+		begun:     time.Now(),
 		events:    make(chan reduce.Event),
 		followers: make(map[core.AttemptID]context.CancelFunc),
 	}
@@ -79,14 +79,14 @@
 }
 
 func (f *flow) loop() {
-	hedge := time.NewTimer(hedgeDelay)
-	defer hedge.Stop()
+	hedge, stop := f.hedgeTimer()
+	defer stop()
 	f.step(outcome.Started{})
 	for !f.machine.Done() {
 		select {
 		case event := <-f.events:
 			f.step(event)
-		case <-hedge.C:
+		case <-hedge:
 			f.step(outcome.HedgeDue{})
 		case <-f.deadline.Done():
 			f.step(outcome.DeadlinePassed{})
@@ -96,6 +96,17 @@
 	}
 }
 
+// hedgeTimer fires when the first byte is later than the service's first bytes usually are. It never fires for a
+// request that is not idempotent, or while too little is known of the service.
+func (f *flow) hedgeTimer() (<-chan time.Time, func()) {
+	delay, known := f.entry.outcomes.firstBytes.of(f.request.service.Name).HedgeDelay()
+	if !known || !f.request.idempotent {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(delay)
+	return timer.C, func() { timer.Stop() }
+}
+
 // step steps the reducer over the event and over those that follow from its effects at once.
 func (f *flow) step(event reduce.Event) {
 	queue := []reduce.Event{event}
--- a/internal/entry/outcomes.go
+++ b/internal/entry/outcomes.go
@@ -7,6 +7,7 @@
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/platform"
+	"github.com/lovageglade/lovageglade/internal/retry"
 	"github.com/lovageglade/lovageglade/internal/suspect"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
@@ -16,6 +17,8 @@
 	claims   *claim.Claimer
 	suspects *suspect.Registry
 	marks    *marks
+
+	firstBytes *firstBytes
 }
 
 func newOutcomes(tables platform.Tables) *outcomes {
@@ -23,6 +26,8 @@
 		claims:   claim.NewClaimer(tables),
 		suspects: suspect.NewRegistry(),
 		marks:    &marks{latest: make(map[core.HostID]lifeMark)},
+
+		firstBytes: &firstBytes{byService: make(map[core.Service]*retry.FirstBytes)},
 	}
 }
 
@@ -58,6 +63,23 @@
 	return known.mark
 }
 
+// firstBytes keeps the first-byte times of each service.
+type firstBytes struct {
+	mu        sync.Mutex
+	byService map[core.Service]*retry.FirstBytes
+}
+
+func (f *firstBytes) of(service core.Service) *retry.FirstBytes {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	times := f.byService[service]
+	if times == nil {
+		times = &retry.FirstBytes{}
+		f.byService[service] = times
+	}
+	return times
+}
+
 func errNotReached(cause error) error {
 	return fault.Wrap(cause, fault.Interrupted, "the endpoint could not be reached", "send it again")
 }
--- a/systemtest/forwarder_test.go
+++ b/systemtest/forwarder_test.go
@@ -24,7 +24,7 @@
 	silent    bool
 }
 
-func newForwarder(t *testing.T, address, target string) *forwarder {
+func newForwarder(t testing.TB, address, target string) *forwarder {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/systemtest/outcome_keys_test.go
+++ b/systemtest/outcome_keys_test.go
@@ -22,7 +22,7 @@
 )
 
 // newBookingCluster starts two entries and two plain services whose agents stand behind forwarders.
-func newBookingCluster(t *testing.T) *cluster {
+func newBookingCluster(t testing.TB) *cluster {
 	c := newCluster(t)
 	c.addEntry("entry-a", "a", nil)
 	c.addEntry("entry-b", "b", nil)
@@ -49,7 +49,7 @@
 	return c
 }
 
-func newCaller(t *testing.T) *http.Client {
+func newCaller(t testing.TB) *http.Client {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: callerLimit}
 	t.Cleanup(client.CloseIdleConnections)
