Agents fetch by the planner over sockets and read back what engines hold

Cause: the agent polled, fetched whole versions only, and checked the engine's name of the version once.

Change: package distribution performs the planner's effects: chunks by HTTP at the rate of link_bytes_per_s both ways, maps by JSON-RPC. An agent that finds a higher number than its own orders nothing. A version withdrawn is unloaded. Folders as versions; lovagectl version status and wait.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -139,6 +139,7 @@
 // viewChanged takes over what a new configuration says of this host.
 func (a *Agent) viewChanged(view *node.View) {
 	telemetry.ShowRecord(view.Self, len(view.Records))
+	a.loader.see(view)
 	if view.Snapshot == nil {
 		return
 	}
--- a/internal/agent/chunks.go
+++ b/internal/agent/chunks.go
@@ -1,16 +1,6 @@
 package agent
 
-import (
-	"github.com/gofiber/fiber/v3"
-
-	"github.com/lovageglade/lovageglade/internal/weights"
-)
+import "github.com/gofiber/fiber/v3"
 
 // handleChunk serves a verified chunk to a peer.
-func (a *Agent) handleChunk(c fiber.Ctx) error {
-	raw := a.store.Get(weights.Digest(c.Params("digest")))
-	if raw == nil {
-		return c.SendStatus(fiber.StatusNotFound)
-	}
-	return c.Send(raw)
-}
+func (a *Agent) handleChunk(c fiber.Ctx) error { return a.loader.distributor.HandleChunk(c) }
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/rpc"
@@ -10,6 +11,8 @@
 
 func (a *Agent) methods() map[string]rpc.Method {
 	methods := a.node.Methods()
+	maps.Copy(methods, a.loader.distributor.Methods())
+	methods[wire.MethodVersions] = rpc.Handle(a.loader.versions)
 	methods[wire.MethodResolve] = rpc.Handle(a.resolve)
 	methods[wire.MethodCancel] = rpc.Handle(a.cancel)
 	return methods
--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -2,193 +2,279 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc/pool"
+	"github.com/sourcegraph/conc"
 
 	"github.com/lovageglade/lovageglade/internal/backend"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/node"
-	"github.com/lovageglade/lovageglade/internal/stream"
 	"github.com/lovageglade/lovageglade/internal/weights"
+	"github.com/lovageglade/lovageglade/internal/weights/distribution"
+	"github.com/lovageglade/lovageglade/internal/weights/plan"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
 const (
-	loadRetry     = 500 * time.Millisecond
-	chunkTimeout  = 10 * time.Second
-	loadTimeout   = time.Minute
-	fetchParallel = 4 // chunks under way at once
+	watchInterval   = 250 * time.Millisecond // between two looks at the engine
+	stateTimeout    = 2 * time.Second
+	manifestTimeout = 5 * time.Second
+	orderRetry      = 2 * time.Second // after an order that failed
+	idleLimit       = 30 * time.Second
+	loadTimeout     = time.Minute // for an order, and more by the size of the weights
+	loadBytesPerS   = 32 << 20
 )
 
-// loader brings the version that the configuration asks for onto the engine.
+// loader brings the version that the configuration asks for onto the engine and watches what the engine holds. All
+// fields but the atomic ones belong to the goroutine of run.
 type loader struct {
-	agent  *Agent
-	client *stream.Client
-	wanted chan core.VersionID
-	fence  core.FenceNumber
+	agent       *Agent
+	distributor *distribution.Distributor
+	wanted      atomic.Pointer[core.VersionID]
+	view        atomic.Pointer[node.View]
+	woken       chan struct{}
+	held        atomic.Pointer[loaded] // what the engine was last seen to hold whole
+	advertised  atomic.Bool            // new requests may have what it holds
+	report      atomic.Pointer[wire.VersionStatus]
 
-	mu     sync.Mutex
-	status wire.VersionStatus
-	served atomic.Pointer[core.VersionID]
+	manifests map[core.VersionID]weights.Manifest
+	roster    roster
+	asked     []core.VersionID // what the distributor was last asked for
+	fence     core.FenceNumber // of the last order
+	retryAt   time.Time
+}
+
+// loaded is what an engine holds after an order was read back.
+type loaded struct {
+	version  core.VersionID
+	contents string
+	life     string
+	fence    core.FenceNumber
 }
 
 func newLoader(a *Agent) *loader {
-	return &loader{agent: a, client: stream.NewClient(chunkTimeout, fetchParallel), wanted: make(chan core.VersionID, 1)}
+	limits := plan.DefaultLimits()
+	limits.OriginRegion = a.settings.OriginRegion
+	limits.RegionBytesPerS = a.settings.RegionBytesPerS
+	return &loader{
+		agent:     a,
+		woken:     make(chan struct{}, 1),
+		manifests: make(map[core.VersionID]weights.Manifest),
+		distributor: distribution.New(distribution.Options{
+			Self:          a.settings.Host,
+			Store:         a.store,
+			Origin:        a.origin,
+			Peers:         a.peers,
+			Logger:        a.logger,
+			Limits:        limits,
+			LinkBytesPerS: a.settings.LinkBytesPerS,
+			Seed:          uint64(a.incarnation),
+		}),
+	}
 }
 
 // want replaces the wanted version. It does not wait.
 func (l *loader) want(version core.VersionID) {
+	l.wanted.Store(&version)
+	l.wake()
+}
+
+// see takes over a new view of the other hosts. It does not wait.
+func (l *loader) see(view *node.View) {
+	l.view.Store(view)
+	l.wake()
+}
+
+func (l *loader) wake() {
 	select {
-	case <-l.wanted:
+	case l.woken <- struct{}{}:
 	default:
 	}
-	l.wanted <- version
 }
 
 // serving returns the version that the engine was last seen to hold, or "".
 func (l *loader) serving() core.VersionID {
-	version := l.served.Load()
-	if version == nil {
+	held := l.held.Load()
+	if held == nil || !l.advertised.Load() {
 		return ""
 	}
-	return *version
+	return held.version
+}
+
+// holds asks the engine whether it still holds the version as it was loaded. It is called before an answer's last
+// frame, so that no answer of other weights is passed off as whole.
+func (l *loader) holds(ctx context.Context, version core.VersionID) error {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	state, err := l.agent.engine.State(ctx)
+	if err != nil {
+		return err
+	}
+	held := l.held.Load()
+	if held != nil && held.version == version && held.matches(state) {
+		return nil
+	}
+	l.wake()
+	return fault.New(fault.EndpointFault, "the engine no longer holds the version that had to answer", "send the request again if it is idempotent")
+}
+
+func (h *loaded) matches(state backend.EngineState) bool {
+	return state.Version == h.version && state.Contents == h.contents && state.Life == h.life
 }
 
+// run works until the context ends.
 func (l *loader) run(ctx context.Context) {
-	var version core.VersionID
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { l.distributor.Run(ctx) })
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	var view *node.View
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case version = <-l.wanted:
-		case <-time.After(loadRetry):
+		case <-l.woken:
+		case <-l.distributor.Changed():
+		case <-ticker.C:
 		}
-		if version == "" || version == l.serving() {
-			continue
-		}
-		if err := l.bring(ctx, version); err != nil {
-			l.agent.logger.Warn().Err(err).Str("version", string(version)).Msg("version not loaded yet")
+		if latest := l.view.Load(); latest != nil && latest != view {
+			view = latest
+			l.distributor.SetPeers(ctx, l.roster.peers(latest, l.agent.settings.Host.ID))
 		}
+		l.advance(ctx)
 	}
 }
 
-func (l *loader) bring(ctx context.Context, version core.VersionID) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	raw, err := l.agent.objects.GetObject(ctx, weights.ManifestFolder+string(version))
-	if err != nil {
-		return err
-	}
-	manifest, err := weights.DecodeManifest(raw, version)
-	if err != nil {
-		return err
+// advance looks at the engine and takes the next step towards the wanted version.
+func (l *loader) advance(ctx context.Context) {
+	target := l.wanted.Load()
+	if target == nil || l.agent.settings.BackendKind != backendEngine {
+		return
 	}
-	l.report(ctx, version, wire.VersionFetching, manifest)
-	if err := l.fetchMissing(ctx, version, manifest); err != nil {
-		return err
+	l.watch(ctx)
+	version := *target
+	if version == l.serving() || time.Now().Before(l.retryAt) {
+		l.settle(ctx, version)
+		return
 	}
-	l.report(ctx, version, wire.VersionVerified, manifest)
-	if err := l.order(ctx, version, manifest); err != nil {
-		return err
+	if err := l.bring(ctx, version); err != nil {
+		l.retryAt = time.Now().Add(orderRetry)
+		l.agent.logger.Warn().Err(err).Str("version", string(version)).Msg("version not loaded")
+		l.tell(ctx, version, wire.VersionFailed, err.Error())
 	}
-	l.agent.gate.TurnCold()
-	l.served.Store(&version)
-	l.report(ctx, version, wire.VersionServing, manifest)
-	return nil
 }
 
-func (l *loader) fetchMissing(ctx context.Context, version core.VersionID, manifest weights.Manifest) error {
-	fetches := pool.New().WithErrors().WithContext(ctx).WithMaxGoroutines(fetchParallel)
-	for _, i := range l.agent.store.Missing(manifest) {
-		fetches.Go(func(ctx context.Context) error {
-			chunk, err := l.fetchChunk(ctx, version, manifest, i)
-			if err != nil {
-				return err
-			}
-			return l.agent.store.Put(manifest.Chunks[i], chunk)
-		})
-	}
-	return fetches.Wait()
-}
+const backendEngine = "engine"
 
-// fetchChunk asks a peer of the region that holds the version, and the origin when none gives the chunk.
-func (l *loader) fetchChunk(ctx context.Context, version core.VersionID, manifest weights.Manifest, i int) ([]byte, error) {
-	for _, record := range l.agent.node.View().Records {
-		if !l.holds(record, version) {
-			continue
-		}
-		chunk, err := l.fetchFromPeer(record, manifest.Chunks[i])
-		if err == nil && weights.Sum(chunk) == manifest.Chunks[i] {
-			return chunk, nil
-		}
+// watch takes the endpoint out of serving when the engine no longer holds what was loaded.
+func (l *loader) watch(ctx context.Context) {
+	held := l.held.Load()
+	if held == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	state, err := l.agent.engine.State(ctx)
+	if err == nil && held.matches(state) {
+		return
 	}
-	offset, length := manifest.Range(i)
-	return l.agent.origin.FetchRange(ctx, manifest.Object, offset, length)
+	l.stopServing(ctx, "the engine restarted or holds something else")
 }
 
-func (l *loader) holds(record wire.Record, version core.VersionID) bool {
-	if record.Host.Region != l.agent.settings.Host.Region {
-		return false
-	}
-	for _, status := range record.Versions {
-		if status.Version == version && status.Phase != wire.VersionFetching {
-			return true
-		}
+func (l *loader) stopServing(ctx context.Context, reason string) {
+	l.advertised.Store(false)
+	held := l.held.Swap(nil)
+	if held == nil {
+		return
 	}
-	return false
+	l.agent.gate.TurnCold()
+	l.retryAt = time.Time{}
+	l.agent.logger.Warn().Str("version", string(held.version)).Msg("out of serving: " + reason)
+	l.tell(ctx, held.version, wire.VersionFailed, reason)
 }
 
-func (l *loader) fetchFromPeer(record wire.Record, digest weights.Digest) ([]byte, error) {
-	answer, err := l.client.Do(stream.Request{Method: "GET", URL: "http://" + record.Host.DataAddress + wire.PathChunks + string(digest)})
-	if err != nil {
-		return nil, err
+// settle drops what is no longer needed once the wanted version serves.
+func (l *loader) settle(ctx context.Context, version core.VersionID) {
+	if version != "" && version == l.serving() {
+		l.ask(ctx, []core.VersionID{version})
 	}
-	defer answer.Close()
-	return readAll(answer)
 }
 
-// order gives the engine the weights and reads back what it holds before the version is advertised.
-func (l *loader) order(ctx context.Context, version core.VersionID, manifest weights.Manifest) error {
-	before, err := l.agent.engine.State(ctx)
-	if err != nil {
-		return err
+// bring takes one step towards the version: its manifest, its chunks, or the order to the engine.
+func (l *loader) bring(ctx context.Context, version core.VersionID) error {
+	if version == "" {
+		return l.withdraw(ctx)
 	}
-	l.fence = max(l.fence, before.Fence) + 1
-	reader, err := l.agent.store.Reader(manifest)
+	manifest, err := l.manifest(ctx, version)
 	if err != nil {
 		return err
 	}
-	if err := l.agent.engine.Load(ctx, backend.Order{Version: version, Fence: l.fence}, reader, manifest.SizeBytes); err != nil {
+	if err := l.askBeside(ctx, version, manifest); err != nil {
 		return err
 	}
-	after, err := l.agent.engine.State(ctx)
-	if err != nil {
-		return err
+	if missing := len(l.agent.store.Missing(manifest)); missing > 0 {
+		l.tell(ctx, version, wire.VersionFetching, "")
+		return nil
 	}
-	if after.Version != version {
-		return fault.New(fault.EndpointFault, "the engine holds "+string(after.Version)+" instead of what was ordered", "order again")
+	return l.order(ctx, version, manifest)
+}
+
+// askBeside asks for the version and, while memory lasts, keeps the chunks of the version that serves.
+func (l *loader) askBeside(ctx context.Context, version core.VersionID, manifest weights.Manifest) error {
+	if !l.agent.store.Fits(manifest) {
+		return fault.New(fault.Overloaded, "the version is larger than the memory for weights", "raise weights_bytes in the agent's settings")
 	}
+	order := []core.VersionID{version}
+	old := l.serving()
+	if kept, ok := l.manifests[old]; ok && old != version && l.agent.store.Fits(manifest, kept) {
+		order = append(order, old)
+	}
+	l.ask(ctx, order)
 	return nil
 }
 
-func (l *loader) report(ctx context.Context, version core.VersionID, phase wire.VersionPhase, manifest weights.Manifest) {
-	total := len(manifest.Chunks)
-	status := wire.VersionStatus{Version: version, Phase: phase, Have: total - len(l.agent.store.Missing(manifest)), Total: total}
-	l.mu.Lock()
-	l.status = status
-	l.mu.Unlock()
-	l.agent.node.Loop.Post(ctx, node.VersionsChanged{Versions: []wire.VersionStatus{status}})
+// ask hands the versions to the distributor unless it has them already.
+func (l *loader) ask(ctx context.Context, order []core.VersionID) {
+	if equalVersions(l.asked, order) {
+		return
+	}
+	l.asked = order
+	manifests := make(map[core.VersionID]weights.Manifest, len(order))
+	for _, version := range order {
+		manifests[version] = l.manifests[version]
+	}
+	l.distributor.Want(ctx, manifests, order)
 }
 
-func readAll(answer *stream.Response) ([]byte, error) {
-	if answer.Status != http.StatusOK {
-		return nil, fault.New(fault.NotFound, "the peer does not hold the chunk", "ask another source")
+func equalVersions(a, b []core.VersionID) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// manifest returns the version's manifest, which is fetched once.
+func (l *loader) manifest(ctx context.Context, version core.VersionID) (weights.Manifest, error) {
+	if known, ok := l.manifests[version]; ok {
+		return known, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	raw, err := l.agent.objects.GetObject(ctx, weights.ManifestFolder+string(version))
+	if err != nil {
+		return weights.Manifest{}, err
+	}
+	manifest, err := weights.DecodeManifest(raw, version)
+	if err == nil {
+		l.manifests[version] = manifest
 	}
-	return io.ReadAll(answer)
+	return manifest, err
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -125,6 +125,9 @@
 	if strings.HasPrefix(answer.ContentType, "text/event-stream") && !strings.HasSuffix(strings.TrimSpace(tail), "data: [DONE]") {
 		return fault.New(fault.EndpointFault, "the event stream ended without its end marker", "send the request again if it is idempotent")
 	}
+	if dispatch.Version != "" {
+		return a.loader.holds(ctx, dispatch.Version)
+	}
 	return nil
 }
 
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -49,6 +49,8 @@
 	Caller
 	// Load streams size bytes of weights to the engine and returns once it holds them.
 	Load(ctx context.Context, order Order, weights io.Reader, size int64) error
+	// Unload drops the weights that the engine holds.
+	Unload(ctx context.Context, order Order) error
 	State(ctx context.Context) (EngineState, error)
 }
 
@@ -85,7 +87,16 @@
 
 // Load implements Engine.
 func (h *HTTP) Load(ctx context.Context, order Order, weights io.Reader, size int64) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.address+"/admin/load", weights)
+	return h.order(ctx, "/admin/load", order, weights, size)
+}
+
+// Unload implements Engine.
+func (h *HTTP) Unload(ctx context.Context, order Order) error {
+	return h.order(ctx, "/admin/unload", order, http.NoBody, 0)
+}
+
+func (h *HTTP) order(ctx context.Context, path string, order Order, weights io.Reader, size int64) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.address+path, weights)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/operate/replicas.go
@@ -0,0 +1,244 @@
+package operate
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+// Replicas counts the hosts of one failure domain by how far they have come with a version.
+type Replicas struct {
+	Version       string             `json:"version"` // its name in the configuration
+	Manifest      core.VersionID     `json:"manifest"`
+	FailureDomain core.FailureDomain `json:"failure_domain"`
+	Wanted        int                `json:"wanted"`
+	Fetching      int                `json:"fetching"`
+	Verified      int                `json:"verified"`
+	Serving       int                `json:"serving"`
+	Failed        int                `json:"failed"`
+	NoAnswer      int                `json:"no_answer"`
+	Chunks        float64            `json:"chunks"`                // share of the wanted chunks that are verified
+	RemainingS    float64            `json:"remaining_s,omitempty"` // estimated seconds until the slowest host has fetched
+	Reasons       []string           `json:"reasons,omitempty"`     // of failures, each once
+}
+
+// replicaHost is what one wanted replica's host says.
+type replicaHost struct {
+	id       core.HostID
+	domain   core.FailureDomain
+	version  config.Version
+	progress []wire.VersionProgress
+	err      error
+}
+
+// Replicas returns the state of every wanted version, or of the named one, in each failure domain.
+func (o *Operator) Replicas(ctx context.Context, name string) ([]Replicas, error) {
+	snapshot, err := o.inForce(ctx)
+	if err != nil {
+		return nil, err
+	}
+	wanted := wantedReplicas(snapshot, name)
+	if name != "" && len(wanted) == 0 {
+		return nil, fault.New(fault.NotFound, fmt.Sprintf("no rule asks for a version %q", name), "name a version of the configuration that a rule asks for")
+	}
+	hosts, err := o.Platform.ListHosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	addresses := make(map[core.HostID]string, len(hosts))
+	for _, host := range hosts {
+		addresses[host.ID] = host.ControlAddress
+	}
+	iter.ForEach(wanted, func(host *replicaHost) {
+		host.progress, host.err = o.askProgress(ctx, addresses[host.id])
+	})
+	return countReplicas(wanted), nil
+}
+
+func (o *Operator) askProgress(ctx context.Context, address string) ([]wire.VersionProgress, error) {
+	if address == "" {
+		return nil, errors.New("not in the platform's host list")
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var progress []wire.VersionProgress
+	err := o.Peers.Call(ctx, address, wire.MethodVersions, struct{}{}, &progress)
+	return progress, err
+}
+
+// wantedReplicas lists the hosts that have to run a version.
+func wantedReplicas(snapshot *config.Snapshot, name string) []replicaHost {
+	var wanted []replicaHost
+	for _, version := range snapshot.Set.Versions {
+		if name != "" && version.Name != name {
+			continue
+		}
+		for _, service := range snapshot.Set.Services {
+			for _, endpoint := range service.Endpoints {
+				if snapshot.VersionAt(endpoint.Host) == version.Manifest {
+					wanted = append(wanted, replicaHost{id: endpoint.Host, domain: endpoint.FailureDomain, version: version})
+				}
+			}
+		}
+	}
+	return wanted
+}
+
+func countReplicas(hosts []replicaHost) []Replicas {
+	var counted []Replicas
+	for _, host := range hosts {
+		at := slices.IndexFunc(counted, func(r Replicas) bool {
+			return r.Manifest == host.version.Manifest && r.FailureDomain == host.domain
+		})
+		if at < 0 {
+			at = len(counted)
+			counted = append(counted, Replicas{Version: host.version.Name, Manifest: host.version.Manifest, FailureDomain: host.domain})
+		}
+		counted[at].add(host)
+	}
+	slices.SortStableFunc(counted, func(a, b Replicas) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.FailureDomain, b.FailureDomain))
+	})
+	return counted
+}
+
+func (r *Replicas) add(host replicaHost) {
+	share := 0.0
+	switch status := host.status(); {
+	case host.err != nil:
+		r.NoAnswer++
+		r.addReason(string(host.id) + " gave no answer")
+	case status == nil:
+		r.Fetching++
+	default:
+		share = r.addStatus(host.id, *status)
+	}
+	r.Chunks = (r.Chunks*float64(r.Wanted) + share) / float64(r.Wanted+1)
+	r.Wanted++
+}
+
+// addStatus counts the status and returns the share of its chunks that are verified.
+func (r *Replicas) addStatus(id core.HostID, status wire.VersionProgress) float64 {
+	switch status.Phase {
+	case wire.VersionServing:
+		r.Serving++
+	case wire.VersionVerified:
+		r.Verified++
+	case wire.VersionFailed:
+		r.Failed++
+		r.addReason(string(id) + ": " + status.Reason)
+	default:
+		r.Fetching++
+		r.RemainingS = max(r.RemainingS, status.RemainingS)
+	}
+	if status.Total == 0 {
+		return 0
+	}
+	return float64(status.Have) / float64(status.Total)
+}
+
+func (r *Replicas) addReason(reason string) {
+	if !slices.Contains(r.Reasons, reason) {
+		r.Reasons = append(r.Reasons, reason)
+	}
+}
+
+// status returns what the host says of the wanted version, nil when it has not heard of it.
+func (h replicaHost) status() *wire.VersionProgress {
+	for i := range h.progress {
+		if h.progress[i].Version == h.version.Manifest {
+			return &h.progress[i]
+		}
+	}
+	return nil
+}
+
+// VersionStatus prints the replicas of every wanted version, or of the named one.
+func (o *Operator) VersionStatus(ctx context.Context, name string, asJSON bool) error {
+	replicas, err := o.Replicas(ctx, name)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return o.printJSON(replicas)
+	}
+	return o.printReplicas(replicas)
+}
+
+func (o *Operator) printReplicas(replicas []Replicas) error {
+	table := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "VERSION\tFAILURE DOMAIN\tWANTED\tFETCHING\tVERIFIED\tSERVING\tFAILED\tNO ANSWER\tCHUNKS\tREMAINING")
+	for _, r := range replicas {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f%%\t%s\n",
+			r.Version, r.FailureDomain, r.Wanted, r.Fetching, r.Verified, r.Serving, r.Failed, r.NoAnswer, r.Chunks*100, describeRemaining(r.RemainingS))
+	}
+	for _, r := range replicas {
+		for _, reason := range r.Reasons {
+			_, _ = fmt.Fprintf(table, "%s in %s: %s\n", r.Version, r.FailureDomain, reason)
+		}
+	}
+	return table.Flush()
+}
+
+func describeRemaining(seconds float64) string {
+	if seconds <= 0 {
+		return "-"
+	}
+	return time.Duration(seconds * float64(time.Second)).Round(time.Second).String()
+}
+
+// WaitVersion returns once every wanted replica of the version serves, and prints the progress meanwhile. An empty name
+// stands for all versions. When the context ends first, the error is of kind Expired and names what is missing.
+func (o *Operator) WaitVersion(ctx context.Context, name string) error {
+	start := time.Now()
+	last := ""
+	for {
+		replicas, err := o.Replicas(ctx, name)
+		if fault.Is(err, fault.NotFound) {
+			return err
+		}
+		line := summarize(replicas)
+		if err == nil && line != last {
+			last = line
+			if err := o.printf("%6.1f s  %s\n", time.Since(start).Seconds(), line); err != nil {
+				return err
+			}
+		}
+		if err == nil && allServing(replicas) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fault.New(fault.Expired, "not every replica serves: "+cmp.Or(last, "the platform gave no answer"), "read lovagectl version status and wait again")
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func allServing(replicas []Replicas) bool {
+	return !slices.ContainsFunc(replicas, func(r Replicas) bool { return r.Serving < r.Wanted })
+}
+
+func summarize(replicas []Replicas) string {
+	parts := make([]string, 0, len(replicas))
+	for _, r := range replicas {
+		part := fmt.Sprintf("%s in %s: %d of %d serving, %.0f%% fetched", r.Version, r.FailureDomain, r.Serving, r.Wanted, r.Chunks*100)
+		if r.Failed > 0 {
+			part += fmt.Sprintf(", %d failed", r.Failed)
+		}
+		parts = append(parts, part)
+	}
+	return strings.Join(parts, "; ")
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,10 +63,12 @@
 // Agent holds the settings of lovage-agent.
 type Agent struct {
 	Daemon
-	BackendAddress string `json:"backend_address" validate:"required,ip_port"`
-	BackendKind    string `json:"backend_kind" validate:"oneof=engine plain"`
-	WeightsBytes   int64  `json:"weights_bytes" validate:"gte=0"`    // memory for weights in bytes; 0 means 8 GiB
-	LinkBytesPerS  int64  `json:"link_bytes_per_s" validate:"gte=0"` // rate of the host's link for weights, each way; 0 means unlimited
+	BackendAddress  string      `json:"backend_address" validate:"required,ip_port"`
+	BackendKind     string      `json:"backend_kind" validate:"oneof=engine plain"`
+	WeightsBytes    int64       `json:"weights_bytes" validate:"gte=0"`      // memory for weights in bytes; 0 means 8 GiB
+	OriginRegion    core.Region `json:"origin_region"`                       // region that holds the origin; "" means that no link to it is bounded
+	RegionBytesPerS int64       `json:"region_bytes_per_s" validate:"gte=0"` // share of the link between regions for weights, in bytes a second; 0 means unlimited
+	LinkBytesPerS   int64       `json:"link_bytes_per_s" validate:"gte=0"`   // rate of the host's link for weights, each way; 0 means unlimited
 }
 
 // Defaults of values that are absent from the settings.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -46,6 +46,7 @@
 	app := fiber.New(fiber.Config{BodyLimit: bodyLimit})
 	app.Put("/faults", e.putFaults)
 	app.Post("/admin/load", e.load)
+	app.Post("/admin/unload", e.unload)
 	app.Get("/admin/state", e.getState)
 	app.Post("/admin/restart", e.restart)
 	app.Post("/v1/chat/completions", e.complete)
@@ -84,6 +85,23 @@
 	return nil
 }
 
+func (e *Engine) unload(c fiber.Ctx) error {
+	number, err := strconv.ParseUint(c.Get("X-Fence"), 10, 64)
+	if err != nil {
+		return c.SendStatus(fiber.StatusBadRequest)
+	}
+	fence := core.FenceNumber(number)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if fence <= e.state.Fence && !e.faults.IgnoreFences {
+		return c.SendStatus(fiber.StatusConflict)
+	}
+	e.state.Fence = fence
+	e.state.Version = ""
+	e.state.Contents = ""
+	return nil
+}
+
 func (e *Engine) getState(c fiber.Ctx) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- /dev/null
+++ b/internal/weights/builder.go
@@ -0,0 +1,94 @@
+package weights
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+// File is one file of a version that was added from a folder. The files' bytes follow each other in the weights. A
+// version from a single file has one without a name.
+type File struct {
+	Name      string `json:"name,omitempty"` // path below the folder
+	SizeBytes int64  `json:"size_bytes"`
+}
+
+// ListFiles returns the files at or below the path in order of name.
+func ListFiles(path string) ([]File, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if !info.IsDir() {
+		return []File{{SizeBytes: info.Size()}}, nil
+	}
+	var files []File
+	err = filepath.Walk(path, func(name string, info os.FileInfo, err error) error {
+		if err != nil || !info.Mode().IsRegular() {
+			return err
+		}
+		below, err := filepath.Rel(path, name)
+		files = append(files, File{Name: below, SizeBytes: info.Size()})
+		return err
+	})
+	return files, err
+}
+
+// TotalBytes returns the bytes of all the files.
+func TotalBytes(files []File) int64 {
+	total := int64(0)
+	for _, file := range files {
+		total += file.SizeBytes
+	}
+	return total
+}
+
+// Builder makes a manifest of the bytes that are written to it.
+type Builder struct {
+	manifest Manifest
+	expected int64
+	chunk    []byte
+}
+
+// NewBuilder returns a builder for the files' bytes.
+func NewBuilder(model core.Model, object string, chunkBytes int64, files []File) *Builder {
+	b := &Builder{expected: TotalBytes(files)}
+	b.manifest = Manifest{Model: model, Object: object, ChunkBytes: chunkBytes}
+	if len(files) > 1 || len(files) == 1 && files[0].Name != "" {
+		b.manifest.Files = files
+	}
+	return b
+}
+
+// Write implements io.Writer. It never fails.
+func (b *Builder) Write(raw []byte) (int, error) {
+	written := len(raw)
+	for len(raw) > 0 {
+		room := min(int(b.manifest.ChunkBytes)-len(b.chunk), len(raw))
+		b.chunk = append(b.chunk, raw[:room]...)
+		raw = raw[room:]
+		if len(b.chunk) == int(b.manifest.ChunkBytes) {
+			b.seal()
+		}
+	}
+	return written, nil
+}
+
+func (b *Builder) seal() {
+	b.manifest.Chunks = append(b.manifest.Chunks, Sum(b.chunk))
+	b.manifest.SizeBytes += int64(len(b.chunk))
+	b.chunk = b.chunk[:0]
+}
+
+// Manifest returns the manifest, or an error when the files had other sizes than they were listed with.
+func (b *Builder) Manifest() (Manifest, error) {
+	if len(b.chunk) > 0 {
+		b.seal()
+	}
+	if b.manifest.SizeBytes != b.expected || b.expected == 0 {
+		return Manifest{}, fault.New(fault.BadRequest, "the weights are empty or changed while they were read", "add them again once no process writes to them")
+	}
+	return b.manifest, nil
+}
--- /dev/null
+++ b/internal/weights/distribution/fleet_test.go
@@ -0,0 +1,241 @@
+package distribution
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/rpc"
+	"github.com/lovageglade/lovageglade/internal/weights"
+	"github.com/lovageglade/lovageglade/internal/weights/plan"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+const awaitLimit = 60 * time.Second
+
+// fakeOrigin serves ranges of one object at a rate.
+type fakeOrigin struct {
+	raw     []byte
+	link    *link
+	drawn   atomic.Int64
+	down    atomic.Bool
+	corrupt atomic.Int64 // ranges still to be corrupted
+}
+
+// FetchRange implements platform.Origin.
+func (o *fakeOrigin) FetchRange(ctx context.Context, _ string, offset, length int64) ([]byte, error) {
+	if o.down.Load() {
+		return nil, fault.New(fault.PlatformDown, "the origin is away", "try again")
+	}
+	if err := o.link.pass(ctx, int(length)); err != nil {
+		return nil, err
+	}
+	o.drawn.Add(length)
+	part := append([]byte(nil), o.raw[offset:offset+length]...)
+	if o.corrupt.Add(-1) >= 0 {
+		part[0] ^= 0xff
+	}
+	return part, nil
+}
+
+// member is one host of a fleet.
+type member struct {
+	host        core.Host
+	distributor *Distributor
+	store       *weights.Store
+	app         *fiber.App
+	control     *rpc.Server
+	stop        context.CancelFunc
+	done        chan struct{}
+}
+
+// fleet is a number of distributors over sockets on loopback.
+type fleet struct {
+	t        testing.TB
+	origin   *fakeOrigin
+	version  core.VersionID
+	manifest weights.Manifest
+	members  []*member
+	peers    *rpc.Client
+}
+
+type fleetShape struct {
+	hosts, chunks        int
+	chunkBytes           int64
+	linkRate, originRate int64
+	limits               func(*plan.Limits)
+	poison               map[int]fiber.Handler // what a host answers instead of its chunks
+	claim                map[int]bool          // hosts that announce every chunk
+}
+
+func newFleet(t testing.TB, s fleetShape) *fleet {
+	t.Helper()
+	raw := make([]byte, int64(s.chunks)*s.chunkBytes)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(raw)
+	f := &fleet{t: t, origin: &fakeOrigin{raw: raw, link: newLink(s.originRate)}, peers: rpc.NewClient()}
+	f.manifest = weights.NewManifest("brief", "brief-v1", raw, s.chunkBytes)
+	_, version, err := f.manifest.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.version = version
+	for i := range s.hosts {
+		f.add(i, s)
+	}
+	t.Cleanup(f.close)
+	return f
+}
+
+func (f *fleet) add(i int, s fleetShape) {
+	f.t.Helper()
+	data, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	control, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	domain := i % 5
+	region := core.Region("r0")
+	if domain >= 3 {
+		region = "r1"
+	}
+	m := &member{store: weights.NewStore(2 * f.manifest.SizeBytes), done: make(chan struct{})}
+	m.host = core.Host{
+		ID: core.HostID(fmt.Sprintf("h%02d", i)), Role: core.RoleAgent, Region: region,
+		FailureDomain: core.FailureDomain(fmt.Sprintf("d%d", domain)),
+		DataAddress:   data.Addr().String(), ControlAddress: control.Addr().String(),
+	}
+	limits := plan.DefaultLimits()
+	limits.OriginRegion = "r0"
+	limits.RegionBytesPerS = s.originRate
+	if s.limits != nil {
+		s.limits(&limits)
+	}
+	m.distributor = New(Options{
+		Self: m.host, Store: m.store, Origin: f.origin, Peers: f.peers, Limits: limits,
+		Logger: &log.Logger{Level: log.ErrorLevel}, LinkBytesPerS: s.linkRate, Seed: uint64(i) + 1,
+	})
+	handle := m.distributor.HandleChunk
+	if s.poison[i] != nil {
+		handle = s.poison[i]
+	}
+	methods := m.distributor.Methods()
+	if s.claim[i] {
+		methods[wire.MethodMap] = rpc.Handle(f.claimAll(m.host.ID))
+	}
+	m.app = fiber.New()
+	m.app.Get(wire.PathChunks+":digest", handle)
+	m.control = rpc.Serve(control, methods)
+	var ctx context.Context
+	ctx, m.stop = context.WithCancel(context.Background())
+	go func() { _ = m.app.Listener(data, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	go func() {
+		m.distributor.Run(ctx)
+		close(m.done)
+	}()
+	f.members = append(f.members, m)
+}
+
+func (f *fleet) claimAll(id core.HostID) func(context.Context, wire.Map) (wire.Map, error) {
+	return func(_ context.Context, request wire.Map) (wire.Map, error) {
+		have := plan.NewBitmap(len(f.manifest.Chunks))
+		for i := range f.manifest.Chunks {
+			have.Set(i)
+		}
+		return wire.Map{Host: id, Version: request.Version, Have: have.Bytes()}, nil
+	}
+}
+
+// start tells every host of the others and has it want the version.
+func (f *fleet) start() {
+	f.announce()
+	for _, m := range f.members {
+		m.distributor.Want(context.Background(), map[core.VersionID]weights.Manifest{f.version: f.manifest}, []core.VersionID{f.version})
+	}
+}
+
+func (f *fleet) announce() {
+	var hosts []core.Host
+	for _, m := range f.members {
+		hosts = append(hosts, m.host)
+	}
+	for _, m := range f.members {
+		m.distributor.SetPeers(context.Background(), hosts)
+	}
+}
+
+// kill ends a host and takes it off the others' rosters.
+func (f *fleet) kill(i int) {
+	m := f.members[i]
+	m.end()
+	f.members = append(f.members[:i:i], f.members[i+1:]...)
+	f.announce()
+}
+
+func (m *member) end() {
+	m.stop()
+	m.control.Close()
+	_ = m.app.ShutdownWithTimeout(100 * time.Millisecond)
+	<-m.done
+}
+
+func (f *fleet) close() {
+	var tasks conc.WaitGroup
+	for _, m := range f.members {
+		tasks.Go(m.end)
+	}
+	tasks.Wait()
+	f.peers.Close()
+}
+
+// await waits until the share of the hosts' chunks is verified.
+func (f *fleet) await(share float64) {
+	f.t.Helper()
+	limit := time.Now().Add(awaitLimit)
+	for f.share() < share {
+		if time.Now().After(limit) {
+			f.t.Fatalf("only %.3f of the chunks were verified in time", f.share())
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+}
+
+func (f *fleet) share() float64 {
+	missing := 0
+	for _, m := range f.members {
+		missing += len(m.store.Missing(f.manifest))
+	}
+	return 1 - float64(missing)/float64(len(f.members)*len(f.manifest.Chunks))
+}
+
+// checkWhole compares every byte that the hosts keep with the weights.
+func (f *fleet) checkWhole() {
+	f.t.Helper()
+	want := sha256.Sum256(f.origin.raw)
+	for _, m := range f.members {
+		sum := sha256.New()
+		for _, digest := range f.manifest.Chunks {
+			sum.Write(m.store.Get(digest))
+		}
+		if [32]byte(sum.Sum(nil)) != want {
+			f.t.Errorf("%s keeps other bytes than the origin sent", m.host.ID)
+		}
+	}
+}
+
+func (f *fleet) originCopies() float64 {
+	return float64(f.origin.drawn.Load()) / float64(f.manifest.SizeBytes)
+}
--- a/internal/weights/manifest.go
+++ b/internal/weights/manifest.go
@@ -25,6 +25,7 @@
 	SizeBytes  int64      `json:"size_bytes"`  // bytes of all chunks
 	ChunkBytes int64      `json:"chunk_bytes"` // bytes of each chunk but the last
 	Chunks     []Digest   `json:"chunks"`
+	Files      []File     `json:"files,omitempty"` // of a version that was added from a folder
 }
 
 // ManifestFolder is the folder of manifests in the platform's object store.
--- a/internal/weights/plan/exchange.go
+++ b/internal/weights/plan/exchange.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	controlBurstS   = 4                      // seconds of control bytes that may be spent at once
+	controlBurstS   = 6                      // seconds of control bytes that may be spent at once
 	mapGap          = 250 * time.Millisecond // least time between two rounds of maps
-	gatewayGap      = 10 * time.Second       // time between two rounds of maps among gateways
+	gatewayMaps     = 3                      // maps that pass between gateways in the time of a takeover
 	requestBytes    = 300                    // a request for a chunk with the header of its answer
 	mapFailures     = 3                      // unanswered maps in a row until a peer is put aside
 	mapHeaderBytes  = 200                    // JSON-RPC message without the map
@@ -94,7 +94,7 @@
 	if p.now < p.peerDue || len(v.gateways) > wordBits || !p.isGateway(v) {
 		return nil
 	}
-	p.peerDue = p.now + gatewayGap
+	p.peerDue = p.now + p.limits.Takeover/gatewayMaps
 	var targets []*peer
 	for _, g := range v.gateways {
 		if g.peer != nil && p.self.Host < g.peer.Host && g.peer.aside <= p.now {
--- a/internal/weights/store.go
+++ b/internal/weights/store.go
@@ -72,6 +72,23 @@
 	return io.MultiReader(parts...), nil
 }
 
+// Fits tells whether the distinct chunks of the manifests fit into the store's capacity together.
+func (s *Store) Fits(manifests ...Manifest) bool {
+	counted := make(map[Digest]bool)
+	bytes := int64(0)
+	for _, manifest := range manifests {
+		for i, digest := range manifest.Chunks {
+			if counted[digest] {
+				continue
+			}
+			counted[digest] = true
+			_, length := manifest.Range(i)
+			bytes += length
+		}
+	}
+	return bytes <= s.capacity
+}
+
 // Retain drops every chunk that none of the manifests names.
 func (s *Store) Retain(manifests []Manifest) {
 	wanted := make(map[Digest]bool)
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -57,6 +57,3 @@
 	Digest     string          `json:"digest"` // SHA-256 of Raw in lower-case hex
 	Raw        Packed          `json:"raw"`
 }
-
-// PathChunks is the HTTP path of verified chunks on an agent's data address; the chunk's digest follows it.
-const PathChunks = "/v1/chunks/"
