--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -103,17 +103,19 @@
 	return held.version
 }
 
-// holds asks the engine whether it still holds the version as it was loaded. It is called before an answer's last
-// frame, so that no answer of other weights is passed off as whole.
-func (l *loader) holds(ctx context.Context, version core.VersionID) error {
+// holding returns what the engine holds, to be compared by holds when an answer ends.
+func (l *loader) holding() *loaded { return l.held.Load() }
+
+// holds asks the engine whether it has held the version since the answer began: the same order in the same life of the
+// engine. It is called before an answer's last frame, so that no answer of other weights is passed off as whole.
+func (l *loader) holds(ctx context.Context, since *loaded, version core.VersionID) error {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	state, err := l.agent.engine.State(ctx)
 	if err != nil {
 		return err
 	}
-	held := l.held.Load()
-	if held != nil && held.version == version && held.matches(state) {
+	if since != nil && since.version == version && since == l.held.Load() && since.matches(state) {
 		return nil
 	}
 	l.wake()
@@ -121,7 +123,7 @@
 }
 
 func (h *loaded) matches(state backend.EngineState) bool {
-	return state.Version == h.version && state.Contents == h.contents && state.Life == h.life
+	return state.Version == h.version && state.Contents == h.contents && state.Life == h.life && state.Fence == h.fence
 }
 
 // run works until the context ends.
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -107,6 +107,7 @@
 }
 
 func (a *Agent) copyAnswer(ctx context.Context, dispatch wire.Dispatch, record *attempt.Record) error {
+	held := a.loader.holding()
 	answer, err := a.engine.Call(ctx, backend.Call{
 		Method:      dispatch.Method,
 		Path:        dispatch.Path,
@@ -126,7 +127,7 @@
 		return fault.New(fault.EndpointFault, "the event stream ended without its end marker", "send the request again if it is idempotent")
 	}
 	if dispatch.Version != "" {
-		return a.loader.holds(ctx, dispatch.Version)
+		return a.loader.holds(ctx, held, dispatch.Version)
 	}
 	return nil
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -31,6 +31,7 @@
 type EngineFaults struct {
 	IgnoreFences  bool `json:"ignore_fences"`   // an order with an old number is obeyed
 	LoadOther     bool `json:"load_other"`      // an order loads something else
+	LoadWrong     bool `json:"load_wrong"`      // an order loads other bytes than it carries, under the version's name
 	CutAfter      int  `json:"cut_after"`       // tokens after which a stream ends without its marker, 0 for never
 	StallAfter    int  `json:"stall_after"`     // tokens after which a stream goes silent, 0 for never
 	CrashAboveRun int  `json:"crash_above_run"` // requests at once above which the engine fails them all, 0 for never
@@ -82,6 +83,9 @@
 		e.state.Version = "other"
 	}
 	e.state.Contents = hex.EncodeToString(sum[:])
+	if e.faults.LoadWrong {
+		e.state.Contents = hex.EncodeToString(make([]byte, sha256.Size))
+	}
 	return nil
 }
 
--- a/internal/weights/plan/exchange.go
+++ b/internal/weights/plan/exchange.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	controlBurstS   = 6                      // seconds of control bytes that may be spent at once
+	controlBurstS   = 4                      // seconds of control bytes that may be spent at once
 	mapGap          = 250 * time.Millisecond // least time between two rounds of maps
 	gatewayMaps     = 3                      // maps that pass between gateways in the time of a takeover
 	requestBytes    = 300                    // a request for a chunk with the header of its answer
--- a/internal/weights/plan/fetch.go
+++ b/internal/weights/plan/fetch.go
@@ -146,6 +146,9 @@
 
 // peerFailed backs off from a peer that refused, and puts aside one that lied, stalled or sent wrong bytes.
 func (p *Planner) peerFailed(f *fetch, result Result) {
+	if result == Spent || result == GivenOut {
+		p.refusedAt = p.now
+	}
 	if !f.announced {
 		p.askDue = p.now + askGap
 	}
--- a/internal/weights/plan/origin.go
+++ b/internal/weights/plan/origin.go
@@ -46,10 +46,11 @@
 	offset := int(p.seed % uint64(len(v.first)))
 	skipped := p.stalledGateways(v)
 	stuck := desperate || p.now-v.progress > p.takeover(v)
-	given := p.refusedChunks(v)
+	offered, given := p.offeredChunks(v), p.refusedChunks(v)
+	strangers := p.hasStrangers(v) || p.now-p.refusedAt < missBackoff
 	for n := range v.first {
 		i := (offset + n) % len(v.first)
-		if v.have.Has(i) || v.pending.Has(i) || !stuck && (v.copies[i] > 0 || given.Has(i)) {
+		if v.have.Has(i) || v.pending.Has(i) || !stuck && (offered.Has(i) || strangers && given.Has(i)) {
 			continue
 		}
 		if desperate || p.fetcher(v, i, skipped) == nil {
@@ -59,8 +60,35 @@
 	return -1
 }
 
-// fetcher returns the gateway that has to fetch the chunk; nil is this host.
+// offeredChunks returns the chunks that some peer of the region gives to this host, now or later.
+func (p *Planner) offeredChunks(v *version) Bitmap {
+	offered := make(Bitmap, len(v.have))
+	for _, h := range v.known {
+		if !h.peer.near || h.spent > p.now {
+			continue
+		}
+		for w := range offered {
+			offered[w] |= h.have[w]
+		}
+	}
+	return offered
+}
+
+// hasStrangers tells whether the region has peers that this host has no map of and that are not put aside.
+func (p *Planner) hasStrangers(v *version) bool {
+	return slices.ContainsFunc(p.order, func(other *peer) bool {
+		return other.near && other.aside <= p.now && v.holdings[other] == nil
+	})
+}
+
+// fetcher returns the gateway that has to fetch the chunk; nil is this host. Gateways that stall or that refuse the
+// chunk to this host are passed over.
 func (p *Planner) fetcher(v *version, chunk int, skipped uint64) *peer {
+	for i, g := range v.gateways {
+		if g.peer != nil && i < wordBits && p.refusedBy(v, g.peer, chunk) {
+			skipped |= 1 << i
+		}
+	}
 	first := int(v.first[chunk])
 	if first < wordBits && skipped>>first&1 == 1 {
 		first = p.rankChunk(v, chunk, v.gateways, skipped)
--- a/internal/weights/plan/planner.go
+++ b/internal/weights/plan/planner.go
@@ -41,7 +41,7 @@
 		UploadWindow:     30 * time.Minute,
 		Gateways:         8,
 		Neighbours:       5,
-		ControlBytesPerS: 3200,
+		ControlBytesPerS: 2800,
 		Takeover:         30 * time.Second,
 		LastResort:       time.Minute,
 		PeerPatience:     15 * time.Second,
@@ -51,26 +51,27 @@
 
 // Planner is the reducer's state.
 type Planner struct {
-	self     Peer
-	limits   Limits
-	seed     uint64
-	draws    uint64
-	now      time.Duration
-	peers    map[core.HostID]*peer
-	order    []*peer // every peer of the roster, in order of name
-	chosen   []*peer // the peers that this host sends maps to
-	versions []*version
-	fetches  map[FetchID]*fetch
-	underway []*fetch // in order of start
-	uploads  map[UploadID]upload
-	lastID   FetchID
-	origin   originState
-	control  bucket
-	mapDue   time.Duration
-	peerDue  time.Duration // when maps go to the other gateways next
-	asking   int           // fetches from peers that did not announce the chunk
-	askDue   time.Duration // when such a peer may be asked next
-	effects  []reduce.Effect
+	self      Peer
+	limits    Limits
+	seed      uint64
+	draws     uint64
+	now       time.Duration
+	peers     map[core.HostID]*peer
+	order     []*peer // every peer of the roster, in order of name
+	chosen    []*peer // the peers that this host sends maps to
+	versions  []*version
+	fetches   map[FetchID]*fetch
+	underway  []*fetch // in order of start
+	uploads   map[UploadID]upload
+	lastID    FetchID
+	origin    originState
+	control   bucket
+	mapDue    time.Duration
+	peerDue   time.Duration // when maps go to the other gateways next
+	asking    int           // fetches from peers that did not announce the chunk
+	refusedAt time.Duration // when a peer last refused a chunk for good
+	askDue    time.Duration // when such a peer may be asked next
+	effects   []reduce.Effect
 
 	offers     []*holding // reused between steps
 	candidates []*peer
