Late load fades to the usual load, not to none

Cause: an endpoint of which nothing fresh was known counted as idle.

Change: others' part of a report fades to the mean share of the limit that reports have shown; half-life 4 s, limits believed for a minute.

At 70 entries in one failure domain late load decides little; the agents' queues and refusals carry that, and the bound on affinity binds less.

--- a/internal/routing/affinity.go
+++ b/internal/routing/affinity.go
@@ -23,7 +23,7 @@
 	var firstWeight, secondWeight uint64
 	load, limit := int64(0), int64(0)
 	for _, endpoint := range t {
-		load += endpoint.Meter.Load(query.Now)
+		load += endpoint.load(query.Now)
 		limit += endpoint.limit(query.Now)
 		if len(query.Exclude) > 0 && query.Exclude[endpoint.Host.ID] {
 			continue
@@ -52,7 +52,7 @@
 	if !e.hasRoom(query.Now) {
 		return false
 	}
-	with := e.Meter.Load(query.Now) + 1
+	with := e.load(query.Now) + 1
 	if with == 1 {
 		return true
 	}
--- a/internal/routing/meter.go
+++ b/internal/routing/meter.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	loadHalfLife = 500 * time.Millisecond // after which half of the load that others put on an endpoint is forgotten
-	limitLife    = 10 * time.Second       // after which a reported limit is no longer believed
-	maxHalvings  = 62
+	loadHalfLife = 4 * time.Second // of what an endpoint reported of other entries' requests
+	limitLife    = time.Minute     // after which a reported limit is no longer believed
+	freshBits    = 10
+	wholeFresh   = 1 << freshBits
+	usualWeight  = 64 // reports over which the usual share is taken
+	thousand     = 1000
 )
 
 // Meter is what an entry knows of an endpoint's load: its own attempts there, which it counts, and those of other
@@ -20,6 +23,7 @@
 type Meter struct {
 	own    atomic.Int64
 	latest atomic.Pointer[report]
+	usual  *usual
 }
 
 type report struct {
@@ -33,37 +37,62 @@
 
 // Report takes over what the endpoint says of its load. Own attempts are part of it and are not counted twice.
 func (m *Meter) Report(load wire.Load, now time.Duration) {
-	others := int64(load.Running+load.Queued) - m.own.Load()
-	m.latest.Store(&report{others: max(0, others), limit: int64(load.Limit), at: now})
+	others := max(0, int64(load.Running+load.Queued)-m.own.Load())
+	m.latest.Store(&report{others: others, limit: int64(load.Limit), at: now})
+	m.usual.add(others, int64(load.Limit))
 }
 
 // Forget drops the report of an earlier life of the endpoint.
 func (m *Meter) Forget() { m.latest.Store(nil) }
 
-// Load estimates the requests at the endpoint now. The part that others put there fades with the report's age.
-func (m *Meter) Load(now time.Duration) int64 {
-	load := m.own.Load()
+// Load estimates the requests at an endpoint that bears cold of them when cold. The part that others put there is what
+// the endpoint reported; with the report's age it turns into the part that is usual at all endpoints.
+func (m *Meter) Load(now time.Duration, cold int64) int64 {
+	own := m.own.Load()
 	latest := m.latest.Load()
 	if latest == nil {
-		return load
+		return own + m.usual.of(cold)
 	}
-	halvings := min(max(0, (now-latest.at)/loadHalfLife), maxHalvings)
-	return load + latest.others>>halvings
+	fresh := latest.freshness(now)
+	others := latest.others*fresh + m.usual.of(m.Limit(now, cold))*(wholeFresh-fresh)
+	return own + others/wholeFresh
 }
 
-// Limit returns the reported limit, or 0 when none is reported or the report is too old.
-func (m *Meter) Limit(now time.Duration) int64 {
+// freshness falls from wholeFresh to 0, by half in each half-life.
+func (r *report) freshness(now time.Duration) int64 {
+	halvings := max(0, (now-r.at)/loadHalfLife)
+	return wholeFresh >> min(halvings, freshBits)
+}
+
+// Limit returns the reported limit, or the cold one when none is reported or the report is too old.
+func (m *Meter) Limit(now time.Duration, cold int64) int64 {
 	latest := m.latest.Load()
-	if latest == nil || now-latest.at > limitLife {
-		return 0
+	if latest == nil || latest.limit <= 0 || now-latest.at > limitLife {
+		return cold
 	}
 	return latest.limit
 }
 
+// usual is the mean share of their limit that endpoints reported of other entries' requests, in thousandths. Updates
+// that cross may lose one another, which the mean bears.
+type usual struct{ share atomic.Int64 }
+
+func (u *usual) add(others, limit int64) {
+	if limit <= 0 {
+		return
+	}
+	mean := u.share.Load()
+	u.share.Store(mean + (others*thousand/limit*usualWeight-mean)/usualWeight)
+}
+
+// of returns the part of the limit that others usually fill.
+func (u *usual) of(limit int64) int64 { return u.share.Load() * limit / (thousand * usualWeight) }
+
 // Meters keeps one meter for each endpoint over all views. It is safe for concurrent use.
 type Meters struct {
 	mu    sync.RWMutex
 	known map[core.HostID]*known
+	usual usual
 }
 
 type known struct {
@@ -88,6 +117,7 @@
 	defer m.mu.Unlock()
 	if found = m.known[host]; found == nil {
 		found = &known{}
+		found.meter.usual = &m.usual
 		m.known[host] = found
 	}
 	return found
