--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -11,6 +11,9 @@
 
 // pick chooses the endpoint of the next attempt. Each attempt after the first draws on the service's retry budget.
 func (f *flow) pick() (attemptTarget, error) {
+	if !f.entry.node.Fresh() {
+		return attemptTarget{}, notFresh()
+	}
 	if err := f.spend(); err != nil {
 		return attemptTarget{}, err
 	}
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	sizeInterval   = time.Minute
-	maxGapsPerCall = 1 << 14 // gaps between tokens kept of one request
-	outcomeWhole   = "whole"
+	sizeInterval = time.Minute
+	maxGaps      = 1 << 14 // gaps between tokens kept of one request
+	outcomeWhole = "whole"
+	outcomeGone  = "caller_gone"
 )
 
 // callersFaults are the kinds of refusals that spend no budget, since the caller alone can mend them.
@@ -44,10 +45,10 @@
 
 func (o *observer) now() time.Duration { return time.Since(o.start) }
 
-// observe returns a sink that passes the request's answer on and takes its times.
-func (o *observer) observe(r *request, into sink) *observation {
+// observe returns the observation of a request that begins.
+func (o *observer) observe(r *request) *observation {
 	telemetry.RequestStarted(r.service.Name)
-	return &observation{sink: into, observer: o, request: r, started: time.Now()}
+	return &observation{observer: o, request: r, started: time.Now()}
 }
 
 // viewChanged takes note of a new view. It runs on the control thread.
@@ -74,9 +75,8 @@
 	return methods
 }
 
-// observation is one request under way. Only the request's own goroutine uses it.
+// observation is one request under way. Only the request's own goroutine uses it. A nil observation takes no note.
 type observation struct {
-	sink
 	observer *observer
 	request  *request
 	started  time.Time
@@ -89,58 +89,66 @@
 	seen      burn.Observation
 }
 
-// observeAttempt takes note that an attempt begins, if the request is observed.
-func (f *flow) observeAttempt(id core.AttemptID) {
-	if observed, ok := f.sink.(*observation); ok {
-		observed.attempted(id)
-	}
-}
-
 // attempted takes note that an attempt of the request begins.
 func (o *observation) attempted(id core.AttemptID) {
+	if o == nil {
+		return
+	}
 	o.attempts++
 	o.attempt = id
 	telemetry.AttemptStarted(o.request.service.Name, o.attempts > 1)
 	o.observer.logger.Debug().Str("request", string(o.request.id)).Str("attempt", string(id)).Msg("attempt started")
 }
 
+// head takes note that the answer begins.
 func (o *observation) head(status int, contentType string) {
+	if o == nil {
+		return
+	}
 	o.status = status
 	o.streaming = strings.HasPrefix(contentType, "text/event-stream")
-	o.sink.head(status, contentType)
 }
 
-// data times the parts of a stream. The time that a slow caller takes does not count.
-func (o *observation) data(piece []byte) error {
-	if !o.streaming {
-		return o.sink.data(piece)
+// partArrived takes the time of a part of a stream.
+func (o *observation) partArrived() {
+	if o == nil || !o.streaming {
+		return
 	}
 	now := time.Now()
-	if o.seen.FirstToken == 0 {
+	if o.last.IsZero() {
 		o.seen.FirstToken = now.Sub(o.started)
-	} else if len(o.seen.Between) < maxGapsPerCall {
+	} else if len(o.seen.Between) < maxGaps {
 		o.seen.Between = append(o.seen.Between, now.Sub(o.last))
 	}
-	err := o.sink.data(piece)
-	o.last = time.Now()
-	return err
 }
 
-// finish takes note of the request's outcome and returns it.
-func (o *observation) finish(outcome fault.Outcome, err error) (fault.Outcome, error) {
+// partTaken takes note that the caller's side took the part; the time that a slow caller takes does not count.
+func (o *observation) partTaken() {
+	if o != nil {
+		o.last = time.Now()
+	}
+}
+
+// finish takes note of the request's outcome. A caller that left spends no budget.
+func (o *observation) finish(outcome fault.Outcome, err error, callerGone bool) {
+	if o == nil {
+		return
+	}
 	named := outcomeWhole
-	if err != nil {
+	switch {
+	case err != nil && callerGone:
+		named = outcomeGone
+	case err != nil:
 		named = string(outcome)
 		telemetry.RequestRefused(fault.Kind(err))
 	}
 	service := o.request.service
 	telemetry.RequestEnded(service.Name, string(service.Kind), named)
 	o.seen.Bad = err != nil || o.status >= http.StatusInternalServerError
-	if !isCallersFault(err) {
+	if named != outcomeGone && !isCallersFault(err) {
 		o.observer.recorder.Record(o.observer.now(), burn.Key{Service: service.Name, Workspace: o.request.workspace}, o.seen)
 	}
 	o.log(named, err)
-	return outcome, err
 }
 
 func (o *observation) log(outcome string, err error) {
@@ -159,6 +167,15 @@
 		Msg("request ended")
 }
 
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
 func isCallersFault(err error) bool {
 	if err == nil {
 		return false
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -21,7 +21,7 @@
 }
 
 func (e *Entry) handleReady(c fiber.Ctx) error {
-	if e.draining.Load() || e.node.View().Snapshot == nil {
+	if e.draining.Load() || !e.node.Fresh() {
 		return c.SendStatus(fiber.StatusServiceUnavailable)
 	}
 	return c.SendString("ready\n")
@@ -31,7 +31,7 @@
 	snapshot := e.node.View().Snapshot
 	if snapshot == nil {
 		err := fault.New(fault.NotReady, "this entry holds no configuration yet", "come back after the time in Retry-After")
-		return refuse(c, fault.WithRetryAfter(err, 1), fault.NotRun)
+		return refuse(c, fault.WithRetryAfter(err, 1), refusedUnseen(c.Get(headerKey) != ""))
 	}
 	parsed, err := parse(c, snapshot, time.Now())
 	if err != nil {
@@ -39,9 +39,8 @@
 		return refuse(c, err, fault.NotRun)
 	}
 	answer := newAnswer()
-	observed := e.observer.observe(parsed, answer)
-	current := newFlow(e, parsed, observed)
-	go func() { answer.finish(observed.finish(current.run())) }()
+	answer.observed = e.observer.observe(parsed)
+	go newFlow(e, parsed, answer).run()
 	<-answer.started
 	if answer.streams() {
 		c.Set(fiber.HeaderContentType, answer.contentType)
