--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -26,7 +26,6 @@
 	streaming   bool
 	outcome     fault.Outcome
 	err         error
-	observed    *observation // nil for an answer that is not observed
 }
 
 func newAnswer() *answer {
@@ -44,7 +43,6 @@
 	a.status = status
 	a.contentType = contentType
 	a.whole = nil
-	a.observed.head(status, contentType)
 	if strings.HasPrefix(contentType, "text/event-stream") {
 		a.streaming = true
 		close(a.started)
@@ -58,8 +56,6 @@
 		a.whole = append(a.whole, piece...)
 		return
 	}
-	a.observed.partArrived()
-	defer a.observed.partTaken()
 	select {
 	case a.pieces <- piece:
 	case <-a.gone:
@@ -70,7 +66,6 @@
 func (a *answer) finish(outcome fault.Outcome, err error) {
 	a.outcome = outcome
 	a.err = err
-	a.observed.finish(outcome, err, isClosed(a.gone))
 	close(a.pieces)
 	if !a.streaming {
 		close(a.started)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	server := rpc.Serve(control, e.observer.methods(e.methods()))
+	server := rpc.Serve(control, e.methods())
 	defer server.Close()
 	app := e.routes()
 	inner, stop := context.WithCancel(context.Background())
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,10 +18,10 @@
 )
 
 const (
-	sizeInterval = time.Minute
-	maxGaps      = 1 << 14 // gaps between tokens kept of one request
-	outcomeWhole = "whole"
-	outcomeGone  = "caller_gone"
+	sizeInterval   = time.Minute
+	maxGapsPerCall = 1 << 14 // gaps between tokens kept of one request
+	outcomeWhole   = "whole"
+	outcomeGone    = "caller_gone"
 )
 
 // callersFaults are the kinds of refusals that spend no budget, since the caller alone can mend them.
@@ -45,10 +44,10 @@
 
 func (o *observer) now() time.Duration { return time.Since(o.start) }
 
-// observe returns the observation of a request that begins.
-func (o *observer) observe(r *request) *observation {
+// observe returns what passes the request's answer on and takes its times.
+func (o *observer) observe(r *request, into *answer) *observation {
 	telemetry.RequestStarted(r.service.Name)
-	return &observation{observer: o, request: r, started: time.Now()}
+	return &observation{answer: into, observer: o, request: r, begun: time.Now()}
 }
 
 // viewChanged takes note of a new view. It runs on the control thread.
@@ -75,68 +74,48 @@
 	return methods
 }
 
-// observation is one request under way. Only the request's own goroutine uses it. A nil observation takes no note.
+// observation is one request under way. Only the request's own goroutine uses it.
 type observation struct {
+	*answer
 	observer *observer
 	request  *request
-	started  time.Time
+	begun    time.Time
 	attempts int
 	attempt  core.AttemptID // the latest
 
-	status    int // of the answer; 0 without one
-	streaming bool
-	last      time.Time // when the caller's side had taken the latest part of a stream
-	seen      burn.Observation
+	last time.Time // when the caller's side had taken the latest part of a stream
+	seen burn.Observation
 }
 
 // attempted takes note that an attempt of the request begins.
 func (o *observation) attempted(id core.AttemptID) {
-	if o == nil {
-		return
-	}
 	o.attempts++
 	o.attempt = id
 	telemetry.AttemptStarted(o.request.service.Name, o.attempts > 1)
 	o.observer.logger.Debug().Str("request", string(o.request.id)).Str("attempt", string(id)).Msg("attempt started")
 }
 
-// head takes note that the answer begins.
-func (o *observation) head(status int, contentType string) {
-	if o == nil {
-		return
-	}
-	o.status = status
-	o.streaming = strings.HasPrefix(contentType, "text/event-stream")
-}
-
-// partArrived takes the time of a part of a stream.
-func (o *observation) partArrived() {
-	if o == nil || !o.streaming {
+// data times the parts of a stream. The time that a slow caller takes does not count.
+func (o *observation) data(ctx context.Context, piece []byte) {
+	if !o.streaming {
+		o.answer.data(ctx, piece)
 		return
 	}
 	now := time.Now()
-	if o.last.IsZero() {
-		o.seen.FirstToken = now.Sub(o.started)
-	} else if len(o.seen.Between) < maxGaps {
+	if o.seen.FirstToken == 0 {
+		o.seen.FirstToken = now.Sub(o.begun)
+	} else if len(o.seen.Between) < maxGapsPerCall {
 		o.seen.Between = append(o.seen.Between, now.Sub(o.last))
 	}
+	o.answer.data(ctx, piece)
+	o.last = time.Now()
 }
 
-// partTaken takes note that the caller's side took the part; the time that a slow caller takes does not count.
-func (o *observation) partTaken() {
-	if o != nil {
-		o.last = time.Now()
-	}
-}
-
-// finish takes note of the request's outcome. A caller that left spends no budget.
-func (o *observation) finish(outcome fault.Outcome, err error, callerGone bool) {
-	if o == nil {
-		return
-	}
+// finish takes note of the request's outcome and ends the answer. A caller that left spends no budget.
+func (o *observation) finish(outcome fault.Outcome, err error) {
 	named := outcomeWhole
 	switch {
-	case err != nil && callerGone:
+	case err != nil && isClosed(o.gone):
 		named = outcomeGone
 	case err != nil:
 		named = string(outcome)
@@ -149,6 +128,7 @@
 		o.observer.recorder.Record(o.observer.now(), burn.Key{Service: service.Name, Workspace: o.request.workspace}, o.seen)
 	}
 	o.log(named, err)
+	o.answer.finish(outcome, err)
 }
 
 func (o *observation) log(outcome string, err error) {
@@ -163,7 +143,7 @@
 		Str("workspace", string(o.request.workspace)).
 		Str("outcome", outcome).
 		Int("status", o.status).
-		Dur("took", time.Since(o.started)).
+		Dur("took", time.Since(o.begun)).
 		Msg("request ended")
 }
 
--- a/internal/entry/observe_test.go
+++ b/internal/entry/observe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -51,22 +52,23 @@
 		status     int
 		outcome    fault.Outcome
 		err        error
-		gone       bool
 		total, bad uint64
 	}{
-		{"whole", 200, "", nil, false, 1, 0},
-		{"answered with a caller's error", 404, "", nil, false, 1, 0},
-		{"answered with a server error", 500, "", nil, false, 1, 1},
-		{"refused", 200, fault.NotRun, refusal, false, 1, 1},
-		{"unknown", 200, fault.Unknown, fault.New(fault.LostOutcome, "lost", "look"), false, 1, 1},
-		{"caller's fault", 200, fault.NotRun, fault.New(fault.KeyConflict, "other body", "send a new key"), false, 0, 0},
-		{"caller left", 200, fault.Unknown, fault.New(fault.Interrupted, "the caller has gone", "send it again"), true, 0, 0},
+		{"whole", 200, "", nil, 1, 0},
+		{"answered with a caller's error", 404, "", nil, 1, 0},
+		{"answered with a server error", 500, "", nil, 1, 1},
+		{"refused", 200, fault.NotRun, refusal, 1, 1},
+		{"unknown", 200, fault.Unknown, fault.New(fault.LostOutcome, "lost", "look"), 1, 1},
+		{"caller's fault", 200, fault.NotRun, fault.New(fault.KeyConflict, "other body", "send a new key"), 0, 0},
 	} {
 		var out bytes.Buffer
 		o := observed(&out)
-		current := o.observe(observedRequest())
+		current := o.observe(observedRequest(), newAnswer())
 		current.head(test.status, "application/json")
-		current.finish(test.outcome, test.err, test.gone)
+		current.finish(test.outcome, test.err)
+		if passed := current.answer; passed.outcome != test.outcome || passed.err != test.err {
+			t.Errorf("%s: passed on %v, %v", test.name, passed.outcome, passed.err)
+		}
 		if sum := total(t, o); sum.Total != test.total || sum.Bad != test.bad {
 			t.Errorf("%s: %d requests, %d bad", test.name, sum.Total, sum.Bad)
 		}
@@ -77,14 +79,13 @@
 	var out bytes.Buffer
 	o := observed(&out)
 	for _, contentType := range []string{"text/event-stream", "application/json"} {
-		current := o.observe(observedRequest())
-		current.started = current.started.Add(-400 * time.Millisecond)
+		current := o.observe(observedRequest(), newAnswer())
+		current.begun = current.begun.Add(-400 * time.Millisecond)
 		current.head(200, contentType)
 		for range 4 {
-			current.partArrived()
-			current.partTaken()
+			current.data(context.Background(), []byte("x"))
 		}
-		current.finish("", nil, false)
+		current.finish("", nil)
 	}
 	sum := total(t, o)
 	firsts, late := sum.Count(burn.FirstToken, 399)
@@ -96,10 +97,10 @@
 
 func TestRequestLineNamesRequestAndAttempt(t *testing.T) {
 	var out bytes.Buffer
-	current := observed(&out).observe(observedRequest())
+	current := observed(&out).observe(observedRequest(), newAnswer())
 	current.attempted("one")
 	current.attempted("two")
-	current.finish(fault.Unknown, fault.New(fault.LostOutcome, "lost", "look"), false)
+	current.finish(fault.Unknown, fault.New(fault.LostOutcome, "lost", "look"))
 	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
 	var line struct {
 		Request, Attempt, Service, Workspace, Outcome, Level, Message string
@@ -112,3 +113,14 @@
 		t.Errorf("line %s", lines[len(lines)-1])
 	}
 }
+
+func TestCallerThatLeftSpendsNoBudget(t *testing.T) {
+	var out bytes.Buffer
+	o := observed(&out)
+	current := o.observe(observedRequest(), newAnswer())
+	close(current.gone)
+	current.finish(fault.Unknown, fault.New(fault.Interrupted, "the caller has gone", "send the request again"))
+	if sum := total(t, o); sum.Total != 0 || !bytes.Contains(out.Bytes(), []byte(`"outcome":"caller_gone"`)) {
+		t.Errorf("%d requests recorded; %s", sum.Total, &out)
+	}
+}
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -41,7 +41,7 @@
 func (f *flow) performAttempt(effect reduce.Effect) {
 	switch effect := effect.(type) {
 	case outcome.Dispatch:
-		f.answer.observed.attempted(effect.Attempt.ID)
+		f.answer.attempted(effect.Attempt.ID)
 		f.dispatch(effect)
 	case outcome.Attach:
 		f.attach(effect)
@@ -57,6 +57,7 @@
 	case outcome.Crashed:
 		f.entry.outcomes.suspects.Crashed(f.fingerprint, time.Now())
 	case outcome.PassHead:
+		f.entry.outcomes.firstBytes.of(f.request.service.Name).Record(time.Since(f.begun))
 		f.answer.head(effect.Status, effect.ContentType)
 	case outcome.PassData:
 		f.answer.data(f.deadline, effect.Data)
@@ -64,7 +65,6 @@
 		f.entry.outcomes.suspects.Answered(f.fingerprint, time.Now())
 		f.answer.finish("", nil)
 	case outcome.Refuse:
-		f.entry.logger.Info().Str("request", string(f.request.id)).Str("outcome", string(effect.Outcome)).Err(effect.Err).Msg("request refused")
 		f.answer.finish(effect.Outcome, effect.Err)
 	}
 }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -39,8 +39,7 @@
 		return refuse(c, err, fault.NotRun)
 	}
 	answer := newAnswer()
-	answer.observed = e.observer.observe(parsed)
-	go newFlow(e, parsed, answer).run()
+	go newFlow(e, parsed, e.observer.observe(parsed, answer)).run()
 	<-answer.started
 	if answer.streams() {
 		c.Set(fiber.HeaderContentType, answer.contentType)
--- a/internal/operate/burn.go
+++ b/internal/operate/burn.go
@@ -85,7 +85,8 @@
 		request.WindowsS = append(request.WindowsS, int64(window/time.Second))
 	}
 	entries := slices.DeleteFunc(hosts, func(host core.Host) bool { return host.Role != core.RoleEntry })
-	return iter.Map(entries, func(host *core.Host) entryAnswer {
+	mapper := iter.Mapper[core.Host, entryAnswer]{MaxGoroutines: callsAtOnce}
+	return mapper.Map(entries, func(host *core.Host) entryAnswer {
 		ctx, cancel := context.WithTimeout(ctx, burnTimeout)
 		defer cancel()
 		answer := entryAnswer{host: *host}
--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -17,7 +17,10 @@
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
-const statusTimeout = 2 * time.Second
+const (
+	statusTimeout = 2 * time.Second
+	callsAtOnce   = 128 // hosts asked at the same time, so that silent ones hold up few others
+)
 
 // NodeStatus is what one host says of itself. Err is set when it gave no answer.
 type NodeStatus struct {
@@ -33,7 +36,8 @@
 		return nil, err
 	}
 	slices.SortFunc(hosts, func(a, b core.Host) int { return cmp.Compare(a.ID, b.ID) })
-	return iter.Map(hosts, func(host *core.Host) NodeStatus {
+	mapper := iter.Mapper[core.Host, NodeStatus]{MaxGoroutines: callsAtOnce}
+	return mapper.Map(hosts, func(host *core.Host) NodeStatus {
 		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 		defer cancel()
 		status := NodeStatus{Host: *host}
