--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -13,6 +13,9 @@
 
 // pick chooses the endpoint of the next attempt. Each attempt after the first draws on the service's retry budget.
 func (f *flow) pick() (attemptTarget, error) {
+	if !f.entry.node.Fresh() {
+		return attemptTarget{}, notFresh()
+	}
 	service := f.entry.index().Service(f.request.service.Name)
 	if !f.mayAttempt() {
 		return attemptTarget{}, f.comeBack(service, fault.Overloaded, "too many requests of "+string(f.request.service.Name)+" are being retried")
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -125,7 +125,6 @@
 echo "$replicas"
 for address in "${entries[@]}"; do await "http://$address/readyz"; done
 "$bin/lovagectl" status
-sleep 1 # entries learn of a serving runner within half a second
 origin=$(curl -fsS "http://$platform/stats" | sed 's/[^0-9]//g')
 
 load() { # load SECONDS
