Judge the back end by no attempt that its caller withdrew

Cause: a caller who left made the agent's limit fall, since its attempt ended without a whole answer; first-byte times were kept by two registries.

Ruled out: counting such an attempt as whole (it would raise the limit).

Change: agent.leave returns the admission unjudged when the attempt was cancelled; a passed deadline still counts as broken. One registry, retry.PerService, for budgets and first-byte times.

Conclusion: go test of entry, agent, admission and retry passes.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -110,7 +110,7 @@
 	g.step(Left{Now: time.Since(g.start), End: end})
 }
 
-// Return ends an admitted request that did not go to the back end.
+// Return ends an admitted request that says nothing of the back end: it did not get there, or its caller withdrew it.
 func (g *Gate) Return() { g.step(Left{Now: time.Since(g.start), End: Unused}) }
 
 // Observe takes the time until the back end began an answer.
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -34,7 +34,7 @@
 const (
 	Whole  End = iota // its answer was whole
 	Broken            // its answer was not whole
-	Unused            // the back end did not get it
+	Unused            // it says nothing of the back end
 )
 
 // Observed brings the time until an answer began.
--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -39,6 +40,15 @@
 	return nil
 }
 
+// leave ends an admitted attempt. One that its caller withdrew says nothing of the back end.
+func (a *Agent) leave(ctx context.Context, err error) {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		a.gate.Return()
+		return
+	}
+	a.gate.Leave(err == nil)
+}
+
 func (a *Agent) allowed(dispatch wire.Dispatch) error {
 	snapshot := a.node.View().Snapshot
 	if snapshot == nil || !a.node.Fresh() {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -75,7 +75,7 @@
 
 func (a *Agent) run(ctx context.Context, dispatch wire.Dispatch, record *attempt.Record) {
 	err := a.copyAnswer(ctx, dispatch, record)
-	a.gate.Leave(err == nil)
+	a.leave(ctx, err)
 	switch {
 	case err == nil:
 		a.suspects.Answered(dispatch.Fingerprint, time.Now())
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -11,23 +11,21 @@
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
-// inFlight keeps what routing needs over all requests: the endpoints of the latest view, their loads, the retry budgets
-// and the times until answers began.
+// inFlight keeps what routing needs over all requests: the endpoints of the latest view, their loads, and the retry
+// budgets.
 type inFlight struct {
-	start      time.Time
-	meters     *routing.Meters
-	budgets    *retry.PerService[retry.Budget]
-	firstBytes *retry.PerService[retry.FirstBytes]
-	index      atomic.Pointer[routing.Index]
-	building   sync.Mutex
+	start    time.Time
+	meters   *routing.Meters
+	budgets  *retry.PerService[retry.Budget]
+	index    atomic.Pointer[routing.Index]
+	building sync.Mutex
 }
 
 func newInFlight() *inFlight {
 	return &inFlight{
-		start:      time.Now(),
-		meters:     routing.NewMeters(),
-		budgets:    retry.NewBudgets(),
-		firstBytes: retry.NewFirstBytes(),
+		start:   time.Now(),
+		meters:  routing.NewMeters(),
+		budgets: retry.NewBudgets(),
 	}
 }
 
--- a/internal/entry/outcomes.go
+++ b/internal/entry/outcomes.go
@@ -18,7 +18,7 @@
 	suspects *suspect.Registry
 	marks    *marks
 
-	firstBytes *firstBytes
+	firstBytes *retry.PerService[retry.FirstBytes]
 }
 
 func newOutcomes(tables platform.Tables) *outcomes {
@@ -27,7 +27,7 @@
 		suspects: suspect.NewRegistry(),
 		marks:    &marks{latest: make(map[core.HostID]lifeMark)},
 
-		firstBytes: &firstBytes{byService: make(map[core.Service]*retry.FirstBytes)},
+		firstBytes: retry.NewFirstBytes(),
 	}
 }
 
@@ -63,23 +63,6 @@
 	return known.mark
 }
 
-// firstBytes keeps the first-byte times of each service.
-type firstBytes struct {
-	mu        sync.Mutex
-	byService map[core.Service]*retry.FirstBytes
-}
-
-func (f *firstBytes) of(service core.Service) *retry.FirstBytes {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	times := f.byService[service]
-	if times == nil {
-		times = &retry.FirstBytes{}
-		f.byService[service] = times
-	}
-	return times
-}
-
 func errNotReached(cause error) error {
 	return fault.Wrap(cause, fault.Interrupted, "the endpoint could not be reached", "send it again")
 }
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -57,7 +57,7 @@
 	case outcome.Crashed:
 		f.entry.outcomes.suspects.Crashed(f.fingerprint, time.Now())
 	case outcome.PassHead:
-		f.entry.outcomes.firstBytes.of(f.request.service.Name).Record(time.Since(f.begun))
+		f.entry.outcomes.firstBytes.Of(f.request.service.Name).Record(time.Since(f.begun))
 		f.answer.head(effect.Status, effect.ContentType)
 	case outcome.PassData:
 		f.answer.data(f.deadline, effect.Data)
