A burst of records builds the index at most ten times a second

Cause: each view change made the next request build the index, which takes about half a millisecond at 600 runners; a burst of records, as when a version spreads, brings many views a second.

Ruled out: building on the control thread; changing single endpoints in place (readers hold no lock).

Change: an index serves for 100 ms after its view was replaced by one of the same configuration. A new configuration is taken at once.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -49,21 +49,8 @@
 	return fault.WithRetryAfter(err, retry.After(int(load), int(limit), rand.Uint64()))
 }
 
-// index returns the index of the latest view. The first request that finds a new view builds it; requests that come
-// meanwhile wait for it, so that none is sent by a view that no longer holds.
+// index returns the index of the endpoints in service.
 func (e *Entry) index() *routing.Index {
-	view := e.node.View()
-	if index := e.inFlight.index.Load(); index != nil && index.View == view {
-		return index
-	}
-	e.inFlight.building.Lock()
-	defer e.inFlight.building.Unlock()
-	view = e.node.View()
-	if index := e.inFlight.index.Load(); index != nil && index.View == view {
-		return index
-	}
 	here := routing.Place{FailureDomain: e.settings.Host.FailureDomain, Region: e.settings.Host.Region}
-	index := routing.Build(view, here, e.inFlight.meters)
-	e.inFlight.index.Store(index)
-	return index
+	return e.inFlight.index.of(e.node.View(), here, e.inFlight.now())
 }
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/core"
@@ -14,18 +12,19 @@
 // inFlight keeps what routing needs over all requests: the endpoints of the latest view, their loads, and the retry
 // budgets.
 type inFlight struct {
-	start    time.Time
-	meters   *routing.Meters
-	budgets  *retry.PerService[retry.Budget]
-	index    atomic.Pointer[routing.Index]
-	building sync.Mutex
+	start   time.Time
+	meters  *routing.Meters
+	budgets *retry.PerService[retry.Budget]
+	index   *indexCache
 }
 
 func newInFlight() *inFlight {
+	meters := routing.NewMeters()
 	return &inFlight{
 		start:   time.Now(),
-		meters:  routing.NewMeters(),
+		meters:  meters,
 		budgets: retry.NewBudgets(),
+		index:   &indexCache{meters: meters},
 	}
 }
 
