Late copies, drains, streams, leaving callers and suspects in processes

Cause: an agent that shut down ended as soon as its last answer was written, also into a connection that had gone silent, and the caller then heard "outcome unknown" of a planned stop. Nothing showed the other promises on lost connections between processes.

Ruled out: lingering until each answer was read to its end, since a write into a silent connection succeeds.

The forwarder can hold back what a connection carries. The plain stand-in can crash on one profile. Agents log attempts that they refuse.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -36,6 +36,7 @@
 	}
 	record, err := a.begin(dispatch)
 	if err != nil {
+		a.logger.Info().Str("request", string(dispatch.Request)).Str("attempt", string(dispatch.Attempt)).Err(err).Msg("attempt refused")
 		return a.sendRefusal(c, dispatch.Attempt, err, fault.NotRun)
 	}
 	return a.follow(c, record, attempt.Cursor{})
--- /dev/null
+++ b/internal/agent/run_test.go
@@ -0,0 +1,40 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/attempt"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+func TestOversizedAnswerIsNotHeld(t *testing.T) {
+	table := attempt.NewTable(time.Now())
+	record, _, _ := table.Begin(attempt.Start{ID: "large"}, time.Now())
+	_, err := (&Agent{}).copyBody(context.Background(), bytes.NewReader(make([]byte, attempt.MaxAnswerBytes+1)), record)
+	if !fault.Is(err, fault.TooLarge) {
+		t.Errorf("the answer came to %v", err)
+	}
+}
+
+func TestOnlyIdempotentAttemptsEndWithTheCallersTime(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		ctx, cancel := runContext(wire.Dispatch{Idempotent: idempotent, BudgetMS: -1})
+		defer cancel()
+		if ended := ctx.Err() != nil; ended != idempotent {
+			t.Errorf("idempotent %t: ended %t", idempotent, ended)
+		}
+	}
+}
+
+func TestNoWorkStartsAfterTheWait(t *testing.T) {
+	var w work
+	w.Go(func() {})
+	w.Wait()
+	if w.Go(func() { t.Error("it ran") }) {
+		t.Error("work was taken after the wait")
+	}
+}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -13,6 +13,7 @@
 type Plain struct {
 	mu       sync.Mutex
 	bookings map[string]int
+	crashes  int
 	faults   PlainFaults
 }
 
@@ -20,6 +21,8 @@
 type PlainFaults struct {
 	DelayMS   int  `json:"delay_ms"`   // milliseconds before each answer
 	CutAnswer bool `json:"cut_answer"` // a booking is made and its answer is cut off
+
+	CrashOn string `json:"crash_on"` // the profile whose request ends the connection without an answer
 }
 
 // Booking is the body and the answer of POST /bookings.
@@ -37,10 +40,27 @@
 	app.Put("/faults", p.putFaults)
 	app.Post("/bookings", p.book)
 	app.Get("/bookings", p.list)
-	app.Get("/profile", func(c fiber.Ctx) error { return c.SendString("profile\n") })
+	app.Get("/profile", p.profile)
 	return app
 }
 
+// Crashes returns how often a profile's request ended the connection.
+func (p *Plain) Crashes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashes
+}
+
+func (p *Plain) profile(c fiber.Ctx) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.CrashOn != "" && c.Query("id") == p.faults.CrashOn {
+		p.crashes++
+		return c.RequestCtx().Conn().Close()
+	}
+	return c.SendString("profile\n")
+}
+
 func (p *Plain) putFaults(c fiber.Ctx) error {
 	var faults PlainFaults
 	if err := json.Unmarshal(c.Body(), &faults); err != nil {
--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -313,6 +313,14 @@
 	return record, err
 }
 
+// logOf returns what a node has logged.
+func (c *cluster) logOf(id core.HostID) string {
+	c.t.Helper()
+	raw, err := os.ReadFile(c.nodes[id].log.Name())
+	c.must(err)
+	return string(raw)
+}
+
 func (c *cluster) stop() {
 	for id, p := range c.nodes {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
--- a/systemtest/forwarder_test.go
+++ b/systemtest/forwarder_test.go
@@ -9,7 +9,7 @@
 )
 
 // forwarder stands between an address that others reach and the one that a process listens on. It can lose track of
-// the connections that are open, which stay open and silent, while new ones work.
+// the connections that are open, which stay open and silent, or hold back what they carry, while new ones work.
 type forwarder struct {
 	listener net.Listener
 	target   string
@@ -22,6 +22,7 @@
 	near, far net.Conn
 	mu        sync.Mutex
 	silent    bool
+	held      chan struct{} // closed when what is held back goes on its way, nil for nothing held back
 }
 
 func newForwarder(t testing.TB, address, target string) *forwarder {
@@ -65,8 +66,11 @@
 	for {
 		n, err := from.Read(buffer)
 		l.mu.Lock()
-		silent := l.silent
+		silent, held := l.silent, l.held
 		l.mu.Unlock()
+		if held != nil {
+			<-held
+		}
 		if silent && err == nil {
 			continue
 		}
@@ -93,6 +97,17 @@
 	})
 }
 
+// hold holds back what the open connections carry until the release.
+func (f *forwarder) hold() (release func()) {
+	held := make(chan struct{})
+	f.each(func(l *link) {
+		l.mu.Lock()
+		l.held = held
+		l.mu.Unlock()
+	})
+	return func() { close(held) }
+}
+
 // cut closes every open connection.
 func (f *forwarder) cut() {
 	f.each(func(l *link) {
--- a/systemtest/outcome_keys_test.go
+++ b/systemtest/outcome_keys_test.go
@@ -183,6 +183,19 @@
 	c.checkHistory(h, 1)
 }
 
+func TestResendIsAnsweredByTheFirstRun(t *testing.T) {
+	c := newBookingCluster(t)
+	c.put(c.backendAddr("plain-a"), "/faults", `{"delay_ms":1000}`)
+	client := newCaller(t)
+	first := make(chan answered, 1)
+	go func() { first <- book(client, c.entries("entry-a")[0], "key", "once", callDeadline) }()
+	c.await("the booking runs", func() bool { return c.made()["once"] == 1 })
+	second := book(client, c.entries("entry-b")[0], "key", "once", callDeadline)
+	if (<-first).said != booked || second.said != booked || c.made()["once"] != 1 {
+		t.Errorf("the resend came to %+v; bookings made: %v", second, c.made())
+	}
+}
+
 func TestKeyOfOtherContentIsRefused(t *testing.T) {
 	c := newBookingCluster(t)
 	client := newCaller(t)
--- /dev/null
+++ b/systemtest/outcome_lost_test.go
@@ -0,0 +1,186 @@
+package systemtest
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/backend"
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/standin"
+)
+
+const maxSuspectCrashes = 4 // of one request's sends, with two endpoints that hear of each other
+
+func TestLateCopyOfATombstonedAttemptRunsNothing(t *testing.T) {
+	c := newBookingCluster(t)
+	release := c.forwarders["plain-a"][0].hold()
+	told := book(newCaller(t), c.entries("entry-a")[0], "", "late", 4*callDeadline)
+	if told.said != booked {
+		t.Errorf("the booking came to %+v", told)
+	}
+	release()
+	c.await("the late copy is refused", func() bool { return strings.Contains(c.logOf("plain-a"), "declared never run") })
+	if made := c.made()["late"]; made != 1 {
+		t.Errorf("the booking was made %d times", made)
+	}
+}
+
+func TestDrainingAgentStillHandsOverItsAnswer(t *testing.T) {
+	c := newBookingCluster(t)
+	c.put(c.backendAddr("plain-a"), "/faults", `{"delay_ms":500}`)
+	told := make(chan answered, 1)
+	client := newCaller(t)
+	client.Timeout = 0
+	go func() { told <- book(client, c.entries("entry-a")[0], "", "last", 4*callDeadline) }()
+	c.await("the booking runs", func() bool { return c.made()["last"] == 1 })
+	c.forwarders["plain-a"][0].silence()
+	c.signal("plain-a", syscall.SIGTERM)
+	if got := <-told; got.said != booked {
+		t.Errorf("the booking came to %+v", got)
+	}
+}
+
+// newStreamCluster starts an entry and a runner behind forwarders whose answers have the number of tokens.
+func newStreamCluster(t *testing.T, tokens int) *cluster {
+	c := newCluster(t)
+	c.addEntry("entry-a", "a", nil)
+	c.engines["runner-a"] = standin.NewEngine(tokens, 20*time.Millisecond)
+	c.addAgent("runner-a", "a", "engine", c.engines["runner-a"].App(), c.behindForwarder)
+	version := c.addVersion("brief", "brief-v1", make([]byte, 100_000), 65536)
+	c.set = config.Set{
+		FailureDomains: []config.FailureDomain{{Name: "a", Region: "a"}},
+		Workspaces:     []config.Workspace{{Name: "space"}},
+		Models:         []config.Model{{Name: "brief"}},
+		Versions:       []config.Version{version},
+		Services: []config.Service{{
+			Name: "models", Kind: config.KindModel, Limits: config.Limits{Cold: 8, Max: 32, Queue: 8},
+			Endpoints: []config.Endpoint{{Host: "runner-a", FailureDomain: "a"}},
+		}},
+		Rules: []config.Rule{{Name: "brief", Service: "models", Version: "brief-v1", Replicas: map[core.FailureDomain]int{"a": 1}}},
+	}
+	c.apply()
+	return c
+}
+
+// openStream asks for a completion until one begins, and returns its lines.
+func (c *cluster) openStream() (io.Closer, *bufio.Scanner) {
+	c.t.Helper()
+	var answer *http.Response
+	c.await("a stream begins", func() bool {
+		request, err := http.NewRequest(http.MethodPost, "http://"+c.entries("entry-a")[0]+"/v1/chat/completions", strings.NewReader(`{"model":"models","stream":true,"messages":[{"role":"user","content":"brief"}]}`))
+		c.must(err)
+		request.Header.Set("Lovage-Workspace", "space")
+		request.Header.Set("Lovage-Deadline-Ms", "60000")
+		answer, err = http.DefaultClient.Do(request)
+		c.must(err)
+		if answer.StatusCode != http.StatusOK {
+			_ = answer.Body.Close()
+		}
+		return answer.StatusCode == http.StatusOK
+	})
+	return answer.Body, bufio.NewScanner(answer.Body)
+}
+
+// readStream counts the tokens, which must come in order, and returns the last line.
+func readStream(t *testing.T, lines *bufio.Scanner, onFirst func()) (tokens int, last string) {
+	t.Helper()
+	for lines.Scan() {
+		line := lines.Text()
+		if line != "" {
+			last = line
+		}
+		if !strings.Contains(line, `"delta"`) {
+			continue
+		}
+		if !strings.Contains(line, fmt.Sprintf(`"t%d "`, tokens)) {
+			t.Fatalf("token %d came as %s", tokens, line)
+		}
+		if tokens == 0 {
+			onFirst()
+		}
+		tokens++
+	}
+	return tokens, last
+}
+
+func TestStreamOverSilentConnectionsIsWhole(t *testing.T) {
+	c := newStreamCluster(t, 40)
+	body, lines := c.openStream()
+	defer body.Close()
+	tokens, last := readStream(t, lines, c.forwarders["runner-a"][0].silence)
+	if tokens != 40 || last != "data: [DONE]" {
+		t.Errorf("%d tokens, then %s", tokens, last)
+	}
+}
+
+func TestStreamOfAKilledAgentIsReported(t *testing.T) {
+	c := newStreamCluster(t, 400)
+	body, lines := c.openStream()
+	defer body.Close()
+	tokens, last := readStream(t, lines, func() { c.kill("runner-a") })
+	var event struct{ Error fault.Refusal }
+	_ = json.Unmarshal([]byte(strings.TrimPrefix(last, "data: ")), &event)
+	if tokens == 400 || event.Error.Kind != "outcome_unknown" || event.Error.Outcome != fault.Unknown {
+		t.Errorf("%d tokens, then %s", tokens, last)
+	}
+}
+
+func TestCallerThatLeavesStopsItsStream(t *testing.T) {
+	c := newStreamCluster(t, 100_000)
+	body, lines := c.openStream()
+	lines.Scan()
+	_ = body.Close()
+	c.await("the engine runs nothing", func() bool {
+		state, err := backend.NewHTTP(c.backendAddr("runner-a")).State(t.Context())
+		return err == nil && state.Running == 0
+	})
+}
+
+func TestRequestThatCrashesEndpointsIsRefusedEverywhere(t *testing.T) {
+	c := newBookingCluster(t)
+	for id := range c.plains {
+		c.put(c.backendAddr(id), "/faults", `{"crash_on":"bad"}`)
+	}
+	client := newCaller(t)
+	refused := 0
+	for i := range 20 {
+		for _, entry := range c.entries("entry-a", "entry-b") {
+			if kind := c.profile(client, entry, "bad"); kind == "suspect_request" {
+				refused++
+			}
+			if kind := c.profile(client, entry, fmt.Sprint("good", i)); kind != "" {
+				t.Errorf("another request was refused: %s", kind)
+			}
+		}
+	}
+	crashes := c.plains["plain-a"].Crashes() + c.plains["plain-b"].Crashes()
+	t.Logf("%d crashes, %d of 40 sends refused as suspect", crashes, refused)
+	if crashes > maxSuspectCrashes || refused < 38 {
+		t.Errorf("%d crashes, %d of 40 sends refused as suspect", crashes, refused)
+	}
+}
+
+// profile reads a profile and returns the kind of its refusal, or "".
+func (c *cluster) profile(client *http.Client, entry, id string) string {
+	c.t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+entry+"/services/bookings/profile?id="+id, nil)
+	c.must(err)
+	request.Header.Set("Lovage-Workspace", "space")
+	answer, err := client.Do(request)
+	c.must(err)
+	defer answer.Body.Close()
+	var refusal fault.Refusal
+	if answer.StatusCode != http.StatusOK {
+		c.must(json.NewDecoder(answer.Body).Decode(&refusal))
+	}
+	return refusal.Kind
+}
