--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -17,6 +17,7 @@
 
 // admit lets the attempt run, at once or after it has waited in the queue, or says why it will never run here.
 func (a *Agent) admit(ctx context.Context, dispatch wire.Dispatch) error {
+	a.node.HearGeneration(dispatch.Generation, dispatch.Control)
 	if a.draining.Load() {
 		return fault.New(fault.Draining, "the agent is shutting down", "send it to another endpoint")
 	}
@@ -40,8 +41,8 @@
 
 func (a *Agent) allowed(dispatch wire.Dispatch) error {
 	snapshot := a.node.View().Snapshot
-	if snapshot == nil {
-		return fault.New(fault.NotReady, "the agent holds no configuration yet", "send it to another endpoint")
+	if snapshot == nil || !a.node.Fresh() {
+		return fault.New(fault.NotReady, "the agent holds no configuration, or has not compared it since it started or stood still", "send it to another endpoint")
 	}
 	return a.permitted(snapshot, dispatch)
 }
@@ -77,12 +78,14 @@
 func (o observed) Call(ctx context.Context, call backend.Call) (*stream.Response, error) {
 	began := time.Now()
 	answer, err := o.Engine.Call(ctx, call)
-	if err != nil || answer.Status >= http.StatusInternalServerError {
+	switch {
+	case ctx.Err() != nil: // its caller withdrew it or waits no longer
+	case err != nil || answer.Status >= http.StatusInternalServerError:
 		o.gate.Failed()
-		return answer, err
+	default:
+		o.gate.Observe(time.Since(began))
 	}
-	o.gate.Observe(time.Since(began))
-	return answer, nil
+	return answer, err
 }
 
 // State implements backend.Engine.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,6 +43,7 @@
 	draining    atomic.Bool
 	suspects    *suspect.Registry
 	suspectTurn chan struct{} // held by the one suspect request that runs
+	domainOut   bool          // of the last view, on the control thread
 	running     work          // attempts at the back end
 }
 
@@ -69,10 +70,11 @@
 		store:       weights.NewStore(config.WeightsBytes),
 	}
 	self := wire.Record{Host: config.Host, Incarnation: a.incarnation, Phase: wire.PhaseStarting}
-	a.node = node.NewRunner(self, core.RoleAgent, services, a.peers, a.logger)
+	a.node = node.NewRunner(self, core.RoleAgent, config.Seeds, services, a.peers, a.logger)
 	a.engine = observed{Engine: a.engine, gate: a.gate}
 	a.loader = newLoader(a)
 	a.node.OnView = a.viewChanged
+	a.node.Running = func() int { return a.gate.Load().Running }
 	return a
 }
 
@@ -136,6 +138,7 @@
 
 // viewChanged takes over what a new configuration says of this host.
 func (a *Agent) viewChanged(view *node.View) {
+	telemetry.ShowRecord(view.Self, len(view.Records))
 	if view.Snapshot == nil {
 		return
 	}
@@ -143,6 +146,11 @@
 	if service == nil {
 		return
 	}
+	out := view.Snapshot.DomainOut(a.settings.Host.FailureDomain)
+	if a.domainOut && !out {
+		a.gate.TurnCold() // the back end has grown cold while its failure domain was out
+	}
+	a.domainOut = out
 	a.gate.SetBounds(admission.Bounds{Cold: service.Limits.Cold, Max: service.Limits.Max, Queue: service.Limits.Queue})
 	a.loader.want(view.Snapshot.VersionAt(a.settings.Host.ID))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,7 @@
 	inFlight *inFlight
 	outcomes *outcomes
 	draining atomic.Bool
+	observer *observer
 }
 
 // New returns an entry that has not started.
@@ -56,7 +57,9 @@
 		outcomes: newOutcomes(services),
 	}
 	self := wire.Record{Host: config.Host, Incarnation: core.NewIncarnation(), Phase: wire.PhaseStarting}
-	e.node = node.NewRunner(self, core.RoleAgent, services, e.peers, e.logger)
+	e.node = node.NewRunner(self, core.RoleAgent, config.Seeds, services, e.peers, e.logger)
+	e.observer = newObserver(e.logger)
+	e.node.OnView = e.observer.viewChanged
 	return e
 }
 
@@ -66,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	server := rpc.Serve(control, e.node.Methods())
+	server := rpc.Serve(control, e.methods())
 	defer server.Close()
 	app := e.routes()
 	inner, stop := context.WithCancel(context.Background())
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -19,7 +19,7 @@
 type flow struct {
 	entry       *Entry
 	request     *request
-	answer      *answer
+	answer      *observation
 	machine     *outcome.Flow
 	fingerprint uint64
 	begun       time.Time
@@ -38,7 +38,7 @@
 	endpoint routing.Candidate
 }
 
-func newFlow(e *Entry, r *request, into *answer) *flow {
+func newFlow(e *Entry, r *request, into *observation) *flow {
 	f := &flow{
 		entry:     e,
 		request:   r,
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -45,6 +45,7 @@
 		Incarnation: effect.Attempt.Target.Incarnation,
 		Mark:        effect.Attempt.Target.Mark,
 		Generation:  r.generation,
+		Control:     f.entry.settings.Host.ControlAddress,
 		Service:     r.service.Name,
 		Workspace:   r.workspace,
 		Version:     effect.Attempt.Target.Version,
@@ -85,6 +86,9 @@
 
 func (f *flow) read(ctx context.Context, c connection) {
 	answer, err := f.entry.agents.Do(c.request)
+	if err != nil {
+		f.entry.node.HearFailure(c.attempt.Target.Host.ID)
+	}
 	if err != nil && c.unsent && stream.NotSent(err) {
 		f.post(ctx, outcome.NotSent{Attempt: c.attempt.ID, Conn: c.number, Err: errNotReached(err)})
 		return
@@ -101,7 +105,7 @@
 			f.post(ctx, outcome.Lost{Attempt: c.attempt.ID, Conn: c.number})
 			return
 		}
-		f.hear(c.attempt.Target.Host.ID, frame)
+		f.hear(c.attempt.Target.Host, frame)
 		if !f.post(ctx, outcome.FrameArrived{Attempt: c.attempt.ID, Conn: c.number, Frame: frame}) {
 			return
 		}
@@ -113,11 +117,12 @@
 }
 
 // hear takes over what a frame says besides its part of the answer.
-func (f *flow) hear(host core.HostID, frame wire.Frame) {
+func (f *flow) hear(host core.Host, frame wire.Frame) {
 	f.entry.outcomes.suspects.Merge(frame.Suspects, time.Now())
 	if frame.Load == nil {
 		return
 	}
-	f.entry.inFlight.report(host, *frame.Load)
-	f.entry.outcomes.marks.heard(host, frame.Load.Incarnation, frame.Load.Mark)
+	f.entry.inFlight.report(host.ID, *frame.Load)
+	f.entry.node.HearGeneration(frame.Load.Generation, host.ControlAddress)
+	f.entry.outcomes.marks.heard(host.ID, frame.Load.Incarnation, frame.Load.Mark)
 }
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -41,6 +41,7 @@
 func (f *flow) performAttempt(effect reduce.Effect) {
 	switch effect := effect.(type) {
 	case outcome.Dispatch:
+		f.answer.attempted(effect.Attempt.ID)
 		f.dispatch(effect)
 	case outcome.Attach:
 		f.attach(effect)
@@ -64,7 +65,6 @@
 		f.entry.outcomes.suspects.Answered(f.fingerprint, time.Now())
 		f.answer.finish("", nil)
 	case outcome.Refuse:
-		f.entry.logger.Info().Str("request", string(f.request.id)).Str("outcome", string(effect.Outcome)).Err(effect.Err).Msg("request refused")
 		f.answer.finish(effect.Outcome, effect.Err)
 	}
 }
