--- a/internal/outcome/flow_test.go
+++ b/internal/outcome/flow_test.go
@@ -221,3 +221,19 @@
 		t.Fatalf("not run was not said: %v", effects)
 	}
 }
+
+// BenchmarkRequest gives the reducer's cost of a whole request, that of the fake world around it included.
+func BenchmarkRequest(b *testing.B) {
+	for name, s := range map[string]script{
+		"answered": {fates: []fate{whole}},
+		"resumed":  {fates: []fate{resumed}},
+		"claimed":  {claim: free, fates: []fate{whole}},
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				play(s)
+			}
+		})
+	}
+}
--- a/systemtest/outcome_keys_test.go
+++ b/systemtest/outcome_keys_test.go
@@ -214,6 +214,9 @@
 	if outage.kind != "platform_unavailable" || outage.said != unknown || c.made()["key-0"] != 0 {
 		t.Errorf("in the outage the call came to %+v", outage)
 	}
+	if other := book(client, c.entries("entry-a")[0], "", "unkeyed", callDeadline); other.said != booked {
+		t.Errorf("in the outage a call without a key came to %+v", other)
+	}
 	c.put(c.platformAddr, "/faults", `{}`)
 	c.await("the resend is booked", func() bool {
 		return book(client, c.entries("entry-b")[0], "key-0", "key-0", callDeadline).said == booked
@@ -227,3 +230,25 @@
 	c.t.Helper()
 	c.addPlainAt(id, domain, c.behindForwarder)
 }
+
+// BenchmarkBooking gives the time of a booking through an entry and an agent, with and without a claim.
+func BenchmarkBooking(b *testing.B) {
+	c := newBookingCluster(b)
+	client := newCaller(b)
+	number := 0
+	for _, keyed := range []bool{false, true} {
+		b.Run(fmt.Sprintf("keyed=%t", keyed), func(b *testing.B) {
+			for b.Loop() {
+				number++
+				id := fmt.Sprint("bench-", number)
+				key := ""
+				if keyed {
+					key = id
+				}
+				if told := book(client, c.entries("entry-a")[0], key, id, callDeadline); told.said != booked {
+					b.Fatalf("the booking came to %+v", told)
+				}
+			}
+		})
+	}
+}
