A crash counts once for all that ran; a back end that is away ran nothing

Cause: a host or failure domain that ended under three equal requests made that content suspect everywhere for ten minutes, and an entry cut off from an agent counted each lost attempt as a crash. A back end that refuses connections gave "outcome unknown", since errorx hides a wrapped cause from errors.As; and a kept connection to a restarted back end made the first call of unknown outcome.

Ruled out: a time window for equal crashes, since a request that is sent again at once would pass within it; fresh connections for every call, since idempotent calls can be sent again.

Change: what began before the last crash that was counted fell to that one. An agent that cannot be reached makes the one flow careful and is reported to nobody. NotSent looks behind errorx. Calls that are not idempotent have a connection of their own to the back end.

With each crash counted the new test saw 5 of 1; with the cause hidden the call to a closed port was not known as unsent.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -74,6 +74,7 @@
 }
 
 func (a *Agent) run(ctx context.Context, dispatch wire.Dispatch, record *attempt.Record) {
+	began := time.Now()
 	err := a.copyAnswer(ctx, dispatch, record)
 	a.gate.Leave(err == nil)
 	switch {
@@ -83,7 +84,7 @@
 	case stream.NotSent(err):
 		record.Refuse(err, a.load())
 	default:
-		a.fail(ctx, dispatch, record, err)
+		a.fail(ctx, dispatch, record, began, err)
 	}
 }
 
@@ -98,10 +99,10 @@
 
 // fail records an attempt without a whole answer. Unless it was stopped, the back end is taken to have crashed under
 // it.
-func (a *Agent) fail(ctx context.Context, dispatch wire.Dispatch, record *attempt.Record, err error) {
+func (a *Agent) fail(ctx context.Context, dispatch wire.Dispatch, record *attempt.Record, began time.Time, err error) {
 	a.logger.Warn().Err(err).Str("request", string(dispatch.Request)).Str("attempt", string(dispatch.Attempt)).Msg("no whole answer from the back end")
 	if ctx.Err() == nil && fault.Is(err, fault.EndpointFault) {
-		a.suspects.Crashed(dispatch.Fingerprint, time.Now())
+		a.suspects.Crashed(dispatch.Fingerprint, began, time.Now())
 	}
 	record.Fail(err, a.load())
 }
@@ -112,6 +113,7 @@
 		Path:        dispatch.Path,
 		ContentType: dispatch.ContentType,
 		Body:        dispatch.Body,
+		Fresh:       !dispatch.Idempotent,
 	})
 	if err != nil {
 		return fault.Wrap(err, fault.EndpointFault, "the back end gave no answer", "check that the back end runs")
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/attempt"
+	"github.com/lovageglade/lovageglade/internal/backend"
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/stream"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -38,3 +41,16 @@
 		t.Error("work was taken after the wait")
 	}
 }
+
+func TestBackEndThatIsAwayRanNothing(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	a := &Agent{engine: backend.NewHTTP(listener.Addr().String())}
+	err = a.copyAnswer(context.Background(), wire.Dispatch{Method: "POST", Path: "/bookings"}, nil)
+	if !stream.NotSent(err) || !fault.Is(err, fault.EndpointFault) {
+		t.Errorf("the call came to %v", err)
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -22,6 +22,7 @@
 	Path        string
 	ContentType string
 	Body        []byte
+	Fresh       bool // over a connection of its own, so that a failure to connect proves that nothing was sent
 }
 
 // Caller runs requests. The answer's body ends with io.EOF only when it is whole.
@@ -80,6 +81,7 @@
 		URL:         "http://" + h.address + call.Path,
 		ContentType: call.ContentType,
 		Body:        call.Body,
+		Fresh:       call.Fresh,
 	})
 }
 
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -55,7 +55,7 @@
 func (f *flow) performAnswer(effect reduce.Effect) {
 	switch effect := effect.(type) {
 	case outcome.Crashed:
-		f.entry.outcomes.suspects.Crashed(f.fingerprint, time.Now())
+		f.entry.outcomes.suspects.Crashed(f.fingerprint, f.begun, time.Now())
 	case outcome.PassHead:
 		f.entry.outcomes.firstBytes.of(f.request.service.Name).Record(time.Since(f.begun))
 		f.answer.head(effect.Status, effect.ContentType)
--- a/internal/outcome/answer.go
+++ b/internal/outcome/answer.go
@@ -121,10 +121,16 @@
 	return f.failed(a, errLost())
 }
 
-// vanished closes an attempt whose agent's life has ended, or cannot be reached.
+// vanished closes an attempt whose agent's life has ended.
 func (f *Flow) vanished(a *attempt) []reduce.Effect {
+	return append([]reduce.Effect{Crashed{}}, f.unreachable(a)...)
+}
+
+// unreachable closes an attempt whose agent cannot be asked. It may as well be cut off as crashed, so that this flow
+// alone is careful with further attempts.
+func (f *Flow) unreachable(a *attempt) []reduce.Effect {
 	f.crashes++
-	return append([]reduce.Effect{Crashed{}}, f.failed(a, errLost())...)
+	return f.failed(a, errLost())
 }
 
 func errLost() error {
--- a/internal/outcome/flow.go
+++ b/internal/outcome/flow.go
@@ -102,7 +102,7 @@
 	case Resolved:
 		return f.on(event.Attempt, func(a *attempt) []reduce.Effect { return f.resolved(a, event.State) })
 	case ResolveFailed:
-		return f.on(event.Attempt, f.vanished)
+		return f.on(event.Attempt, f.unreachable)
 	}
 	return nil
 }
--- a/internal/stream/client.go
+++ b/internal/stream/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 )
 
@@ -31,7 +32,11 @@
 // NotSent tells whether the request failed before any byte of it was sent.
 func NotSent(err error) bool {
 	var unsent *NotSentError
-	return errors.As(err, &unsent) || errors.Is(err, fasthttp.ErrNoFreeConns)
+	if errors.As(err, &unsent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return true
+	}
+	wrapped := errorx.Cast(err)
+	return wrapped != nil && NotSent(wrapped.Cause())
 }
 
 // Client sends requests and streams their answers.
--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -44,11 +44,15 @@
 	return int(known.suspicion.Crashes)
 }
 
-// Crashed counts a crash of an endpoint that ran the request.
-func (r *Registry) Crashed(fingerprint uint64, now time.Time) {
+// Crashed counts a crash of an endpoint that ran the request since it began. What began before the last crash that was
+// counted fell to that one, so that a host or a failure domain that ends under many equal requests counts once.
+func (r *Registry) Crashed(fingerprint uint64, began, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := r.current(fingerprint, now)
+	if next.Crashes > 0 && began.Before(r.entries[fingerprint].changed) {
+		return
+	}
 	next.Crashes++
 	r.put(next, now)
 }
--- a/internal/suspect/registry_test.go
+++ b/internal/suspect/registry_test.go
@@ -40,7 +40,7 @@
 
 func TestAnswerEndsTheSuspicionEverywhere(t *testing.T) {
 	here, there := NewRegistry(), NewRegistry()
-	here.Crashed(7, now)
+	here.Crashed(7, now, now)
 	there.Merge(here.Report(now), now)
 	there.Answered(7, now)
 	here.Merge(there.Report(now), now)
@@ -51,7 +51,7 @@
 
 func TestOldNewsDiesOut(t *testing.T) {
 	here, there := NewRegistry(), NewRegistry()
-	here.Crashed(7, now)
+	here.Crashed(7, now, now)
 	later := now.Add(memory - time.Second)
 	there.Merge(here.Report(later), later)
 	end := now.Add(memory + 2*time.Second)
@@ -63,7 +63,7 @@
 func TestRegistryAndReportsAreBounded(t *testing.T) {
 	registry := NewRegistry()
 	for fingerprint := range uint64(2 * maxEntries) {
-		registry.Crashed(fingerprint, now.Add(time.Duration(fingerprint)))
+		registry.Crashed(fingerprint, now, now.Add(time.Duration(fingerprint)))
 	}
 	report := registry.Report(now.Add(time.Second))
 	if len(registry.entries) > maxEntries || len(report) > maxReport {
@@ -74,3 +74,17 @@
 		t.Error("the latest crash is not reported")
 	}
 }
+
+func TestOneCrashIsCountedOnceForAllThatRan(t *testing.T) {
+	registry := NewRegistry()
+	for i := range 5 {
+		registry.Crashed(7, now, now.Add(time.Duration(i+1)*time.Second))
+	}
+	if crashes := registry.Crashes(7, now.Add(time.Minute)); crashes != 1 {
+		t.Errorf("%d crashes", crashes)
+	}
+	registry.Crashed(7, now.Add(time.Minute), now.Add(time.Minute))
+	if crashes := registry.Crashes(7, now.Add(time.Minute)); crashes != 2 {
+		t.Errorf("%d crashes after another", crashes)
+	}
+}
