An entry answers burn.windows in one compressed stream

Ruled out: answers without compression, 2 to 3 MB of JSON from each entry at 300 series, over links of 25 Mbit/s.

Change: buckets travel as values and counts, all in one gzip stream. What arrives is checked before it is merged. Object kinds of the configuration are named ObjectKind, so that they are not mistaken for kinds of services.

Test changed: the test of a damaged histogram now holds six kinds of damage in place of one.

--- a/cmd/lovagectl/main_test.go
+++ b/cmd/lovagectl/main_test.go
@@ -213,6 +213,17 @@
 	})
 }
 
+func TestShownConfigurationCanBeApplied(t *testing.T) {
+	b := newBench(t)
+	b.follow([]step{{command: "config apply ./sound", out: "warning..."}})
+	var shown bytes.Buffer
+	if code := run(t.Context(), []string{"--platform", filepath.Join(b.folder, "platform.json"), "config", "show"}, &shown, io.Discard, func(int) {}); code != 0 {
+		t.Fatalf("exit code %d", code)
+	}
+	b.write("shown", shown.String())
+	b.follow([]step{{command: "config diff ./shown", out: "from generation 1:\nno difference\n"}})
+}
+
 func TestLostAnswersPublishOnce(t *testing.T) {
 	b := newBench(t)
 	b.put("/faults", standin.PlatformFaults{Down: true})
@@ -279,8 +290,8 @@
 	for i := range requests {
 		recorder.Record(time.Hour, burn.Key{Service: "chat", Workspace: "space"}, burn.Observation{Bad: i < bad, FirstToken: time.Second})
 	}
-	return map[string]rpc.Method{burn.MethodWindows: rpc.Handle(func(_ context.Context, request burn.WindowsRequest) (burn.WindowsAnswer, error) {
-		return recorder.Windows(time.Hour, request, nil)
+	return map[string]rpc.Method{burn.MethodWindows: rpc.Handle(func(_ context.Context, request burn.WindowsRequest) (burn.PackedAnswer, error) {
+		return recorder.Windows(time.Hour, request, nil).Pack()
 	})}
 }
 
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/lovageglade/lovageglade/internal/config"
 	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -78,11 +79,16 @@
 			for _, event := range part {
 				recorder.Record(event.at, event.key, event.seen)
 			}
-			answer, err := recorder.Windows(end, request(), nil)
+			answer := recorder.Windows(end, request(), nil)
+			packed, err := answer.Pack()
 			if err != nil {
 				t.Fatal(err)
 			}
-			if err := merged.Add(answer); err != nil {
+			unpacked, err := packed.Unpack()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := merged.Add(unpacked); err != nil {
 				t.Fatal(err)
 			}
 			events = append(events, part...)
@@ -179,10 +185,7 @@
 		if test.now == 59*time.Minute {
 			recorder.Record(test.now, key, Observation{})
 		}
-		answer, err := recorder.Windows(test.now, request(), nil)
-		if err != nil {
-			t.Fatal(err)
-		}
+		answer := recorder.Windows(test.now, request(), nil)
 		var got []uint64
 		for _, sum := range answer.Series[0].Windows {
 			got = append(got, sum.Total)
@@ -248,9 +251,21 @@
 
 func TestDamagedHistogramIsRefused(t *testing.T) {
 	merged := NewMerged(windows)
-	damaged := EncodedSum{Histograms: map[Measure]string{FirstToken: "HISTF"}}
-	if err := merged.Add(WindowsAnswer{Series: []SeriesAnswer{{Windows: []EncodedSum{damaged}}}}); err == nil {
-		t.Fatal("a damaged histogram was taken")
+	for _, damaged := range []EncodedHistogram{
+		{Values: []int64{1, 2}, Counts: []int64{1}},
+		{Values: []int64{-1}, Counts: []int64{1}},
+		{Values: []int64{maxValue + 1}, Counts: []int64{1}},
+		{Values: []int64{1}, Counts: []int64{-1}},
+	} {
+		sum := EncodedSum{Histograms: map[Measure]EncodedHistogram{FirstToken: damaged}}
+		if err := merged.Add(WindowsAnswer{Series: []SeriesAnswer{{Windows: []EncodedSum{sum}}}}); !fault.Is(err, fault.Corrupted) {
+			t.Errorf("%+v was taken: %v", damaged, err)
+		}
+	}
+	for _, packed := range [][]byte{nil, []byte("no gzip")} {
+		if _, err := (PackedAnswer{Packed: packed}).Unpack(); !fault.Is(err, fault.Corrupted) {
+			t.Errorf("%q was unpacked: %v", packed, err)
+		}
 	}
 }
 
@@ -319,10 +334,7 @@
 func TestPendingVersionsCount(t *testing.T) {
 	recorder := NewRecorder()
 	recorder.RecordReplicas(0, "chat", 10*time.Second)
-	answer, err := recorder.Windows(time.Minute, request(), map[core.Service]time.Duration{"chat": 400 * time.Second, "draft": 400 * time.Second})
-	if err != nil {
-		t.Fatal(err)
-	}
+	answer := recorder.Windows(time.Minute, request(), map[core.Service]time.Duration{"chat": 400 * time.Second, "draft": 400 * time.Second})
 	merged := NewMerged(windows)
 	if err := merged.Add(answer); err != nil {
 		t.Fatal(err)
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -70,7 +70,7 @@
 
 // Windows returns every series' sums over the windows that end now. Pending versions, which have not reached their
 // replicas, count with their age.
-func (r *Recorder) Windows(now time.Duration, request WindowsRequest, pending map[core.Service]time.Duration) (WindowsAnswer, error) {
+func (r *Recorder) Windows(now time.Duration, request WindowsRequest, pending map[core.Service]time.Duration) WindowsAnswer {
 	answer := WindowsAnswer{Series: []SeriesAnswer{}}
 	for _, seconds := range request.WindowsS {
 		answer.CoveredS = append(answer.CoveredS, min(now, window(seconds)).Seconds())
@@ -82,15 +82,11 @@
 			if age, waits := pending[key.Service]; waits && key.Workspace == "" {
 				sum.add(Replicas, int64(age.Seconds()))
 			}
-			encoded, err := sum.encode()
-			if err != nil {
-				return answer, err
-			}
-			series.Windows = append(series.Windows, encoded)
+			series.Windows = append(series.Windows, sum.encode())
 		}
 		answer.Series = append(answer.Series, series)
 	}
-	return answer, nil
+	return answer
 }
 
 // window bounds what is asked for to what is kept.
--- a/internal/burn/sum.go
+++ b/internal/burn/sum.go
@@ -8,7 +8,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/lovageglade/lovageglade/internal/core"
-	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
 // Measure names what a histogram holds.
@@ -89,61 +88,6 @@
 	return total
 }
 
-// EncodedSum is a sum between processes.
-type EncodedSum struct {
-	Total      uint64             `json:"total,omitempty"`
-	Bad        uint64             `json:"bad,omitempty"`
-	Histograms map[Measure]string `json:"histograms,omitempty"` // HdrHistogram V2, compressed, in base64
-}
-
-func (s *Sum) encode() (EncodedSum, error) {
-	encoded := EncodedSum{Total: s.Total, Bad: s.Bad}
-	for measure, histogram := range s.histograms {
-		raw, err := histogram.Encode()
-		if err != nil {
-			return encoded, fault.Wrap(err, fault.Internal, "a histogram cannot be encoded", "report this")
-		}
-		if encoded.Histograms == nil {
-			encoded.Histograms = make(map[Measure]string)
-		}
-		encoded.Histograms[measure] = string(raw)
-	}
-	return encoded, nil
-}
-
-// Decode returns the sum that was encoded.
-func (e EncodedSum) Decode() (*Sum, error) {
-	sum := &Sum{Total: e.Total, Bad: e.Bad}
-	for measure, raw := range e.Histograms {
-		histogram, err := hdrhistogram.DecodePacked([]byte(raw))
-		if err != nil {
-			return nil, fault.Wrap(err, fault.Corrupted, "a histogram cannot be decoded", "run lovagectl and the entries in versions that go together")
-		}
-		sum.histogram(measure).Merge(histogram)
-	}
-	return sum, nil
-}
-
-// MethodWindows asks an entry for its sums over windows of time that end now.
-const MethodWindows = "burn.windows"
-
-// WindowsRequest is the request of MethodWindows.
-type WindowsRequest struct {
-	WindowsS []int64 `json:"windows_s"` // seconds
-}
-
-// WindowsAnswer is the answer of MethodWindows.
-type WindowsAnswer struct {
-	CoveredS []float64      `json:"covered_s"` // seconds of each window that the entry has recorded
-	Series   []SeriesAnswer `json:"series"`
-}
-
-// SeriesAnswer holds one series' sums, in order of the windows that were asked for.
-type SeriesAnswer struct {
-	Key
-	Windows []EncodedSum `json:"windows"`
-}
-
 // Observation is what one request contributes.
 type Observation struct {
 	Bad        bool
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -81,7 +81,7 @@
 	ref     objectRef
 }
 
-func (c *checker) subject(kind Kind, name string) subject {
+func (c *checker) subject(kind ObjectKind, name string) subject {
 	return subject{checker: c, ref: objectRef{Kind: kind, Name: name}}
 }
 
@@ -136,12 +136,12 @@
 }
 
 func (c *checker) checkFailureDomain(domain *FailureDomain) {
-	at := c.subject(KindFailureDomain, string(domain.Name))
+	at := c.subject(ObjectFailureDomain, string(domain.Name))
 	at.checkName("region", string(domain.Region))
 }
 
 func (c *checker) checkVersion(version *Version) {
-	at := c.subject(KindVersion, version.Name)
+	at := c.subject(ObjectVersion, version.Name)
 	if c.models[version.Model] == nil {
 		at.problem("model", fmt.Sprintf("model %q does not exist", version.Model), "add the model or correct its name")
 	}
@@ -151,7 +151,7 @@
 }
 
 func (c *checker) checkWorkspace(workspace *Workspace) {
-	at := c.subject(KindWorkspace, string(workspace.Name))
+	at := c.subject(ObjectWorkspace, string(workspace.Name))
 	seen := make(map[core.Service]bool)
 	for i, name := range workspace.Services {
 		field := fmt.Sprintf("services[%d]", i)
--- a/internal/config/check_service.go
+++ b/internal/config/check_service.go
@@ -12,7 +12,7 @@
 var callMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 
 func (c *checker) checkService(service *Service) {
-	at := c.subject(KindService, string(service.Name))
+	at := c.subject(ObjectService, string(service.Name))
 	switch service.Kind {
 	case KindModel:
 		at.checkModelService(service)
@@ -111,7 +111,7 @@
 }
 
 func (c *checker) checkRule(rule *Rule) {
-	at := c.subject(KindRule, rule.Name)
+	at := c.subject(ObjectRule, rule.Name)
 	service := c.services[rule.Service]
 	version := c.versions[rule.Version]
 	if service == nil {
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -22,7 +22,7 @@
 // Change is the difference of one object between two sets.
 type Change struct {
 	Action Action        `json:"action"`
-	Kind   Kind          `json:"kind"`
+	Kind   ObjectKind    `json:"kind"`
 	Object string        `json:"object"`
 	Fields []FieldChange `json:"fields,omitempty"` // of a changed object
 }
@@ -81,7 +81,7 @@
 	return changes
 }
 
-var kindOrder = []Kind{KindFailureDomain, KindWorkspace, KindModelObject, KindVersion, KindService, KindRule}
+var kindOrder = []ObjectKind{ObjectFailureDomain, ObjectWorkspace, ObjectModel, ObjectVersion, ObjectService, ObjectRule}
 
 func compareRefs(a, b objectRef) int {
 	if a.Kind != b.Kind {
--- a/internal/config/naive_test.go
+++ b/internal/config/naive_test.go
@@ -20,7 +20,7 @@
 	places []string
 }
 
-func (n *naive) unless(sound bool, kind Kind, name any, field string, parts ...any) {
+func (n *naive) unless(sound bool, kind ObjectKind, name any, field string, parts ...any) {
 	if !sound {
 		n.places = append(n.places, fmt.Sprintf("%s %q: %s", kind, name, fmt.Sprintf(field, parts...)))
 	}
@@ -41,9 +41,9 @@
 	return nil
 }
 
-func (n *naive) has(kind Kind, name string) bool { return n.count(kind, name) > 0 }
+func (n *naive) has(kind ObjectKind, name string) bool { return n.count(kind, name) > 0 }
 
-func (n *naive) count(kind Kind, name string) int {
+func (n *naive) count(kind ObjectKind, name string) int {
 	count := 0
 	for _, object := range n.set.objects() {
 		if object.ref.Kind == kind && object.ref.Name == name {
@@ -53,7 +53,7 @@
 	return count
 }
 
-func (n *naive) objectives(kind Kind, name any, field string, o Objectives, of ServiceKind) {
+func (n *naive) objectives(kind ObjectKind, name any, field string, o Objectives, of ServiceKind) {
 	n.unless(o.Availability == 0 || (o.Availability >= 0.5 && o.Availability < 1), kind, name, "%s.availability", field)
 	n.unless(within(o.FirstTokenMS, 0, 600_000), kind, name, "%s.first_token_ms", field)
 	n.unless(within(o.BetweenTokensMS, 0, 600_000), kind, name, "%s.between_tokens_ms", field)
@@ -71,11 +71,11 @@
 		seen[object.ref] = true
 	}
 	for _, domain := range n.set.FailureDomains {
-		n.unless(sound(string(domain.Region)), KindFailureDomain, domain.Name, "region")
+		n.unless(sound(string(domain.Region)), ObjectFailureDomain, domain.Name, "region")
 	}
 	for _, version := range n.set.Versions {
-		n.unless(n.has(KindModelObject, string(version.Model)), KindVersion, version.Name, "model")
-		n.unless(len(version.Manifest) == 64 && strings.Trim(string(version.Manifest), "0123456789abcdef") == "", KindVersion, version.Name, "manifest")
+		n.unless(n.has(ObjectModel, string(version.Model)), ObjectVersion, version.Name, "model")
+		n.unless(len(version.Manifest) == 64 && strings.Trim(string(version.Manifest), "0123456789abcdef") == "", ObjectVersion, version.Name, "manifest")
 	}
 	for _, workspace := range n.set.Workspaces {
 		n.workspace(workspace)
@@ -92,48 +92,48 @@
 
 func (n *naive) workspace(w Workspace) {
 	for i, name := range w.Services {
-		n.unless(n.service(name) != nil, KindWorkspace, w.Name, "services[%d]", i)
-		n.unless(!slices.Contains(w.Services[:i], name), KindWorkspace, w.Name, "services[%d]", i)
+		n.unless(n.service(name) != nil, ObjectWorkspace, w.Name, "services[%d]", i)
+		n.unless(!slices.Contains(w.Services[:i], name), ObjectWorkspace, w.Name, "services[%d]", i)
 	}
 	for name, o := range w.Objectives {
 		field := fmt.Sprintf("objectives[%q]", name)
-		n.unless(n.service(name) != nil, KindWorkspace, w.Name, "%s", field)
+		n.unless(n.service(name) != nil, ObjectWorkspace, w.Name, "%s", field)
 		if n.service(name) == nil {
 			continue
 		}
-		n.unless(len(w.Services) == 0 || slices.Contains(w.Services, name), KindWorkspace, w.Name, "%s", field)
-		n.unless(o.ReplicasS == 0, KindWorkspace, w.Name, "%s.replicas_s", field)
+		n.unless(len(w.Services) == 0 || slices.Contains(w.Services, name), ObjectWorkspace, w.Name, "%s", field)
+		n.unless(o.ReplicasS == 0, ObjectWorkspace, w.Name, "%s.replicas_s", field)
 		o.ReplicasS = 0
-		n.objectives(KindWorkspace, w.Name, field, o, n.service(name).Kind)
+		n.objectives(ObjectWorkspace, w.Name, field, o, n.service(name).Kind)
 	}
 }
 
 func (n *naive) checkService(s Service) {
 	model, plain := s.Kind == KindModel, s.Kind == KindPlain
-	n.unless(model || plain, KindService, s.Name, "kind")
-	n.unless(!model || len(s.Calls) == 0, KindService, s.Name, "calls")
-	n.unless(!model || s.Model == "" || n.has(KindModelObject, string(s.Model)), KindService, s.Name, "model")
-	n.unless(!plain || s.Model == "", KindService, s.Name, "model")
+	n.unless(model || plain, ObjectService, s.Name, "kind")
+	n.unless(!model || len(s.Calls) == 0, ObjectService, s.Name, "calls")
+	n.unless(!model || s.Model == "" || n.has(ObjectModel, string(s.Model)), ObjectService, s.Name, "model")
+	n.unless(!plain || s.Model == "", ObjectService, s.Name, "model")
 	bound := slices.ContainsFunc(n.set.Rules, func(rule Rule) bool { return rule.Service == s.Name })
-	n.unless(!model || bound, KindService, s.Name, "name")
+	n.unless(!model || bound, ObjectService, s.Name, "name")
 	for i, call := range s.Calls {
 		if !plain {
 			continue
 		}
-		n.unless(slices.Contains(callMethods, call.Method), KindService, s.Name, "calls[%d].method", i)
-		n.unless(strings.HasPrefix(call.Path, "/"), KindService, s.Name, "calls[%d].path", i)
+		n.unless(slices.Contains(callMethods, call.Method), ObjectService, s.Name, "calls[%d].method", i)
+		n.unless(strings.HasPrefix(call.Path, "/"), ObjectService, s.Name, "calls[%d].path", i)
 		twice := slices.ContainsFunc(s.Calls[:i], func(other Call) bool { return other.Method == call.Method && other.Path == call.Path })
-		n.unless(!twice, KindService, s.Name, "calls[%d]", i)
+		n.unless(!twice, ObjectService, s.Name, "calls[%d]", i)
 	}
-	n.unless(within(s.Limits.Max, 1, maxLimit), KindService, s.Name, "limits.max")
-	n.unless(within(s.Limits.Cold, 1, maxLimit), KindService, s.Name, "limits.cold")
-	n.unless(s.Limits.Max < 1 || s.Limits.Cold <= s.Limits.Max, KindService, s.Name, "limits.cold")
-	n.unless(within(s.Limits.Queue, 0, maxLimit), KindService, s.Name, "limits.queue")
-	n.objectives(KindService, s.Name, "objectives", s.Objectives, s.Kind)
-	n.unless(len(s.Endpoints) > 0, KindService, s.Name, "endpoints")
+	n.unless(within(s.Limits.Max, 1, maxLimit), ObjectService, s.Name, "limits.max")
+	n.unless(within(s.Limits.Cold, 1, maxLimit), ObjectService, s.Name, "limits.cold")
+	n.unless(s.Limits.Max < 1 || s.Limits.Cold <= s.Limits.Max, ObjectService, s.Name, "limits.cold")
+	n.unless(within(s.Limits.Queue, 0, maxLimit), ObjectService, s.Name, "limits.queue")
+	n.objectives(ObjectService, s.Name, "objectives", s.Objectives, s.Kind)
+	n.unless(len(s.Endpoints) > 0, ObjectService, s.Name, "endpoints")
 	for i, endpoint := range s.Endpoints {
-		n.unless(sound(string(endpoint.Host)), KindService, s.Name, "endpoints[%d].host", i)
-		n.unless(n.has(KindFailureDomain, string(endpoint.FailureDomain)), KindService, s.Name, "endpoints[%d].failure_domain", i)
+		n.unless(sound(string(endpoint.Host)), ObjectService, s.Name, "endpoints[%d].host", i)
+		n.unless(n.has(ObjectFailureDomain, string(endpoint.FailureDomain)), ObjectService, s.Name, "endpoints[%d].failure_domain", i)
 	}
 }
 
@@ -141,7 +141,7 @@
 	var before []core.HostID
 	for _, service := range n.set.Services {
 		for i, endpoint := range service.Endpoints {
-			n.unless(endpoint.Host == "" || !slices.Contains(before, endpoint.Host), KindService, service.Name, "endpoints[%d].host", i)
+			n.unless(endpoint.Host == "" || !slices.Contains(before, endpoint.Host), ObjectService, service.Name, "endpoints[%d].host", i)
 			before = append(before, endpoint.Host)
 		}
 	}
@@ -149,31 +149,31 @@
 
 func (n *naive) rule(at int, r Rule) {
 	service := n.service(r.Service)
-	n.unless(service != nil, KindRule, r.Name, "service")
-	n.unless(n.has(KindVersion, r.Version), KindRule, r.Name, "version")
+	n.unless(service != nil, ObjectRule, r.Name, "service")
+	n.unless(n.has(ObjectVersion, r.Version), ObjectRule, r.Name, "version")
 	if service != nil {
-		n.unless(service.Kind != KindPlain, KindRule, r.Name, "service")
+		n.unless(service.Kind != KindPlain, ObjectRule, r.Name, "service")
 		twice := slices.ContainsFunc(n.set.Rules[:at], func(other Rule) bool { return other.Service == r.Service })
-		n.unless(!twice, KindRule, r.Name, "service")
+		n.unless(!twice, ObjectRule, r.Name, "service")
 		for _, version := range n.set.Versions {
-			n.unless(version.Name != r.Version || service.Model == "" || version.Model == service.Model, KindRule, r.Name, "version")
+			n.unless(version.Name != r.Version || service.Model == "" || version.Model == service.Model, ObjectRule, r.Name, "version")
 		}
 	}
 	total := 0
 	for domain, asked := range r.Replicas {
 		total += max(asked, 0)
-		known := n.has(KindFailureDomain, string(domain))
-		n.unless(known, KindRule, r.Name, "replicas[%q]", domain)
-		n.unless(!known || asked >= 0, KindRule, r.Name, "replicas[%q]", domain)
+		known := n.has(ObjectFailureDomain, string(domain))
+		n.unless(known, ObjectRule, r.Name, "replicas[%q]", domain)
+		n.unless(!known || asked >= 0, ObjectRule, r.Name, "replicas[%q]", domain)
 		held := 0
 		for i := 0; service != nil && i < len(service.Endpoints); i++ {
 			if service.Endpoints[i].FailureDomain == domain {
 				held++
 			}
 		}
-		n.unless(!known || service == nil || asked <= held, KindRule, r.Name, "replicas[%q]", domain)
+		n.unless(!known || service == nil || asked <= held, ObjectRule, r.Name, "replicas[%q]", domain)
 	}
-	n.unless(total > 0, KindRule, r.Name, "replicas")
+	n.unless(total > 0, ObjectRule, r.Name, "replicas")
 }
 
 func places(problems []Problem) []string {
--- a/internal/config/problem.go
+++ b/internal/config/problem.go
@@ -10,12 +10,12 @@
 
 // Problem is one thing that is wrong with an object, or that an operator should know of it.
 type Problem struct {
-	File   string `json:"file,omitempty"` // "" for a set that was not read from files
-	Kind   Kind   `json:"kind"`
-	Object string `json:"object"`
-	Field  string `json:"field"`
-	Wrong  string `json:"wrong"`
-	Remedy string `json:"remedy"`
+	File   string     `json:"file,omitempty"` // "" for a set that was not read from files
+	Kind   ObjectKind `json:"kind"`
+	Object string     `json:"object"`
+	Field  string     `json:"field"`
+	Wrong  string     `json:"wrong"`
+	Remedy string     `json:"remedy"`
 }
 
 // String renders the problem on one line.
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -24,7 +24,7 @@
 
 // objectRef names an object by kind and name.
 type objectRef struct {
-	Kind Kind
+	Kind ObjectKind
 	Name string
 }
 
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -67,9 +67,9 @@
 
 // methods adds the control method of the burn report.
 func (o *observer) methods(methods map[string]rpc.Method) map[string]rpc.Method {
-	methods[burn.MethodWindows] = rpc.Handle(func(_ context.Context, request burn.WindowsRequest) (burn.WindowsAnswer, error) {
+	methods[burn.MethodWindows] = rpc.Handle(func(_ context.Context, request burn.WindowsRequest) (burn.PackedAnswer, error) {
 		now := o.now()
-		return o.recorder.Windows(now, request, o.replicas.Pending(now))
+		return o.recorder.Windows(now, request, o.replicas.Pending(now)).Pack()
 	})
 	return methods
 }
--- a/internal/entry/observe_test.go
+++ b/internal/entry/observe_test.go
@@ -28,10 +28,7 @@
 // total returns the sum over the last hour, decoded.
 func total(t *testing.T, o *observer) *burn.Sum {
 	t.Helper()
-	answer, err := o.recorder.Windows(o.now(), burn.WindowsRequest{WindowsS: []int64{3600}}, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	answer := o.recorder.Windows(o.now(), burn.WindowsRequest{WindowsS: []int64{3600}}, nil)
 	if len(answer.Series) == 0 {
 		return &burn.Sum{}
 	}
--- a/internal/operate/burn.go
+++ b/internal/operate/burn.go
@@ -90,7 +90,11 @@
 		ctx, cancel := context.WithTimeout(ctx, burnTimeout)
 		defer cancel()
 		answer := entryAnswer{host: *host}
-		answer.err = o.Peers.Call(ctx, host.ControlAddress, burn.MethodWindows, request, &answer.windows)
+		var packed burn.PackedAnswer
+		answer.err = o.Peers.Call(ctx, host.ControlAddress, burn.MethodWindows, request, &packed)
+		if answer.err == nil {
+			answer.windows, answer.err = packed.Unpack()
+		}
 		return answer
 	}), nil
 }
--- a/internal/operate/wait.go
+++ b/internal/operate/wait.go
@@ -16,7 +16,7 @@
 	Generation core.Generation `json:"generation"`
 	Confirmed  []core.HostID   `json:"confirmed"`
 	Missing    []Unconfirmed   `json:"missing"`
-	SecondsS   float64         `json:"seconds"`
+	Seconds    float64         `json:"seconds"`
 }
 
 // Unconfirmed is a host that does not hold a generation yet, and why that is known.
@@ -37,7 +37,7 @@
 		current, err = o.confirm(ctx, generation)
 		if err == nil {
 			last = current
-			last.SecondsS = time.Since(start).Seconds()
+			last.Seconds = time.Since(start).Seconds()
 		}
 		if err == nil && len(current.Missing) == 0 {
 			return o.reportConfirmed(last, asJSON)
@@ -81,7 +81,7 @@
 	if asJSON {
 		return o.printJSON(confirmation)
 	}
-	return o.printf("generation %d is confirmed by all %d hosts after %.2f s\n", confirmation.Generation, len(confirmation.Confirmed), confirmation.SecondsS)
+	return o.printf("generation %d is confirmed by all %d hosts after %.2f s\n", confirmation.Generation, len(confirmation.Confirmed), confirmation.Seconds)
 }
 
 func (o *Operator) reportMissing(confirmation Confirmation, cause error, asJSON bool) error {
