lovagectl status and burn without the platform

Cause: both asked the platform for the host list and the head first, and so failed in the outage in which they are needed.

Ruled out: publishing from what hosts hold, since only the platform's head decides: reading alone falls back.

The output says so.

Conclusion: operators cut off from the platform still see what they reach.

--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -31,6 +31,7 @@
 
 type commandLine struct {
 	Platform string     `help:"JSON file with the platform's addresses." placeholder:"FILE" env:"LOVAGE_PLATFORM"`
+	Hosts    []string   `help:"Control addresses of hosts. While the platform is away, status and burn ask these." placeholder:"IP:PORT" env:"LOVAGE_HOSTS"`
 	Config   configCmd  `cmd:"" help:"Check configurations, put them in force, list them and go back."`
 	Version  versionCmd `cmd:"" help:"Add model versions."`
 	Domain   domainCmd  `cmd:"" help:"Take a failure domain out of service and bring it back."`
@@ -64,6 +65,7 @@
 	}
 	operator := operate.New(addresses, out)
 	operator.By = os.Getenv("USER")
+	operator.Hosts = line.Hosts
 	defer operator.Peers.Close()
 	parsed.BindTo(ctx, (*context.Context)(nil))
 	return fail(errOut, parsed.Run(operator))
--- a/cmd/lovagectl/main_test.go
+++ b/cmd/lovagectl/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/lovageglade/lovageglade/internal/burn"
+	"github.com/lovageglade/lovageglade/internal/config"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
@@ -322,3 +324,32 @@
 		t.Fatalf("plot %s, %v", plot, err)
 	}
 }
+
+func TestStatusAndBurnWhileThePlatformIsAway(t *testing.T) {
+	b := newBench(t)
+	b.follow([]step{{command: "config apply ./sound", out: "warning..."}})
+	set, err := config.ReadFolder(filepath.Join(b.folder, "sound"))
+	b.must(err)
+	raw, digest, err := config.Encode(set)
+	b.must(err)
+	for i, generation := range []core.Generation{1, 4} { // the second holds a newer one than the first
+		methods := burnMethods(100, 1)
+		methods[wire.MethodSnapshot] = rpc.Handle(func(context.Context, struct{}) (wire.Snapshot, error) {
+			return wire.Snapshot{Generation: generation, Digest: digest, Raw: raw}, nil
+		})
+		methods[wire.MethodStatus] = rpc.Handle(func(context.Context, struct{}) (wire.Record, error) {
+			return wire.Record{Host: b.hosts[i], Phase: wire.PhaseReady, Generation: generation}, nil
+		})
+		b.addHost(core.HostID(fmt.Sprint("e", i)), core.RoleEntry, "a", methods)
+	}
+	b.put("/faults", standin.PlatformFaults{Down: true})
+	hosts := " --hosts " + b.hosts[0].ControlAddress + "," + b.hosts[1].ControlAddress
+	const away = "the platform is away: only the hosts named by --hosts are asked\n"
+	b.follow([]step{
+		{command: "status", code: 7, errOut: "status 503"},
+		{command: "status --hosts 127.0.0.1:1", code: 7, errOut: "status 503"},
+		{command: "status" + hosts, out: away + "HOST ROLE FAILURE DOMAIN PHASE GENERATION VERSION\ne0 entry a ready 1 \ne1 entry a ready 4 \ngeneration 4 is in force at 1 of 2 hosts; 0 gave no answer\n"},
+		{command: "burn --windows 1h" + hosts, out: away + "SERVICE WORKSPACE OBJECTIVE TARGET 1h BUDGET LEFT\nchat * availability 99% 1.00 0.0%\n..."},
+		{command: "config apply ./sound" + hosts, code: 7, out: "warning...", errOut: "status 503"},
+	})
+}
--- a/internal/operate/burn.go
+++ b/internal/operate/burn.go
@@ -52,7 +52,7 @@
 
 // Burn gathers the sums of all entries and reports the burn of every objective.
 func (o *Operator) Burn(ctx context.Context, options BurnOptions) error {
-	snapshot, err := o.inForce(ctx)
+	snapshot, err := o.held(ctx)
 	if err != nil {
 		return err
 	}
@@ -76,7 +76,7 @@
 }
 
 func (o *Operator) gatherBurn(ctx context.Context, windows []time.Duration) ([]entryAnswer, error) {
-	hosts, err := o.Platform.ListHosts(ctx)
+	hosts, err := o.listHosts(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -18,7 +18,8 @@
 	Platform  *platform.Client
 	Peers     *rpc.Client
 	Out       io.Writer
-	By        string // who publishes, for the history; "" for nobody named
+	By        string   // who publishes, for the history; "" for nobody named
+	Hosts     []string // control addresses of hosts to ask while the platform is away
 }
 
 // New returns an operator for the platform at the addresses.
--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -31,7 +31,7 @@
 
 // Gather asks every host of the platform's list for its record.
 func (o *Operator) Gather(ctx context.Context) ([]NodeStatus, error) {
-	hosts, err := o.Platform.ListHosts(ctx)
+	hosts, err := o.listHosts(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -67,7 +67,7 @@
 
 // Status prints every host, its generation and its versions.
 func (o *Operator) Status(ctx context.Context, asJSON bool) error {
-	head, _, err := config.ReadHead(ctx, o.Platform)
+	snapshot, err := o.held(ctx)
 	if err != nil {
 		return err
 	}
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	report := StatusReport{Generation: head.Generation, Hosts: []HostStatus{}}
+	report := StatusReport{Generation: snapshot.Generation, Hosts: []HostStatus{}}
 	for _, node := range nodes {
 		report.Hosts = append(report.Hosts, describeNode(node))
 	}
