Time to replicas is measured over real processes

Cause: the tracker was tested against records made by hand alone.

Change: TestTimeToReplicasIsMeasured applies a second version and finds its time at both entries, in the log and in the burn report. Its first form read the log before the entry had written it, and failed once; it now waits for the line.

--- a/systemtest/operate_test.go
+++ b/systemtest/operate_test.go
@@ -11,7 +11,9 @@
 	"testing"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/burn"
 	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/load"
 	"github.com/lovageglade/lovageglade/internal/operate"
@@ -87,13 +89,13 @@
 		t.Errorf("the runner shows %s", progress)
 	}
 	options := operate.BurnOptions{Windows: []time.Duration{10 * time.Minute, time.Hour}}
-	burn := func(ctx context.Context, operator *operate.Operator) error { return operator.Burn(ctx, options) }
-	out, err := c.operate(awaitLimit, burn)
+	gather := func(ctx context.Context, operator *operate.Operator) error { return operator.Burn(ctx, options) }
+	out, err := c.operate(awaitLimit, gather)
 	if err != nil || !strings.Contains(strings.Join(strings.Fields(out), " "), "models * first token 95% in 60000 ms 0.00 0.00 100.0%") {
 		t.Errorf("%v:\n%s", err, out)
 	}
 	c.kill("entry-b")
-	out, err = c.operate(awaitLimit, burn)
+	out, err = c.operate(awaitLimit, gather)
 	if err != nil || !strings.Contains(out, "failure domain b was not reached: none of its 1 entries answered") {
 		t.Errorf("%v:\n%s", err, out)
 	}
@@ -130,3 +132,31 @@
 		t.Errorf("with a dead host: %v", err)
 	}
 }
+
+func TestTimeToReplicasIsMeasured(t *testing.T) {
+	c := newPathCluster(t)
+	c.warm()
+	second := c.addVersion("brief", "brief-v2", bytes.Repeat([]byte("2"), 300_000), 65536)
+	c.set.Versions = append(c.set.Versions, second)
+	c.set.Rules[0].Version = second.Name
+	c.set.Services[0].Objectives.ReplicasS = 3600
+	c.apply()
+	for _, id := range []core.HostID{"entry-a", "entry-b"} {
+		c.await("the entry saw the version on its replicas", func() bool {
+			raw, err := os.ReadFile(c.nodes[id].log.Name())
+			c.must(err)
+			return strings.Contains(string(raw), "version is on its replicas")
+		})
+	}
+	options := operate.BurnOptions{Windows: []time.Duration{10 * time.Minute}, JSON: true}
+	out, err := c.operate(awaitLimit, func(ctx context.Context, operator *operate.Operator) error { return operator.Burn(ctx, options) })
+	c.must(err)
+	var report operate.BurnReport
+	c.must(json.Unmarshal([]byte(out), &report))
+	for _, row := range report.Rows {
+		if row.Objective == burn.ObjectiveReplicaTime && row.Rates[0] == (burn.Rate{Total: 2}) {
+			return
+		}
+	}
+	t.Errorf("the report has no two times to replicas: %s", out)
+}
