--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,8 @@
 	"github.com/lovageglade/lovageglade/internal/platform"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
+	"github.com/lovageglade/lovageglade/internal/stream"
+	"github.com/lovageglade/lovageglade/internal/suspect"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/weights"
 	"github.com/lovageglade/lovageglade/internal/wire"
@@ -39,8 +41,10 @@
 	store       *weights.Store
 	loader      *loader
 	draining    atomic.Bool
-	domainOut   bool           // of the last view, on the control thread
-	running     conc.WaitGroup // attempts at the back end
+	suspects    *suspect.Registry
+	suspectTurn chan struct{} // held by the one suspect request that runs
+	domainOut   bool          // of the last view, on the control thread
+	running     work          // attempts at the back end
 }
 
 // New returns an agent that has not started.
@@ -59,12 +63,15 @@
 		origin:      services,
 		objects:     services,
 		peers:       rpc.NewClient(),
-		table:       attempt.NewTable(),
+		table:       attempt.NewTable(time.Now()),
+		suspects:    suspect.NewRegistry(),
+		suspectTurn: make(chan struct{}, 1),
 		gate:        admission.NewGate(),
 		store:       weights.NewStore(config.WeightsBytes),
 	}
 	self := wire.Record{Host: config.Host, Incarnation: a.incarnation, Phase: wire.PhaseStarting}
 	a.node = node.NewRunner(self, core.RoleAgent, config.Seeds, services, a.peers, a.logger)
+	a.engine = observed{Engine: a.engine, gate: a.gate}
 	a.loader = newLoader(a)
 	a.node.OnView = a.viewChanged
 	a.node.Running = func() int { return a.gate.Load().Running }
@@ -86,7 +93,9 @@
 	tasks.Go(func() { a.node.Run(inner) })
 	tasks.Go(func() { a.loader.run(inner) })
 	tasks.Go(func() { a.sweep(inner) })
-	tasks.Go(func() { _ = app.Listener(data, fiber.ListenConfig{DisableStartupMessage: true}) })
+	tasks.Go(func() {
+		_ = app.Listener(stream.Listener(data, writeTimeout), fiber.ListenConfig{DisableStartupMessage: true})
+	})
 	a.logger.Info().Uint64("incarnation", uint64(a.incarnation)).Msg("agent started")
 	<-ctx.Done()
 	a.drain(inner, app)
@@ -129,6 +138,7 @@
 
 // viewChanged takes over what a new configuration says of this host.
 func (a *Agent) viewChanged(view *node.View) {
+	telemetry.ShowRecord(view.Self, len(view.Records))
 	if view.Snapshot == nil {
 		return
 	}
@@ -141,12 +151,14 @@
 		a.gate.TurnCold() // the back end has grown cold while its failure domain was out
 	}
 	a.domainOut = out
-	a.gate.SetBounds(admission.Bounds{Cold: service.Limits.Cold, Max: service.Limits.Max})
+	a.gate.SetBounds(admission.Bounds{Cold: service.Limits.Cold, Max: service.Limits.Max, Queue: service.Limits.Queue})
 	a.loader.want(view.Snapshot.VersionAt(a.settings.Host.ID))
 }
 
 func (a *Agent) load() wire.Load {
 	load := a.gate.Load()
 	load.Generation = a.node.View().Self.Generation
+	load.Incarnation = a.incarnation
+	load.Mark = a.table.Mark(time.Now())
 	return load
 }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -8,10 +8,11 @@
 	"github.com/gofiber/fiber/v3/middleware/expvar"
 
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
 func (e *Entry) routes() *fiber.App {
-	app := fiber.New(fiber.Config{BodyLimit: e.settings.MaxBodyBytes})
+	app := fiber.New(fiber.Config{BodyLimit: e.settings.MaxBodyBytes, ErrorHandler: refuseUnread})
 	app.Use(expvar.New())
 	app.Get("/readyz", e.handleReady)
 	app.All(pathChat, e.handleRequest)
@@ -30,15 +31,15 @@
 	snapshot := e.node.View().Snapshot
 	if snapshot == nil {
 		err := fault.New(fault.NotReady, "this entry holds no configuration yet", "come back after the time in Retry-After")
-		return refuse(c, fault.WithRetryAfter(err, 1), fault.NotRun)
+		return refuse(c, fault.WithRetryAfter(err, 1), refusedUnseen(c.Get(headerKey) != ""))
 	}
 	parsed, err := parse(c, snapshot, time.Now())
 	if err != nil {
+		telemetry.RequestRefused(fault.Kind(err))
 		return refuse(c, err, fault.NotRun)
 	}
 	answer := newAnswer()
-	current := newFlow(e, parsed, answer)
-	go func() { answer.finish(current.run()) }()
+	go newFlow(e, parsed, e.observer.observe(parsed, answer)).run()
 	<-answer.started
 	if answer.streams() {
 		c.Set(fiber.HeaderContentType, answer.contentType)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,9 +1,15 @@
 // Package retry bounds how many further attempts the entry makes, so that retries stay a small share of the traffic
-// when many endpoints fail at once.
+// when many endpoints fail at once, and says when callers and hedges may try again.
 package retry
 
 import "sync"
 
+// The budget of each service.
+const (
+	budgetShare = 0.2 // further attempts for each first attempt
+	budgetMost  = 50  // further attempts that a service may save up
+)
+
 // Budget lets further attempts through as a share of first attempts. It is safe for concurrent use.
 type Budget struct {
 	mu     sync.Mutex
