--- a/internal/entry/observe_test.go
+++ b/internal/entry/observe_test.go
@@ -28,10 +28,7 @@
 // total returns the sum over the last hour, decoded.
 func total(t *testing.T, o *observer) *burn.Sum {
 	t.Helper()
-	answer, err := o.recorder.Windows(o.now(), burn.WindowsRequest{WindowsS: []int64{3600}}, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	answer := o.recorder.Windows(o.now(), burn.WindowsRequest{WindowsS: []int64{3600}}, nil)
 	if len(answer.Series) == 0 {
 		return &burn.Sum{}
 	}
@@ -113,3 +110,14 @@
 		t.Errorf("line %s", lines[len(lines)-1])
 	}
 }
+
+func TestCallerThatLeftSpendsNoBudget(t *testing.T) {
+	var out bytes.Buffer
+	o := observed(&out)
+	current := o.observe(observedRequest(), newAnswer())
+	close(current.gone)
+	current.finish(fault.Unknown, fault.New(fault.Interrupted, "the caller has gone", "send the request again"))
+	if sum := total(t, o); sum.Total != 0 || !bytes.Contains(out.Bytes(), []byte(`"outcome":"caller_gone"`)) {
+		t.Errorf("%d requests recorded; %s", sum.Total, &out)
+	}
+}
