Attempts of plain services ask nothing of the loader

Cause: an agent without a loader, as in TestBackEndThatIsAwayRanNothing, failed on the look at what the engine holds.

Ruled out: a loader for tests alone.

Change: only an attempt that names a version takes note of what the engine holds.

Conclusion: go test ./internal/agent passes.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -108,7 +108,10 @@
 }
 
 func (a *Agent) copyAnswer(ctx context.Context, dispatch wire.Dispatch, record *attempt.Record) error {
-	held := a.loader.holding()
+	var held *loaded
+	if dispatch.Version != "" {
+		held = a.loader.holding()
+	}
 	answer, err := a.engine.Call(ctx, backend.Call{
 		Method:      dispatch.Method,
 		Path:        dispatch.Path,
