--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -30,12 +30,24 @@
 	Call(ctx context.Context, call Call) (*stream.Response, error)
 }
 
-// Order tells an engine to load a version. Engines that check fences refuse one that is lower than the last.
+// Order tells an engine what to hold or to do. Engines that check fences refuse one that is lower than the last.
 type Order struct {
 	Version core.VersionID   `json:"version"`
 	Fence   core.FenceNumber `json:"fence"`
+	Adapter string           `json:"adapter,omitempty"` // name of an adapter, of LoadAdapter
+	Role    EngineRole       `json:"role,omitempty"`    // of SetRole
 }
 
+// EngineRole says which part of a request an engine runs.
+type EngineRole string
+
+// The roles of engines.
+const (
+	RoleWhole   EngineRole = "whole"
+	RolePrefill EngineRole = "prefill"
+	RoleDecode  EngineRole = "decode"
+)
+
 // EngineState is what an engine holds and bears.
 type EngineState struct {
 	Version  core.VersionID   `json:"version"`  // as the order named it
@@ -43,6 +55,8 @@
 	Fence    core.FenceNumber `json:"fence"`
 	Life     string           `json:"life"` // changes when the engine restarts
 	Running  int              `json:"running"`
+	Adapters []string         `json:"adapters,omitempty"`
+	Role     EngineRole       `json:"role,omitempty"`
 }
 
 // Engine is a model engine.
@@ -52,6 +66,10 @@
 	Load(ctx context.Context, order Order, weights io.Reader, size int64) error
 	// Unload drops the weights that the engine holds.
 	Unload(ctx context.Context, order Order) error
+	// LoadAdapter streams size bytes of an adapter of the version that the engine holds.
+	LoadAdapter(ctx context.Context, order Order, adapter io.Reader, size int64) error
+	// SetRole changes the engine's role.
+	SetRole(ctx context.Context, order Order) error
 	State(ctx context.Context) (EngineState, error)
 }
 
@@ -97,6 +115,16 @@
 	return h.order(ctx, "/admin/unload", order, http.NoBody, 0)
 }
 
+// LoadAdapter implements Engine.
+func (h *HTTP) LoadAdapter(ctx context.Context, order Order, adapter io.Reader, size int64) error {
+	return h.order(ctx, "/admin/adapter", order, adapter, size)
+}
+
+// SetRole implements Engine.
+func (h *HTTP) SetRole(ctx context.Context, order Order) error {
+	return h.order(ctx, "/admin/role", order, http.NoBody, 0)
+}
+
 func (h *HTTP) order(ctx context.Context, path string, order Order, weights io.Reader, size int64) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.address+path, weights)
 	if err != nil {
@@ -104,6 +132,8 @@
 	}
 	request.ContentLength = size
 	request.Header.Set("X-Version", string(order.Version))
+	request.Header.Set("X-Adapter", order.Adapter)
+	request.Header.Set("X-Role", string(order.Role))
 	request.Header.Set("X-Fence", strconv.FormatUint(uint64(order.Fence), 10))
 	answer, err := h.orders.Do(request)
 	if err != nil {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -46,8 +46,10 @@
 func (e *Engine) App() *fiber.App {
 	app := fiber.New(fiber.Config{BodyLimit: bodyLimit})
 	app.Put("/faults", e.putFaults)
-	app.Post("/admin/load", e.load)
-	app.Post("/admin/unload", e.unload)
+	app.Post("/admin/load", e.ordered((*Engine).load))
+	app.Post("/admin/unload", e.ordered((*Engine).unload))
+	app.Post("/admin/adapter", e.ordered((*Engine).loadAdapter))
+	app.Post("/admin/role", e.ordered((*Engine).setRole))
 	app.Get("/admin/state", e.getState)
 	app.Post("/admin/restart", e.restart)
 	app.Post("/v1/chat/completions", e.complete)
@@ -65,20 +67,29 @@
 	return nil
 }
 
-func (e *Engine) load(c fiber.Ctx) error {
-	number, err := strconv.ParseUint(c.Get("X-Fence"), 10, 64)
-	if err != nil {
-		return c.SendStatus(fiber.StatusBadRequest)
+// ordered returns a handler that changes the engine's state by an order, unless its fencing number is old.
+func (e *Engine) ordered(change func(*Engine, fiber.Ctx)) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		number, err := strconv.ParseUint(c.Get("X-Fence"), 10, 64)
+		if err != nil {
+			return c.SendStatus(fiber.StatusBadRequest)
+		}
+		fence := core.FenceNumber(number)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if fence <= e.state.Fence && !e.faults.IgnoreFences {
+			return c.SendStatus(fiber.StatusConflict)
+		}
+		e.state.Fence = fence
+		change(e, c)
+		return nil
 	}
-	fence := core.FenceNumber(number)
+}
+
+func (e *Engine) load(c fiber.Ctx) {
 	sum := sha256.Sum256(c.Body())
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if fence <= e.state.Fence && !e.faults.IgnoreFences {
-		return c.SendStatus(fiber.StatusConflict)
-	}
-	e.state.Fence = fence
 	e.state.Version = core.VersionID(strings.Clone(c.Get("X-Version")))
+	e.state.Adapters = nil
 	if e.faults.LoadOther {
 		e.state.Version = "other"
 	}
@@ -86,24 +97,20 @@
 	if e.faults.LoadWrong {
 		e.state.Contents = hex.EncodeToString(make([]byte, sha256.Size))
 	}
-	return nil
 }
 
-func (e *Engine) unload(c fiber.Ctx) error {
-	number, err := strconv.ParseUint(c.Get("X-Fence"), 10, 64)
-	if err != nil {
-		return c.SendStatus(fiber.StatusBadRequest)
-	}
-	fence := core.FenceNumber(number)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if fence <= e.state.Fence && !e.faults.IgnoreFences {
-		return c.SendStatus(fiber.StatusConflict)
-	}
-	e.state.Fence = fence
+func (e *Engine) unload(fiber.Ctx) {
 	e.state.Version = ""
 	e.state.Contents = ""
-	return nil
+	e.state.Adapters = nil
+}
+
+func (e *Engine) loadAdapter(c fiber.Ctx) {
+	e.state.Adapters = append(e.state.Adapters, strings.Clone(c.Get("X-Adapter")))
+}
+
+func (e *Engine) setRole(c fiber.Ctx) {
+	e.state.Role = backend.EngineRole(strings.Clone(c.Get("X-Role")))
 }
 
 func (e *Engine) getState(c fiber.Ctx) error {
--- a/internal/weights/distribution/distributor_test.go
+++ b/internal/weights/distribution/distributor_test.go
@@ -75,18 +75,16 @@
 			}
 		}, mostOrigin},
 		{"the origin goes away at half", nil, func(f *fleet) {
-			f.await(0.5)
+			f.until(func() bool { return f.originCopies() >= 0.5 })
 			f.origin.down.Store(true)
-			<-time.After(3 * time.Second)
+			f.until(func() bool { return f.origin.refused.Load() > 3 || f.share() == 1 })
 			f.origin.down.Store(false)
 		}, mostOrigin},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newFleet(t, smallFleet(test.change))
-			if test.during == nil {
-				f.start()
-			} else {
-				f.start()
+			f.start()
+			if test.during != nil {
 				test.during(f)
 			}
 			f.await(1)
--- a/internal/weights/distribution/fleet_test.go
+++ b/internal/weights/distribution/fleet_test.go
@@ -31,11 +31,13 @@
 	drawn   atomic.Int64
 	down    atomic.Bool
 	corrupt atomic.Int64 // ranges still to be corrupted
+	refused atomic.Int64 // ranges asked for while it was away
 }
 
 // FetchRange implements platform.Origin.
 func (o *fakeOrigin) FetchRange(ctx context.Context, _ string, offset, length int64) ([]byte, error) {
 	if o.down.Load() {
+		o.refused.Add(1)
 		return nil, fault.New(fault.PlatformDown, "the origin is away", "try again")
 	}
 	if err := o.link.pass(ctx, int(length)); err != nil {
@@ -203,11 +205,16 @@
 
 // await waits until the share of the hosts' chunks is verified.
 func (f *fleet) await(share float64) {
+	f.t.Helper()
+	f.until(func() bool { return f.share() >= share })
+}
+
+func (f *fleet) until(condition func() bool) {
 	f.t.Helper()
 	limit := time.Now().Add(awaitLimit)
-	for f.share() < share {
+	for !condition() {
 		if time.Now().After(limit) {
-			f.t.Fatalf("only %.3f of the chunks were verified in time", f.share())
+			f.t.Fatalf("the condition never held; %.3f of the chunks were verified", f.share())
 		}
 		<-time.After(20 * time.Millisecond)
 	}
--- a/internal/weights/plan/planner.go
+++ b/internal/weights/plan/planner.go
@@ -41,7 +41,7 @@
 		UploadWindow:     30 * time.Minute,
 		Gateways:         8,
 		Neighbours:       5,
-		ControlBytesPerS: 2800,
+		ControlBytesPerS: 2500,
 		Takeover:         30 * time.Second,
 		LastResort:       time.Minute,
 		PeerPatience:     15 * time.Second,
--- a/systemtest/weights_test.go
+++ b/systemtest/weights_test.go
@@ -230,7 +230,13 @@
 	c.ask("v1", 3)
 	c.awaitPhase("v1", wire.VersionFetching, weightRunners...)
 	for _, id := range weightRunners {
-		if c.phaseOf(id, "v1") == wire.VersionFetching && c.phaseOf(id, "v2") != wire.VersionServing {
+		record, err := c.record(id)
+		c.must(err)
+		phases := make(map[core.VersionID]wire.VersionPhase)
+		for _, status := range record.Versions {
+			phases[status.Version] = status.Phase
+		}
+		if phases[c.manifestOf("v1")] == wire.VersionFetching && phases[c.manifestOf("v2")] != wire.VersionServing {
 			t.Errorf("%s does not serve the old version while it fetches the new one", id)
 		}
 	}
