--- a/internal/weights/plan/failure_test.go
+++ b/internal/weights/plan/failure_test.go
@@ -1,10 +1,12 @@
 package plan
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/weights"
 )
 
 const (
@@ -15,6 +17,14 @@
 	smallRate    = 5 << 20 // bytes a second of a host's link
 )
 
+func fakeVersion(id core.VersionID, chunks int, chunkBytes int64) Version {
+	manifest := weights.Manifest{SizeBytes: int64(chunks) * chunkBytes, ChunkBytes: chunkBytes}
+	for i := range chunks {
+		manifest.Chunks = append(manifest.Chunks, weights.Digest(fmt.Sprintf("%s-%d", id, i)))
+	}
+	return Version{ID: id, Manifest: manifest}
+}
+
 func smallShape(prepare func(*network)) shape {
 	return shape{
 		hosts: smallHosts, chunks: smallChunks, chunkBytes: smallBytes,
--- a/internal/weights/plan/network_test.go
+++ b/internal/weights/plan/network_test.go
@@ -81,6 +81,7 @@
 	rng         *rand.Rand
 	now         time.Duration
 	queue       timeline
+	made        uint64 // moments so far
 	hosts       []*fakeHost
 	byID        map[core.HostID]*fakeHost
 	origin      link
@@ -104,8 +105,7 @@
 )
 
 func newNetwork(s shape) *network {
-	n := &network{shape: s, rng: rand.New(rand.NewPCG(s.seed, 1)), byID: make(map[core.HostID]*fakeHost)}
-	n.originBy = make(map[core.Region]int64)
+	n := &network{shape: s, rng: rand.New(rand.NewPCG(s.seed, 1)), byID: make(map[core.HostID]*fakeHost), originBy: make(map[core.Region]int64)}
 	n.between = map[core.Region]*link{"r0": {rate: s.regionRate}, "r1": {rate: s.regionRate}}
 	n.origin.rate = s.originRate
 	n.version = fakeVersion("v", s.chunks, s.chunkBytes)
@@ -125,14 +125,6 @@
 	return n
 }
 
-func fakeVersion(id core.VersionID, chunks int, chunkBytes int64) Version {
-	manifest := weights.Manifest{SizeBytes: int64(chunks) * chunkBytes, ChunkBytes: chunkBytes}
-	for i := range chunks {
-		manifest.Chunks = append(manifest.Chunks, weights.Digest(fmt.Sprintf("%s-%d", id, i)))
-	}
-	return Version{ID: id, Manifest: manifest}
-}
-
 func (n *network) addHost(i int, limits Limits) {
 	domain := i % domainsTotal
 	region := core.Region("r0")
@@ -156,7 +148,7 @@
 	n.byID[h.peer.Host] = h
 }
 
-// run hands every host the version and steps the network until every live host holds it.
+// run hands every host the version and steps the network until every live host holds it; false says that it never did.
 func (n *network) run() bool {
 	for _, h := range n.hosts {
 		n.deliver(h, RosterChanged{Stamp: n.stamp(), Peers: n.live(h)})
@@ -166,16 +158,11 @@
 		n.tick(h)
 	}
 	n.planKills()
-	return n.step(func() bool { return n.complete() })
-}
-
-// step runs the timeline until the condition holds; false says that it never did.
-func (n *network) step(done func() bool) bool {
-	for n.queue.Len() > 0 && n.now < timeLimit {
+	for len(n.queue) > 0 && n.now < timeLimit {
 		next := heap.Pop(&n.queue).(moment)
 		n.now = next.at
 		next.do()
-		if next.check && done() {
+		if next.check && n.complete() {
 			return true
 		}
 	}
@@ -204,8 +191,7 @@
 }
 
 func (n *network) cut(a, b *fakeHost) bool {
-	return a.cutFrom[b.peer.Region] && a.peer.FailureDomain != b.peer.FailureDomain ||
-		b.cutFrom[a.peer.Region] && a.peer.FailureDomain != b.peer.FailureDomain
+	return a.peer.FailureDomain != b.peer.FailureDomain && (a.cutFrom[b.peer.Region] || b.cutFrom[a.peer.Region])
 }
 
 func (n *network) tick(h *fakeHost) {
@@ -388,31 +374,27 @@
 type moment struct {
 	at    time.Duration
 	order uint64
-	check bool
+	check bool // whether the run may be complete after it
 	do    func()
 }
 
-type timeline struct {
-	moments []moment
-	made    uint64
-}
+type timeline []moment
 
-func (t *timeline) Len() int { return len(t.moments) }
-func (t *timeline) Less(i, j int) bool {
-	a, b := &t.moments[i], &t.moments[j]
-	return a.at < b.at || a.at == b.at && a.order < b.order
+func (t timeline) Len() int { return len(t) }
+func (t timeline) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].order < t[j].order
 }
-func (t *timeline) Swap(i, j int) { t.moments[i], t.moments[j] = t.moments[j], t.moments[i] }
-func (t *timeline) Push(x any)    { t.moments = append(t.moments, x.(moment)) }
+func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timeline) Push(x any)   { *t = append(*t, x.(moment)) }
 func (t *timeline) Pop() any {
-	last := t.moments[len(t.moments)-1]
-	t.moments = t.moments[:len(t.moments)-1]
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
 	return last
 }
 
 func (n *network) after(wait time.Duration, do func()) { n.push(n.now+wait, false, do) }
 
 func (n *network) push(at time.Duration, check bool, do func()) {
-	n.queue.made++
-	heap.Push(&n.queue, moment{at: max(at, n.now), order: n.queue.made, check: check, do: do})
+	n.made++
+	heap.Push(&n.queue, moment{at: max(at, n.now), order: n.made, check: check, do: do})
 }
