A host that has just started hears of its peers before it asks the origin

Cause: TestEngineThatHoldsSomethingElseServesNothing drew 1.81 and 2.00 copies on a busy machine: an agent that has heard of no other host yet takes itself for the region's only gateway.

Ruled out: a fixed delay for every version; it costs hosts that know their peers.

Change: while fewer hosts of the region are heard of than the configuration gives the version, the origin is not asked for 3 s. A test of the order's read-back with an engine that holds something else each way.

Conclusion: the read-back is held by unit tests, the origin's bytes at a start are bounded.

--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -144,7 +144,7 @@
 		}
 		if latest := l.view.Load(); latest != nil && latest != view {
 			view = latest
-			l.distributor.SetPeers(ctx, l.roster.peers(latest, l.agent.settings.Host.ID))
+			l.distributor.SetPeers(ctx, l.roster.peers(latest, l.agent.settings.Host))
 		}
 		l.advance(ctx)
 	}
@@ -248,7 +248,7 @@
 	for _, version := range order {
 		manifests[version] = l.manifests[version]
 	}
-	l.distributor.Want(ctx, manifests, order)
+	l.distributor.Want(ctx, manifests, order, l.roster.near)
 }
 
 func equalVersions(a, b []core.VersionID) bool {
--- a/internal/agent/loader_test.go
+++ b/internal/agent/loader_test.go
@@ -2,12 +2,21 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
+	"io"
 	"testing"
 
+	"github.com/phuslu/log"
+
+	"github.com/lovageglade/lovageglade/internal/admission"
 	"github.com/lovageglade/lovageglade/internal/backend"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/node"
+	"github.com/lovageglade/lovageglade/internal/weights"
+	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
 // stateEngine is an engine of which only the state matters.
@@ -15,6 +24,7 @@
 	backend.Engine
 	state backend.EngineState
 	err   error
+	fault func(*backend.EngineState) error // of an order
 }
 
 func (e *stateEngine) State(context.Context) (backend.EngineState, error) { return e.state, e.err }
@@ -29,6 +39,56 @@
 	return l
 }
 
+// Load implements backend.Engine: it holds what was ordered, changed by the fault.
+func (e *stateEngine) Load(_ context.Context, order backend.Order, raw io.Reader, _ int64) error {
+	sum := sha256.New()
+	if _, err := io.Copy(sum, raw); err != nil {
+		return err
+	}
+	e.state = backend.EngineState{Version: order.Version, Fence: order.Fence, Life: "l1", Contents: hex.EncodeToString(sum.Sum(nil))}
+	if e.fault != nil {
+		return e.fault(&e.state)
+	}
+	return nil
+}
+
+// TestOrderReadsBack advertises a version only if the engine holds what was ordered.
+func TestOrderReadsBack(t *testing.T) {
+	raw := []byte("the weights of a version")
+	manifest := weights.NewManifest("brief", "brief-v1", raw, 5)
+	for _, test := range []struct {
+		name   string
+		fault  func(*backend.EngineState) error
+		serves bool
+	}{
+		{"what was ordered", nil, true},
+		{"another version", func(state *backend.EngineState) error { state.Version = "v2"; return nil }, false},
+		{"other contents", func(state *backend.EngineState) error { state.Contents = "c2"; return nil }, false},
+		{"a lower number", func(state *backend.EngineState) error { state.Fence--; return nil }, false},
+		{"a refusal", func(*backend.EngineState) error { return errors.New("refused") }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := loaderOn(&stateEngine{fault: test.fault})
+			l.held.Store(nil)
+			l.agent.gate = admission.NewGate()
+			l.agent.logger = &log.Logger{Level: log.ErrorLevel}
+			l.agent.store = weights.NewStore(1 << 10)
+			l.agent.node = node.NewRunner(wire.Record{}, core.RoleAgent, nil, nil, nil, l.agent.logger)
+			l.manifests = map[core.VersionID]weights.Manifest{"v1": manifest}
+			for i, digest := range manifest.Chunks {
+				offset, length := manifest.Range(i)
+				if err := l.agent.store.Put(digest, raw[offset:offset+length]); err != nil {
+					t.Fatal(err)
+				}
+			}
+			err := l.order(context.Background(), "v1", manifest)
+			if (err == nil) != test.serves || (l.serving() == "v1") != test.serves {
+				t.Errorf("serving %q, %v", l.serving(), err)
+			}
+		})
+	}
+}
+
 // TestHoldsSeesEveryChangeOfTheEngine changes one thing between the start and the end of an answer.
 func TestHoldsSeesEveryChangeOfTheEngine(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -24,17 +24,18 @@
 type roster struct {
 	snapshot *config.Snapshot
 	wanting  map[core.HostID]bool
+	near     int // hosts of this region among them, with this one
 }
 
 // peers returns the hosts that the configuration gives the same version as self, whose agents run and are not shutting
 // down. Agents of plain services and of other models take no part in a version's distribution.
-func (r *roster) peers(view *node.View, self core.HostID) []core.Host {
+func (r *roster) peers(view *node.View, self core.Host) []core.Host {
 	if view.Snapshot == nil {
 		return nil
 	}
 	if view.Snapshot != r.snapshot {
 		r.snapshot = view.Snapshot
-		r.wanting = hostsOf(view.Snapshot, view.Snapshot.VersionAt(self))
+		r.wanting, r.near = hostsOf(view.Snapshot, view.Snapshot.VersionAt(self.ID), self.Region)
 	}
 	var hosts []core.Host
 	for id, record := range view.Records {
@@ -45,18 +46,22 @@
 	return hosts
 }
 
-// hostsOf returns the hosts that the configuration gives the version.
-func hostsOf(snapshot *config.Snapshot, version core.VersionID) map[core.HostID]bool {
-	hosts := make(map[core.HostID]bool)
+// hostsOf returns the hosts that the configuration gives the version, and how many of them are in the region.
+func hostsOf(snapshot *config.Snapshot, version core.VersionID, region core.Region) (hosts map[core.HostID]bool, near int) {
+	hosts = make(map[core.HostID]bool)
 	for _, service := range snapshot.Set.Services {
 		if version == "" || snapshot.VersionOf(service.Name) != version {
 			continue
 		}
 		for _, endpoint := range service.Endpoints {
-			if snapshot.VersionAt(endpoint.Host) == version {
-				hosts[endpoint.Host] = true
+			if snapshot.VersionAt(endpoint.Host) != version {
+				continue
+			}
+			hosts[endpoint.Host] = true
+			if snapshot.Region(endpoint.FailureDomain) == region {
+				near++
 			}
 		}
 	}
-	return hosts
+	return hosts, near
 }
--- a/internal/weights/distribution/distributor.go
+++ b/internal/weights/distribution/distributor.go
@@ -125,7 +125,8 @@
 }
 
 // Want replaces the versions that the host has to hold, in order of priority. Chunks of other versions are dropped.
-func (d *Distributor) Want(ctx context.Context, manifests map[core.VersionID]weights.Manifest, order []core.VersionID) {
+// Hosts is the number of hosts of this region that have to hold them, with this one, or 0 when it is unknown.
+func (d *Distributor) Want(ctx context.Context, manifests map[core.VersionID]weights.Manifest, order []core.VersionID, hosts int) {
 	wanted := make([]plan.Version, 0, len(order))
 	kept := make([]weights.Manifest, 0, len(order))
 	d.mu.Lock()
@@ -137,7 +138,7 @@
 	}
 	d.options.Store.Retain(kept)
 	for _, id := range order {
-		wanted = append(wanted, plan.Version{ID: id, Manifest: manifests[id], Held: d.heldOf(manifests[id])})
+		wanted = append(wanted, plan.Version{ID: id, Manifest: manifests[id], Held: d.heldOf(manifests[id]), Hosts: hosts})
 	}
 	d.loop.Post(ctx, plan.VersionsWanted{Stamp: d.stamp(), Versions: wanted})
 }
--- a/internal/weights/plan/events.go
+++ b/internal/weights/plan/events.go
@@ -20,6 +20,7 @@
 	ID       core.VersionID
 	Manifest weights.Manifest
 	Held     Bitmap // chunks that are verified already
+	Hosts    int    // of this region that have to hold it, with this one; 0 when unknown
 }
 
 // Stamp is the time of an event, counted from the start of the process.
--- a/internal/weights/plan/origin.go
+++ b/internal/weights/plan/origin.go
@@ -40,7 +40,7 @@
 // originChunk returns the next chunk that this host has to fetch from outside its region, or -1.
 func (p *Planner) originChunk(v *version) int {
 	desperate := p.now-v.progress >= p.limits.LastResort+time.Duration(p.seed%uint64(p.limits.LastResort+1))
-	if !desperate && !p.isGateway(v) {
+	if !desperate && (!p.isGateway(v) || p.joining(v)) {
 		return -1
 	}
 	offset := int(p.seed % uint64(len(v.first)))
@@ -60,6 +60,21 @@
 	return -1
 }
 
+// joining tells whether hosts that have to hold the version may only not be heard of yet: a host that has just started
+// would take itself for the only gateway.
+func (p *Planner) joining(v *version) bool {
+	if p.now-v.start >= p.limits.JoinPatience {
+		return false
+	}
+	near := 1
+	for _, other := range p.order {
+		if other.near {
+			near++
+		}
+	}
+	return near < v.hosts
+}
+
 // offeredChunks returns the chunks that some peer of the region gives to this host, now or later.
 func (p *Planner) offeredChunks(v *version) Bitmap {
 	offered := make(Bitmap, len(v.have))
--- a/internal/weights/plan/planner.go
+++ b/internal/weights/plan/planner.go
@@ -22,6 +22,7 @@
 	Gateways         int           // hosts of a region that fetch from the origin
 	Neighbours       int           // peers that a host exchanges maps with by its own choice
 	ControlBytesPerS float64       // bytes a second for maps and requests, both ways
+	JoinPatience     time.Duration // time in which the origin is not asked while hosts that have to hold the version are not heard of
 	Takeover         time.Duration // time without progress of a gateway until the next one fetches its chunks
 	LastResort       time.Duration // time without progress of this host until it asks the origin itself
 	PeerPatience     time.Duration // least time that a fetch from a peer may take
@@ -42,6 +43,7 @@
 		Gateways:         8,
 		Neighbours:       5,
 		ControlBytesPerS: 2500,
+		JoinPatience:     3 * time.Second,
 		Takeover:         30 * time.Second,
 		LastResort:       time.Minute,
 		PeerPatience:     15 * time.Second,
@@ -81,6 +83,7 @@
 type version struct {
 	id        core.VersionID
 	manifest  weights.Manifest
+	hosts     int // of this region that have to hold it
 	index     map[weights.Digest]int
 	have      Bitmap
 	pending   Bitmap // chunks being fetched
@@ -184,6 +187,7 @@
 	v := &version{
 		id:        wanted.ID,
 		manifest:  wanted.Manifest,
+		hosts:     wanted.Hosts,
 		index:     make(map[weights.Digest]int, n),
 		have:      NewBitmap(n),
 		pending:   NewBitmap(n),
