--- /dev/null
+++ b/internal/burn/capacity_bench_test.go
@@ -0,0 +1,22 @@
+package burn
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkHeldSeries gives the memory of an entry's sums over a busy day; x is series.
+func BenchmarkHeldSeries(b *testing.B) {
+	const services = 3
+	for _, workspaces := range []int{2, 5, 10, 20} {
+		b.Run(fmt.Sprintf("x=%d", workspaces*services), func(b *testing.B) {
+			var size int
+			for b.Loop() {
+				recorder := NewRecorder()
+				fill(recorder, workspaces, 10)
+				_, size = recorder.Size()
+			}
+			b.ReportMetric(float64(size), "held-bytes")
+		})
+	}
+}
--- /dev/null
+++ b/internal/operate/capacity_bench_test.go
@@ -0,0 +1,92 @@
+package operate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/rpc"
+	"github.com/lovageglade/lovageglade/internal/settings"
+	"github.com/lovageglade/lovageglade/internal/standin"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+// BenchmarkGather gives the time in which the operators' client hears from every node; x is nodes.
+func BenchmarkGather(b *testing.B) {
+	for _, nodes := range []int{50, 100, 200, 400} {
+		b.Run(fmt.Sprintf("x=%d", nodes), func(b *testing.B) {
+			operator := newGatherer(b, nodes)
+			for b.Loop() {
+				statuses, err := operator.Gather(context.Background())
+				if err != nil || len(statuses) != nodes {
+					b.Fatalf("%d of %d nodes: %v", len(statuses), nodes, err)
+				}
+			}
+			b.ReportMetric(b.Elapsed().Seconds()*1000/float64(b.N), "ms/gather")
+		})
+	}
+}
+
+// newGatherer returns an operator of a platform that lists the number of nodes, each of which answers its status.
+func newGatherer(b *testing.B, nodes int) *Operator {
+	b.Helper()
+	platform := listen(b)
+	app := standin.NewPlatform(0).App()
+	go func() { _ = app.Listener(platform, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	b.Cleanup(func() { _ = app.Shutdown() })
+	var hosts []core.Host
+	for i := range nodes {
+		hosts = append(hosts, answering(b, core.HostID(fmt.Sprintf("runner-%d", i))))
+	}
+	address := platform.Addr().String()
+	putHosts(b, address, hosts)
+	operator := New(settings.Platform{TablesAddress: address, ObjectsAddress: address, HostsAddress: address, OriginAddress: address}, io.Discard)
+	b.Cleanup(operator.Peers.Close)
+	return operator
+}
+
+func answering(b *testing.B, id core.HostID) core.Host {
+	b.Helper()
+	listener := listen(b)
+	host := core.Host{ID: id, Role: core.RoleAgent, FailureDomain: "a", Region: "a", ControlAddress: listener.Addr().String()}
+	record := wire.Record{Host: host, Incarnation: 1, Phase: wire.PhaseReady, Generation: 1}
+	server := rpc.Serve(listener, map[string]rpc.Method{
+		wire.MethodStatus: rpc.Handle(func(context.Context, struct{}) (wire.Record, error) { return record, nil }),
+	})
+	b.Cleanup(server.Close)
+	return host
+}
+
+func listen(b *testing.B) net.Listener {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return listener
+}
+
+func putHosts(b *testing.B, address string, hosts []core.Host) {
+	b.Helper()
+	raw, err := json.Marshal(hosts)
+	if err != nil {
+		b.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+"/hosts", bytes.NewReader(raw))
+	if err != nil {
+		b.Fatal(err)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_ = answer.Body.Close()
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -16,6 +16,10 @@
 measure ./internal/routing '^BenchmarkIndex$' 100x
 measure ./internal/attempt '^BenchmarkHeldAttempts$' 3x
 measure ./internal/claim '^BenchmarkClaims$' 20x
-measure ./systemtest '^Benchmark(Requests|Tokens)$' 1x
+measure ./internal/node '^BenchmarkNode$' 1x
+measure ./internal/weights/plan '^BenchmarkDistributionSizes$' 1x
+measure ./internal/burn '^BenchmarkHeldSeries$' 1x
+measure ./internal/operate '^BenchmarkGather$' 20x
+measure ./systemtest '^Benchmark(Requests|Tokens|ControlAtRest)$' 1x
 bin/capacity docs/capacity.json "$figures" docs/CAPACITY.md
 echo "written: docs/CAPACITY.md"
--- a/systemtest/capacity_test.go
+++ b/systemtest/capacity_test.go
@@ -139,3 +139,47 @@
 		})
 	}
 }
+
+// BenchmarkControlAtRest gives the processor time and the memory of control without any request; x is nodes.
+func BenchmarkControlAtRest(b *testing.B) {
+	for _, nodes := range []int{5, 10, 20, 40} {
+		b.Run(fmt.Sprintf("x=%d", nodes), func(b *testing.B) {
+			newRestCluster(b, nodes).measureRest(b)
+		})
+	}
+}
+
+// newRestCluster starts one entry before plain services, in five failure domains.
+func newRestCluster(t testing.TB, nodes int) *cluster {
+	c := newCluster(t)
+	service := config.Service{Name: "bookings", Kind: config.KindPlain, Limits: config.Limits{Cold: 8, Max: 32, Queue: 8}}
+	for i := range 5 {
+		domain := core.FailureDomain(fmt.Sprintf("domain-%d", i))
+		c.set.FailureDomains = append(c.set.FailureDomains, config.FailureDomain{Name: domain, Region: core.Region(domain)})
+	}
+	c.addEntry("entry-a", "domain-0", nil)
+	for i := range nodes - 1 {
+		id := core.HostID(fmt.Sprintf("plain-%d", i))
+		domain := c.set.FailureDomains[i%5].Name
+		c.addPlain(id, domain)
+		service.Endpoints = append(service.Endpoints, config.Endpoint{Host: id, FailureDomain: domain})
+	}
+	c.set.Workspaces = []config.Workspace{{Name: "space"}}
+	c.set.Services = []config.Service{service}
+	c.apply()
+	return c
+}
+
+func (c *cluster) measureRest(b *testing.B) {
+	b.Helper()
+	agents := float64(len(c.nodes) - 1)
+	before := c.usageOfAll()
+	start := time.Now()
+	<-time.After(2 * measureTime)
+	seconds := time.Since(start).Seconds()
+	after := c.usageOfAll()
+	b.ReportMetric((after[0].cpu-before[0].cpu)/seconds, "entry-cpu-s/s")
+	b.ReportMetric((after[1].cpu-before[1].cpu)/seconds/agents, "agent-cpu-s/s")
+	b.ReportMetric(after[0].resident/bytesPerMiB, "entry-MiB")
+	b.ReportMetric(after[1].resident/agents/bytesPerMiB, "agent-MiB")
+}
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 
 	"golang.org/x/perf/benchfmt"
@@ -83,12 +84,13 @@
 	return found, reader.Err()
 }
 
-// add records the metrics of a benchmark named Name/x=SIZE. Others carry no size and are left out.
+// add records the metrics of a benchmark whose name ends in a size, such as Name/nodes=95. Others are left out.
 func (f figures) add(result *benchfmt.Result) {
 	base, parts := result.Name.Parts()
 	for _, part := range parts {
-		var size float64
-		if n, _ := fmt.Sscanf(string(part), "/x=%g", &size); n != 1 {
+		_, text, _ := strings.Cut(string(part), "=")
+		size, err := strconv.ParseFloat(text, 64)
+		if err != nil {
 			continue
 		}
 		for _, value := range result.Values {
