Killed entries and a slow platform in the history of keyed calls

Cause: the history met no killed entry, and no platform whose writes take effect after their callers have given up.

Ruled out: a test of its own for each, since the faults belong together.

Suspects that wait for each other have a test.

--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -54,3 +54,13 @@
 		t.Errorf("the call came to %v", err)
 	}
 }
+
+func TestSuspectsRunOneAtATime(t *testing.T) {
+	a := &Agent{suspectTurn: make(chan struct{}, 1)}
+	if !a.takeSuspectTurn(wire.Dispatch{BudgetMS: time.Minute.Milliseconds()}) {
+		t.Error("the first suspect did not run")
+	}
+	if a.takeSuspectTurn(wire.Dispatch{}) {
+		t.Error("another ran beside it")
+	}
+}
--- a/systemtest/outcome_keys_test.go
+++ b/systemtest/outcome_keys_test.go
@@ -108,6 +108,8 @@
 		{"agent frozen", func() { c.signal("plain-a", syscall.SIGSTOP) }, func() { c.signal("plain-a", syscall.SIGCONT) }},
 		{"entry frozen", func() { c.signal("entry-a", syscall.SIGSTOP) }, func() { c.signal("entry-a", syscall.SIGCONT) }},
 		{"agent killed", func() { c.kill("plain-b") }, func() { c.relaunch("plain-b") }},
+		{"entry killed", func() { c.kill("entry-b") }, func() { c.relaunch("entry-b") }},
+		{"platform slower than its callers wait", platform(`{"delay_ms":2500}`), platform(`{}`)},
 		{"platform down", platform(`{"down":true}`), platform(`{}`)},
 		{"silent connections again", both((*forwarder).silence), none},
 	}
