--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -21,6 +21,7 @@
 	sizeInterval   = time.Minute
 	maxGapsPerCall = 1 << 14 // gaps between tokens kept of one request
 	outcomeWhole   = "whole"
+	outcomeGone    = "caller_gone"
 )
 
 // callersFaults are the kinds of refusals that spend no budget, since the caller alone can mend them.
@@ -66,9 +67,9 @@
 
 // methods adds the control method of the burn report.
 func (o *observer) methods(methods map[string]rpc.Method) map[string]rpc.Method {
-	methods[burn.MethodWindows] = rpc.Handle(func(_ context.Context, request burn.WindowsRequest) (burn.WindowsAnswer, error) {
+	methods[burn.MethodWindows] = rpc.Handle(func(_ context.Context, request burn.WindowsRequest) (burn.PackedAnswer, error) {
 		now := o.now()
-		return o.recorder.Windows(now, request, o.replicas.Pending(now))
+		return o.recorder.Windows(now, request, o.replicas.Pending(now)).Pack()
 	})
 	return methods
 }
@@ -110,17 +111,20 @@
 	o.last = time.Now()
 }
 
-// finish takes note of the request's outcome and ends the answer.
+// finish takes note of the request's outcome and ends the answer. A caller that left spends no budget.
 func (o *observation) finish(outcome fault.Outcome, err error) {
 	named := outcomeWhole
-	if err != nil {
+	switch {
+	case err != nil && isClosed(o.gone):
+		named = outcomeGone
+	case err != nil:
 		named = string(outcome)
 		telemetry.RequestRefused(fault.Kind(err))
 	}
 	service := o.request.service
 	telemetry.RequestEnded(service.Name, string(service.Kind), named)
 	o.seen.Bad = err != nil || o.status >= http.StatusInternalServerError
-	if !isCallersFault(err) {
+	if named != outcomeGone && !isCallersFault(err) {
 		o.observer.recorder.Record(o.observer.now(), burn.Key{Service: service.Name, Workspace: o.request.workspace}, o.seen)
 	}
 	o.log(named, err)
@@ -143,6 +147,15 @@
 		Msg("request ended")
 }
 
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
 func isCallersFault(err error) bool {
 	if err == nil {
 		return false
--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -17,7 +17,10 @@
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
-const statusTimeout = 2 * time.Second
+const (
+	statusTimeout = 2 * time.Second
+	callsAtOnce   = 128 // hosts asked at the same time, so that silent ones hold up few others
+)
 
 // NodeStatus is what one host says of itself. Err is set when it gave no answer.
 type NodeStatus struct {
@@ -28,12 +31,13 @@
 
 // Gather asks every host of the platform's list for its record.
 func (o *Operator) Gather(ctx context.Context) ([]NodeStatus, error) {
-	hosts, err := o.Platform.ListHosts(ctx)
+	hosts, err := o.listHosts(ctx)
 	if err != nil {
 		return nil, err
 	}
 	slices.SortFunc(hosts, func(a, b core.Host) int { return cmp.Compare(a.ID, b.ID) })
-	return iter.Map(hosts, func(host *core.Host) NodeStatus {
+	mapper := iter.Mapper[core.Host, NodeStatus]{MaxGoroutines: callsAtOnce}
+	return mapper.Map(hosts, func(host *core.Host) NodeStatus {
 		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 		defer cancel()
 		status := NodeStatus{Host: *host}
@@ -63,7 +67,7 @@
 
 // Status prints every host, its generation and its versions.
 func (o *Operator) Status(ctx context.Context, asJSON bool) error {
-	head, _, err := config.ReadHead(ctx, o.Platform)
+	snapshot, err := o.held(ctx)
 	if err != nil {
 		return err
 	}
@@ -71,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	report := StatusReport{Generation: head.Generation, Hosts: []HostStatus{}}
+	report := StatusReport{Generation: snapshot.Generation, Hosts: []HostStatus{}}
 	for _, node := range nodes {
 		report.Hosts = append(report.Hosts, describeNode(node))
 	}
