Writes that land late are published once at most

Cause: a slow platform may carry out a write after the client has given up and others have published; the tests lost answers before or after the effect, never this late.

Change: a third mishap, a write without an answer that takes effect when the test lets it: in TestLostAnswers before and after another's publication, for each kind of write, and at random in the linearizability test. The code needed no change.

Conclusion: neither lost nor late answers let a publication take effect twice.

--- a/internal/config/linear_test.go
+++ b/internal/config/linear_test.go
@@ -132,11 +132,15 @@
 func runOperator(t *testing.T, services *testPlatform, record *recorder, client int, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, uint64(client)))
 	flaky := &flakyTables{Tables: services, decide: func(string) mishap {
-		return []mishap{passes, passes, passes, lostBefore, lostAfter}[random.IntN(5)]
+		return []mishap{passes, passes, passes, passes, lostBefore, lostAfter, landsLate}[random.IntN(7)]
 	}}
 	publisher := Publisher{Tables: flaky, Objects: services}
 	var open []int // publications without an answer, which are repeated now and then
+	defer flaky.land(context.Background())
 	for i := range 5 {
+		if random.IntN(2) == 0 {
+			flaky.land(context.Background())
+		}
 		number := client*100 + i
 		if len(open) > 0 && random.IntN(2) == 0 {
 			number = open[random.IntN(len(open))]
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -67,6 +67,7 @@
 	passes mishap = iota
 	lostBefore
 	lostAfter
+	landsLate // without an answer, and takes effect when the test lets it land
 )
 
 // flakyTables decides for each write of a key what befalls it, and may act before the write.
@@ -74,14 +75,29 @@
 	platform.Tables
 	mu     sync.Mutex
 	decide func(key string) mishap
+	late   [][]platform.Write
+}
+
+// land lets the late writes take effect.
+func (f *flakyTables) land(ctx context.Context) {
+	f.mu.Lock()
+	late := f.late
+	f.late = nil
+	f.mu.Unlock()
+	for _, writes := range late {
+		_, _ = f.Tables.Write(ctx, writes)
+	}
 }
 
 func (f *flakyTables) Write(ctx context.Context, writes []platform.Write) ([]platform.WriteResult, error) {
 	f.mu.Lock()
 	fate := f.decide(writes[0].Key)
+	if fate == landsLate {
+		f.late = append(f.late, writes)
+	}
 	f.mu.Unlock()
 	lost := fault.New(fault.PlatformDown, "the answer was lost", "try again")
-	if fate == lostBefore {
+	if fate == lostBefore || fate == landsLate {
 		return nil, lost
 	}
 	results, err := f.Tables.Write(ctx, writes)
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -34,35 +34,45 @@
 	}
 }
 
-// TestLostAnswers loses the answer of each write in turn, before or after its effect. The publication is repeated under
-// its id, with another's publication in between, and must take effect once at most.
+// TestLostAnswers loses the answer of each write in turn, before or after its effect, or lets it land late. The
+// publication is repeated under its id, with another's publication in between, and must take effect once at most.
 func TestLostAnswers(t *testing.T) {
 	for _, key := range []string{publicationFolder, headKey, historyFolder} {
-		for _, fate := range []mishap{lostBefore, lostAfter} {
-			services := newTestPlatform(t)
-			mustPublish(t, services.publisher(), 1, "first")
-			flaky := &flakyTables{Tables: services, decide: func(written string) mishap {
-				if strings.HasPrefix(written, key) {
-					return fate
-				}
-				return passes
-			}}
-			losing := Publisher{Tables: flaky, Objects: services}
-			head, err := losing.Publish(t.Context(), numbered(2), "mine")
-			if err == nil && head.Generation != 2 || err != nil && !fault.Is(err, fault.PlatformDown) {
-				t.Errorf("%s: %+v, %v", key, head, err)
+		for _, fate := range []mishap{lostBefore, lostAfter, landsLate} {
+			for _, landsFirst := range []bool{true, false} { // before or after the other's publication
+				loseAnswer(t, key, fate, landsFirst)
 			}
-			standing, _, _ := ReadHead(t.Context(), services)
-			if err == nil && standing.PublishID != "mine" {
-				t.Errorf("%s: accepted and not in force: %+v", key, standing)
-			}
-			other := mustPublish(t, services.publisher(), 3, "other")
-			again, err := services.publisher().Publish(t.Context(), numbered(2), "mine")
-			checkRepeated(t, services, standing, other, again, err)
 		}
 	}
 }
 
+func loseAnswer(t *testing.T, key string, fate mishap, landsFirst bool) {
+	t.Helper()
+	services := newTestPlatform(t)
+	mustPublish(t, services.publisher(), 1, "first")
+	flaky := &flakyTables{Tables: services, decide: func(written string) mishap {
+		if strings.HasPrefix(written, key) {
+			return fate
+		}
+		return passes
+	}}
+	head, err := Publisher{Tables: flaky, Objects: services}.Publish(t.Context(), numbered(2), "mine")
+	if err == nil && head.Generation != 2 || err != nil && !fault.Is(err, fault.PlatformDown) {
+		t.Errorf("%s: %+v, %v", key, head, err)
+	}
+	if landsFirst {
+		flaky.land(t.Context())
+	}
+	standing, _, _ := ReadHead(t.Context(), services)
+	if err == nil && standing.PublishID != "mine" {
+		t.Errorf("%s: accepted and not in force: %+v", key, standing)
+	}
+	other := mustPublish(t, services.publisher(), 3, "other")
+	flaky.land(t.Context())
+	again, err := services.publisher().Publish(t.Context(), numbered(2), "mine")
+	checkRepeated(t, services, standing, other, again, err)
+}
+
 // checkRepeated checks a publication that was repeated after another's: no third one may have come of it, unless the
 // first try left no trace at all.
 func checkRepeated(t *testing.T, services *testPlatform, standing, other, again Head, err error) {
