--- a/cmd/lovagectl/config.go
+++ b/cmd/lovagectl/config.go
@@ -47,16 +47,35 @@
 	return operate.Origin{By: f.By, Note: f.Note, PublishID: f.PublishID}
 }
 
+// waitFlags say whether to wait for the hosts afterwards.
+type waitFlags struct {
+	Wait    bool          `help:"Wait until every host holds the new generation."`
+	Timeout time.Duration `default:"60s" help:"Give up waiting after this time."`
+}
+
+func (f waitFlags) wait(ctx context.Context, operator *operate.Operator) error {
+	if !f.Wait {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
+	defer cancel()
+	return operator.WaitConfirmed(ctx, 0, false)
+}
+
 type applyCmd struct {
 	Folder string          `arg:"" help:"Folder of .json files."`
 	Base   core.Generation `help:"Publish only while this generation is in force, such as the one that you ran diff against." placeholder:"GENERATION"`
 	originFlags
+	waitFlags
 }
 
 func (c *applyCmd) Run(ctx context.Context, operator *operate.Operator) error {
 	origin := c.origin()
 	origin.Base = c.Base
-	return operator.Apply(ctx, c.Folder, origin)
+	if err := operator.Apply(ctx, c.Folder, origin); err != nil {
+		return err
+	}
+	return c.wait(ctx, operator)
 }
 
 type showCmd struct {
@@ -80,10 +99,14 @@
 type rollbackCmd struct {
 	Generation core.Generation `arg:"" optional:"" help:"Generation to repeat; without it the one before that in force."`
 	originFlags
+	waitFlags
 }
 
 func (c *rollbackCmd) Run(ctx context.Context, operator *operate.Operator) error {
-	return operator.Rollback(ctx, c.Generation, c.origin())
+	if err := operator.Rollback(ctx, c.Generation, c.origin()); err != nil {
+		return err
+	}
+	return c.wait(ctx, operator)
 }
 
 type configWaitCmd struct {
--- a/cmd/lovagectl/main_test.go
+++ b/cmd/lovagectl/main_test.go
@@ -277,6 +277,17 @@
 	})
 }
 
+func TestApplyAndRollbackWait(t *testing.T) {
+	b := newBench(t)
+	b.addHost("e1", core.RoleEntry, "a", statusMethod(wire.Record{Phase: wire.PhaseReady, Generation: 2}))
+	b.follow([]step{
+		{command: "config apply ./sound --wait", out: "warning..."},
+		{command: "config apply ./changed --wait", out: "warning..."},
+		{command: "config rollback --wait --timeout 1s", code: 5, out: "~ service...", errOut: "generation 3 is confirmed by 0 of 1 hosts, not by: e1 in a holds generation 2"},
+		{command: "config apply ./sound --wait --timeout 1s", code: 5, out: "warning...", errOut: "generation 3 is confirmed by 0 of 1 hosts"},
+	})
+}
+
 func TestPlatformFileIsAskedFor(t *testing.T) {
 	var errOut bytes.Buffer
 	t.Setenv("LOVAGE_PLATFORM", "")
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -74,6 +74,7 @@
 	a.engine = observed{Engine: a.engine, gate: a.gate}
 	a.loader = newLoader(a)
 	a.node.OnView = a.viewChanged
+	telemetry.ShowLoad(a.load)
 	a.node.Running = func() int { return a.gate.Load().Running }
 	return a
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -52,6 +52,7 @@
 	AttemptStarted("s", false)
 	AttemptStarted("s", true)
 	SetBurnSize(3, 700)
+	ShowLoad(func() wire.Load { return wire.Load{Running: 2, Queued: 1, Limit: 8, Generation: 5} })
 	ShowRecord(wire.Record{Generation: 4, Phase: wire.PhaseReady, Versions: []wire.VersionStatus{{Version: "old"}, {Version: "v", Have: 2, Total: 5, Phase: wire.VersionFetching}}}, 6)
 	ShowRecord(wire.Record{Generation: 5, Phase: wire.PhaseDraining, Versions: []wire.VersionStatus{{Version: "v", Have: 5, Total: 5, Phase: wire.VersionServing}}}, 7)
 	for name, want := range map[string]string{
@@ -65,6 +66,7 @@
 		"lovage_nodes":              `7`,
 		"lovage_versions":           `{"v": {"have": 5, "phase": "serving", "total": 5}}`,
 		"lovage_burn_series":        `3`,
+		"lovage_load":               `{"running":2,"queued":1,"limit":8}`,
 		"lovage_burn_bytes":         `700`,
 	} {
 		if got := expvar.Get(name).String(); got != want {
