--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -186,6 +186,12 @@
 	if _, err := services.publisher().Publish(t.Context(), numbered(2), "second"); !fault.Is(err, fault.PlatformDown) || fault.Remedy(err) == "" {
 		t.Fatalf("with the platform down: %v", err)
 	}
+	if head, _, err := ReadHead(t.Context(), services); !fault.Is(err, fault.PlatformDown) {
+		t.Fatalf("an outage is taken for head %+v: %v", head, err)
+	}
+	if heads, err := History(t.Context(), services, 1); !fault.Is(err, fault.PlatformDown) {
+		t.Fatalf("an outage is taken for the history %v: %v", heads, err)
+	}
 	services.setFaults(`{"delay_ms":20}`)
 	if head, _, err := ReadHead(t.Context(), services); err != nil || head != first {
 		t.Fatalf("after the outage: %+v, %v", head, err)
