Failure domains out and back with a word from every host

Cause: an operator who takes a failure domain out did not learn when the last host has taken it, nor when its work ended. Ruled out: waiting for the generation alone (work in flight goes on); asking the agents of the domain alone (an entry that has not heard still sends).

--- a/cmd/lovagectl/domain.go
+++ b/cmd/lovagectl/domain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/operate"
@@ -13,17 +14,33 @@
 }
 
 type domainOutCmd struct {
-	Name core.FailureDomain `arg:"" help:"Failure domain."`
+	domainArgs
+}
+
+// domainArgs are the arguments of both commands.
+type domainArgs struct {
+	Name    core.FailureDomain `arg:"" help:"Failure domain."`
+	Wait    bool               `help:"Wait until every host has confirmed and, on the way out, no work is left. Names the hosts that have not."`
+	Timeout time.Duration      `default:"60s" help:"Give up waiting after this time."`
 }
 
 func (c *domainOutCmd) Run(ctx context.Context, operator *operate.Operator) error {
-	return operator.SetDomain(ctx, c.Name, true)
+	return c.set(ctx, operator, true)
 }
 
 type domainInCmd struct {
-	Name core.FailureDomain `arg:"" help:"Failure domain."`
+	domainArgs
 }
 
 func (c *domainInCmd) Run(ctx context.Context, operator *operate.Operator) error {
-	return operator.SetDomain(ctx, c.Name, false)
+	return c.set(ctx, operator, false)
+}
+
+func (d *domainArgs) set(ctx context.Context, operator *operate.Operator, out bool) error {
+	if err := operator.SetDomain(ctx, d.Name, out); err != nil || !d.Wait {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	return operator.WaitDomain(ctx, d.Name, out)
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -74,7 +74,7 @@
 	a.engine = observed{Engine: a.engine, gate: a.gate}
 	a.loader = newLoader(a)
 	a.node.OnView = a.viewChanged
-	a.node.Running = func() int { return a.gate.Load().Running }
+	a.node.Running = a.work
 	return a
 }
 
@@ -155,6 +155,12 @@
 	a.loader.want(view.Snapshot.VersionAt(a.settings.Host.ID))
 }
 
+// work counts the attempts at the back end and those that wait for it.
+func (a *Agent) work() int {
+	load := a.gate.Load()
+	return load.Running + load.Queued
+}
+
 func (a *Agent) load() wire.Load {
 	load := a.gate.Load()
 	load.Generation = a.node.View().Self.Generation
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	transmissions  = 4               // messages in which a node passes a change on
+	transmissions  = 3               // messages in which a node passes a change on
 	maxRumours     = 128             // changes in one message
 	suspectTimeout = 4 * time.Second // from suspicion to death, for the member to refute it
 )
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -14,8 +14,9 @@
 	smallSystem      = 100                    // members
 	hurryDelay       = 100 * time.Millisecond // from news to the exchange that passes it on
 	hurryBurst       = 6                      // exchanges beside the regular ones that a node may do at once
-	hurryRefill      = 4 * time.Second        // for one more of them
+	hurryRefill      = 10 * time.Second       // for one more of them
 	syncPerMember    = 15 * time.Millisecond  // time between comparisons of whole tables, for each member
+	syncWhileTelling = 4                      // times as long while changes spread, when tables differ anyway
 	otherDomainOneIn = 5                      // one exchange in so many goes to another failure domain
 	deadOneIn        = 5                      // and one to a member that is taken for dead, if there is any
 	hostsInterval    = 2 * time.Second        // between two reads of the host list by any of the nodes
@@ -167,13 +168,22 @@
 
 func (s *State) sendTo(peer core.HostID, address string, message wire.Exchange) {
 	if s.exchange.differs && s.now >= s.exchange.syncDue || s.table.Len() == 1 {
-		s.exchange.syncDue = s.now + time.Duration(s.table.Len())*syncPerMember
+		s.exchange.syncDue = s.now + s.syncWait()
 		s.exchange.differs = false
 		message.Digest = s.table.Digest(s.random.Uint64())
 	}
 	s.perform(Exchange{Peer: peer, Address: address, Asked: s.now, Message: message})
 }
 
+// syncWait returns the time until the next comparison of whole tables, which costs bytes for each member.
+func (s *State) syncWait() time.Duration {
+	wait := time.Duration(s.table.Len()) * syncPerMember
+	if s.table.Spreading() && !s.small() {
+		wait *= syncWhileTelling
+	}
+	return wait
+}
+
 // message returns what this node tells the peer.
 func (s *State) message(peer core.HostID) wire.Exchange {
 	message := s.bareMessage()
--- /dev/null
+++ b/internal/operate/domain.go
@@ -0,0 +1,109 @@
+package operate
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+// SetDomain takes a failure domain out of service or brings it back.
+func (o *Operator) SetDomain(ctx context.Context, name core.FailureDomain, out bool) error {
+	head, _, err := config.ReadHead(ctx, o.Platform)
+	if err != nil {
+		return err
+	}
+	snapshot, err := config.Fetch(ctx, o.Platform, head)
+	if err != nil {
+		return err
+	}
+	set := snapshot.Set
+	at := slices.IndexFunc(set.FailureDomains, func(domain config.FailureDomain) bool { return domain.Name == name })
+	if at < 0 {
+		return fault.New(fault.NotFound, fmt.Sprintf("there is no failure domain %q", name), "name one of the configuration")
+	}
+	if set.FailureDomains[at].Out == out {
+		return o.printf("nothing to change: %s is %s in generation %d\n", name, placed(out), head.Generation)
+	}
+	set.FailureDomains[at].Out = out
+	return o.publish(ctx, set)
+}
+
+func placed(out bool) string {
+	if out {
+		return "out"
+	}
+	return "in service"
+}
+
+// WaitDomain returns once every host confirmed the configuration in force and, for a failure domain that is out, none
+// of its agents has work left. When the context ends first, the error names the hosts that are not there yet.
+func (o *Operator) WaitDomain(ctx context.Context, name core.FailureDomain, out bool) error {
+	start := time.Now()
+	var pending []string
+	for {
+		found, err := o.domainPending(ctx, name, out)
+		if err == nil {
+			pending = found
+		}
+		if err == nil && len(pending) == 0 {
+			return o.printf("%s is %s at all hosts after %.2f s%s\n", name, placed(out), time.Since(start).Seconds(), leftover(out))
+		}
+		select {
+		case <-ctx.Done():
+			return domainPendingError(name, out, pending, err)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func leftover(out bool) string {
+	if out {
+		return "; no work is left in it"
+	}
+	return ""
+}
+
+func domainPendingError(name core.FailureDomain, out bool, pending []string, cause error) error {
+	if len(pending) == 0 && cause != nil {
+		return fault.Wrap(cause, fault.Expired, "it is not known which hosts confirmed", "wait again with a longer --timeout")
+	}
+	message := fmt.Sprintf("%s is not yet %s at: %s", name, placed(out), strings.Join(pending, ", "))
+	return fault.New(fault.Expired, message, "read these hosts' logs, or have the platform drop those that are gone, and run the command again")
+}
+
+// domainPending names the hosts that have not confirmed or still have work, each with the reason.
+func (o *Operator) domainPending(ctx context.Context, name core.FailureDomain, out bool) ([]string, error) {
+	head, _, err := config.ReadHead(ctx, o.Platform)
+	if err != nil {
+		return nil, err
+	}
+	nodes, err := o.Gather(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var pending []string
+	for _, node := range nodes {
+		if reason := domainReason(node, head.Generation, name, out); reason != "" {
+			pending = append(pending, fmt.Sprintf("%s (%s)", node.Host.ID, reason))
+		}
+	}
+	return pending, nil
+}
+
+func domainReason(node NodeStatus, generation core.Generation, name core.FailureDomain, out bool) string {
+	switch {
+	case node.Err != nil:
+		return "gave no answer"
+	case node.Record.Generation < generation:
+		return fmt.Sprintf("holds generation %d", node.Record.Generation)
+	case out && node.Host.FailureDomain == name && node.Record.Running > 0:
+		return fmt.Sprintf("runs %d requests", node.Record.Running)
+	}
+	return ""
+}
