Differential and convergence tests of the membership table

Cause: the order of lives, sequences, verdicts and listings had no test of its own. Ruled out: comparing with a second table of the same shape (it would share its faults). Change: a naive table that keeps every update and derives the latest; random changes, replacements with clocks behind, and comparisons in pairs, after which all tables hold the same.

--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,163 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+func host(id core.HostID) core.Host {
+	return core.Host{ID: id, Role: core.RoleAgent, FailureDomain: "a", ControlAddress: "10.0.0.1:7002"}
+}
+
+func newTable(id core.HostID) *Table {
+	return NewTable(wire.Record{Host: host(id), Incarnation: 1, Life: 100, Phase: wire.PhaseReady})
+}
+
+// naive keeps every update that it ever heard and derives how a host stands from all of them.
+type naive struct {
+	heard map[core.HostID][]wire.Update
+}
+
+// best returns the latest of all updates on a host by the order of the record and by that of the listing.
+func (n *naive) best(id core.HostID) (record, listing wire.Update) {
+	for _, update := range n.heard[id] {
+		if cmp.Or(cmp.Compare(update.Life, record.Life), cmp.Compare(update.Incarnation, record.Incarnation),
+			cmp.Compare(update.Sequence, record.Sequence), cmp.Compare(update.Verdict, record.Verdict)) > 0 {
+			record = update
+		}
+		if cmp.Or(cmp.Compare(update.Listed, listing.Listed), cmp.Compare(update.Listing, listing.Listing)) > 0 {
+			listing = update
+		}
+	}
+	return record, listing
+}
+
+func drawUpdate(t *rapid.T) wire.Update {
+	id := core.HostID(rapid.SampledFrom([]string{"b", "c", "d"}).Draw(t, "host"))
+	at := host(id)
+	return wire.Update{
+		Host:        id,
+		At:          &at,
+		Life:        rapid.Uint64Range(1, 3).Draw(t, "life"),
+		Incarnation: core.Incarnation(rapid.Uint64Range(1, 2).Draw(t, "incarnation")),
+		Sequence:    rapid.Uint64Range(0, 4).Draw(t, "sequence"),
+		Verdict:     wire.Verdict(rapid.IntRange(0, 2).Draw(t, "verdict")),
+		Phase:       rapid.SampledFrom([]wire.Phase{wire.PhaseStarting, wire.PhaseReady, wire.PhaseDraining}).Draw(t, "phase"),
+		Listed:      rapid.Uint64Range(0, 3).Draw(t, "listed"),
+		Listing:     rapid.SampledFrom([]core.HostState{"", core.HostLive, core.HostLeaving}).Draw(t, "listing"),
+	}
+}
+
+// TestTableAgreesWithNaiveOne merges updates in any order and compares every member with a table that keeps them all.
+func TestTableAgreesWithNaiveOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTable("a")
+		plain := &naive{heard: make(map[core.HostID][]wire.Update)}
+		for range rapid.IntRange(1, 60).Draw(t, "updates") {
+			update := drawUpdate(t)
+			if update.Listed == 0 {
+				update.Listing = ""
+			}
+			table.Merge(update, "x", 0)
+			plain.heard[update.Host] = append(plain.heard[update.Host], update)
+			compareWithNaive(t, table, plain)
+		}
+	})
+}
+
+func compareWithNaive(t *rapid.T, table *Table, plain *naive) {
+	for id := range plain.heard {
+		record, listing := plain.best(id)
+		member := table.Member(id)
+		if member.Record.Life != record.Life || member.Record.Incarnation != record.Incarnation || member.Record.Sequence != record.Sequence || member.Verdict != record.Verdict {
+			t.Fatalf("%s stands at %+v, %v and not at %+v", id, member.Record, member.Verdict, record)
+		}
+		if member.Listed != listing.Listed || member.Listing != listing.Listing {
+			t.Fatalf("%s is listed as %d %q and not as %d %q", id, member.Listed, member.Listing, listing.Listed, listing.Listing)
+		}
+	}
+}
+
+// TestTablesConverge lets several tables change and exchange at random; once they compare themselves in pairs, all
+// hold the same, and no life that was replaced is ever shown again.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := make([]*Table, 4)
+		for i := range tables {
+			tables[i] = newTable(core.HostID(fmt.Sprint("host-", i)))
+		}
+		highest := make(map[core.HostID]uint64)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i, j := rapid.IntRange(0, 3).Draw(t, "i"), rapid.IntRange(0, 3).Draw(t, "j")
+			disturbTable(t, tables, i, j)
+			checkLives(t, tables[i], highest)
+		}
+		for range 3 {
+			for i := range tables {
+				for j := range tables {
+					reconcile(tables[i], tables[j])
+				}
+			}
+		}
+		for i := range tables {
+			if tables[i].Hash() != tables[0].Hash() {
+				t.Fatalf("tables 0 and %d differ after they compared themselves", i)
+			}
+		}
+	})
+}
+
+func disturbTable(t *rapid.T, tables []*Table, i, j int) {
+	switch rapid.SampledFrom([]string{"tell", "accuse", "expire", "change", "replace", "list"}).Draw(t, "step") {
+	case "tell":
+		for _, update := range tables[i].Rumours(tables[j].self) {
+			tables[j].Merge(update, tables[i].self, 0)
+		}
+	case "accuse":
+		tables[i].Accuse(tables[j].self, wire.Suspect, 0)
+	case "expire":
+		tables[i].Expire(time.Hour)
+	case "change":
+		tables[i].SetSelf(func(self *wire.Record) { self.Phase = wire.PhaseDraining }, true)
+	case "replace":
+		before := tables[i].Self()
+		before.Incarnation += 10
+		before.Life = rapid.Uint64Range(99, 101).Draw(t, "life") // its clock may be behind
+		before.Sequence = 0
+		tables[i] = NewTable(before)
+	case "list":
+		tables[i].List([]core.Host{host(tables[j].self)}, true)
+	}
+}
+
+// checkLives checks that a table never goes back to a life that it has seen replaced.
+func checkLives(t *rapid.T, table *Table, highest map[core.HostID]uint64) {
+	for _, member := range table.Members() {
+		key := core.HostID(fmt.Sprint(table.self, table.Self().Incarnation, member.id))
+		if member.Record.Life < highest[key] {
+			t.Fatalf("%s went back to life %d of %s from %d", table.self, member.Record.Life, member.id, highest[key])
+		}
+		highest[key] = member.Record.Life
+	}
+}
+
+// reconcile compares two tables and gives each what the other knows.
+func reconcile(a, b *Table) {
+	updates, missing := b.Differences(a.Digest(7))
+	var older []core.HostID
+	for _, update := range updates {
+		if a.Merge(update, b.self, 0).Older {
+			older = append(older, update.Host)
+		}
+	}
+	for _, update := range a.Named(missing, append(older, a.self)) {
+		b.Merge(update, a.self, 0)
+	}
+}
