--- a/internal/operate/burn.go
+++ b/internal/operate/burn.go
@@ -52,7 +52,7 @@
 
 // Burn gathers the sums of all entries and reports the burn of every objective.
 func (o *Operator) Burn(ctx context.Context, options BurnOptions) error {
-	snapshot, err := o.inForce(ctx)
+	snapshot, err := o.held(ctx)
 	if err != nil {
 		return err
 	}
@@ -76,7 +76,7 @@
 }
 
 func (o *Operator) gatherBurn(ctx context.Context, windows []time.Duration) ([]entryAnswer, error) {
-	hosts, err := o.Platform.ListHosts(ctx)
+	hosts, err := o.listHosts(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +90,11 @@
 		ctx, cancel := context.WithTimeout(ctx, burnTimeout)
 		defer cancel()
 		answer := entryAnswer{host: *host}
-		answer.err = o.Peers.Call(ctx, host.ControlAddress, burn.MethodWindows, request, &answer.windows)
+		var packed burn.PackedAnswer
+		answer.err = o.Peers.Call(ctx, host.ControlAddress, burn.MethodWindows, request, &packed)
+		if answer.err == nil {
+			answer.windows, answer.err = packed.Unpack()
+		}
 		return answer
 	}), nil
 }
