The version that served before is kept while memory lasts

Ruled out: keeping more than one former version.

Change: the store keeps the former version beside the one that serves if both fit; TestVersionReplacedAndRolledBack rolls back without a byte from the origin.

Conclusion: roll back needs no fetch.

--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -42,6 +42,7 @@
 	manifests map[core.VersionID]weights.Manifest
 	roster    roster
 	asked     []core.VersionID // what the distributor was last asked for
+	former    core.VersionID   // served before the version that serves
 	fence     core.FenceNumber // of the last order
 	retryAt   time.Time
 }
@@ -198,10 +199,11 @@
 	l.tell(ctx, held.version, wire.VersionFailed, reason)
 }
 
-// settle drops what is no longer needed once the wanted version serves.
+// settle drops what is no longer needed once the wanted version serves. The version before it is kept while memory
+// lasts.
 func (l *loader) settle(ctx context.Context, version core.VersionID) {
 	if version != "" && version == l.serving() {
-		l.ask(ctx, []core.VersionID{version})
+		l.ask(ctx, l.withFormer(version))
 	}
 }
 
@@ -229,15 +231,24 @@
 	if !l.agent.store.Fits(manifest) {
 		return fault.New(fault.Overloaded, "the version is larger than the memory for weights", "raise weights_bytes in the agent's settings")
 	}
-	order := []core.VersionID{version}
-	old := l.serving()
-	if kept, ok := l.manifests[old]; ok && old != version && l.agent.store.Fits(manifest, kept) {
-		order = append(order, old)
-	}
-	l.ask(ctx, order)
+	l.ask(ctx, l.withFormer(version))
 	return nil
 }
 
+// withFormer returns the version and, while memory lasts, the one that served before it, so that a roll back needs no
+// fetch.
+func (l *loader) withFormer(version core.VersionID) []core.VersionID {
+	former := l.serving()
+	if former == version || former == "" {
+		former = l.former
+	}
+	kept, ok := l.manifests[former]
+	if !ok || former == version || !l.agent.store.Fits(l.manifests[version], kept) {
+		return []core.VersionID{version}
+	}
+	return []core.VersionID{version, former}
+}
+
 // ask hands the versions to the distributor unless it has them already.
 func (l *loader) ask(ctx context.Context, order []core.VersionID) {
 	if equalVersions(l.asked, order) {
--- a/internal/agent/loader_order.go
+++ b/internal/agent/loader_order.go
@@ -25,7 +25,9 @@
 	if err := l.takeFence(ctx); err != nil {
 		return err
 	}
-	l.held.Store(nil)
+	if old := l.held.Swap(nil); old != nil && old.version != version {
+		l.former = old.version
+	}
 	contents, err := l.load(ctx, version, manifest)
 	if err != nil {
 		return err
--- a/systemtest/weights_test.go
+++ b/systemtest/weights_test.go
@@ -241,8 +241,14 @@
 		}
 	}
 	c.awaitPhase("v1", wire.VersionServing, weightRunners...)
-	if copies := c.originCopies(); copies > 4 {
-		t.Errorf("%.2f copies came from the origin for two versions", copies)
+	drawn := c.originCopies()
+	if drawn > 4 {
+		t.Errorf("%.2f copies came from the origin for two versions", drawn)
+	}
+	c.ask("v2", 3)
+	c.awaitPhase("v2", wire.VersionServing, weightRunners...)
+	if again := c.originCopies(); again > drawn {
+		t.Errorf("rolling back drew %.2f copies from the origin", again-drawn)
 	}
 	c.ask("v1", 2)
 	c.await("the engine of a withdrawn replica holds nothing", func() bool { return c.engineState("runner-c").Version == "" })
