The harness reads the nodes' logs before they are removed

Cause: the folder of the logs was removed before the cleanup that searches them, so the search for data races and the dump of logs saw nothing; every pass under the race detector so far said nothing of the daemons. Change: the folder is made before the cleanup is registered; an unreadable log fails the test. Conclusion: the check checks now.

--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -68,6 +68,7 @@
 // cluster is a running system. Each of its hosts has an IP number of its own.
 type cluster struct {
 	t            testing.TB
+	folder       string // settings and logs of the nodes
 	network      string // the first three numbers of every address
 	lastHost     int
 	platform     *standin.Platform
@@ -105,6 +106,7 @@
 
 		forwarders: make(map[core.HostID][]*forwarder),
 		peers:      rpc.NewClient(),
+		folder:     t.TempDir(), // before the cleanup that reads the logs, so that it is removed after it
 	}
 	c.platform = standin.NewPlatform(0)
 	c.platformAddr = fmt.Sprintf("%s:%d", c.newIP(), dataPort)
@@ -202,7 +204,7 @@
 	c.t.Helper()
 	raw, err := json.Marshal(own)
 	c.must(err)
-	path := filepath.Join(c.t.TempDir(), string(host.ID)+".json")
+	path := filepath.Join(c.folder, string(host.ID)+".json")
 	c.must(os.WriteFile(path, raw, 0o600))
 	p := &process{host: host, settings: path, binary: filepath.Join(binaries, binary)}
 	c.nodes[host.ID] = p
@@ -326,7 +328,10 @@
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Signal(syscall.SIGKILL)
 		<-p.done
-		raw, _ := os.ReadFile(p.log.Name())
+		raw, err := os.ReadFile(p.log.Name())
+		if err != nil {
+			c.t.Errorf("the log of %s cannot be searched for races: %v", id, err)
+		}
 		_ = p.log.Close()
 		if strings.Contains(string(raw), "DATA RACE") {
 			c.t.Errorf("%s has a data race:\n%s", id, raw)
