A read is hedged past a frozen agent, shown between processes

Cause: hedges were shown in the reducer alone.

Ruled out: asserting the time of the answer; the caller's deadline is shorter than an entry takes to give up a silent connection, so the outcome tells.

Change: a test that freezes the local agent after sixty reads.

Conclusion: a hedge answers within the deadline where a resolve would not.

--- a/systemtest/outcome_lost_test.go
+++ b/systemtest/outcome_lost_test.go
@@ -18,7 +18,11 @@
 	"github.com/lovageglade/lovageglade/internal/standin"
 )
 
-const maxSuspectCrashes = 4 // of one request's sends, with two endpoints that hear of each other
+const (
+	maxSuspectCrashes = 4               // of one request's sends, with two endpoints that hear of each other
+	profileDeadline   = 3 * time.Second // shorter than an entry takes to give up a silent connection
+	hedgeSamples      = 60              // answers after which an entry knows when to hedge
+)
 
 func TestLateCopyOfATombstonedAttemptRunsNothing(t *testing.T) {
 	c := newBookingCluster(t)
@@ -172,12 +176,28 @@
 	}
 }
 
+func TestReadIsHedgedPastAFrozenAgent(t *testing.T) {
+	c := newBookingCluster(t)
+	client := newCaller(t)
+	entry := c.entries("entry-a")[0]
+	for i := range hedgeSamples {
+		if kind := c.profile(client, entry, fmt.Sprint(i)); kind != "" {
+			t.Fatalf("a read was refused: %s", kind)
+		}
+	}
+	c.signal("plain-a", syscall.SIGSTOP)
+	if kind := c.profile(client, entry, "hedged"); kind != "" {
+		t.Errorf("the read was refused: %s", kind)
+	}
+}
+
 // profile reads a profile and returns the kind of its refusal, or "".
 func (c *cluster) profile(client *http.Client, entry, id string) string {
 	c.t.Helper()
 	request, err := http.NewRequest(http.MethodGet, "http://"+entry+"/services/bookings/profile?id="+id, nil)
 	c.must(err)
 	request.Header.Set("Lovage-Workspace", "space")
+	request.Header.Set("Lovage-Deadline-Ms", fmt.Sprint(profileDeadline.Milliseconds()))
 	answer, err := client.Do(request)
 	c.must(err)
 	defer answer.Body.Close()
