A claim row that was removed in use is an error, not another request's claim

Cause: a move whose row the platform had expired meanwhile found an empty row, took its fingerprint for other content and answered 409.

Ruled out: inserting anew, since the call has read a claim that is gone and can no longer prove what became of it.

Change: the write is refused with the remedy.

Conclusion: the caller hears that the platform gave no word.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -98,7 +98,7 @@
 		var result platform.WriteResult
 		result, err = c.batch.write(ctx, write)
 		if err == nil {
-			return decode(result.Row)
+			return taken(result.Row, revision)
 		}
 		standing, readErr := c.Read(ctx, key)
 		if readErr == nil && standing.Revision > revision {
@@ -108,6 +108,14 @@
 	return Standing{}, err
 }
 
+// taken returns the claim that stands after a write. A row that has gone back was removed while it was in use.
+func taken(row platform.Row, revision platform.Revision) (Standing, error) {
+	if row.Revision < revision {
+		return Standing{}, fault.New(fault.PlatformDown, "the claim row was removed while it was in use", "have the platform keep claim rows for longer than callers send a key again")
+	}
+	return decode(row)
+}
+
 func decode(row platform.Row) (Standing, error) {
 	if row.Revision == 0 {
 		return Standing{}, nil
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -103,6 +103,16 @@
 	}
 }
 
+func TestClaimThatWasRemovedIsNotTakenOver(t *testing.T) {
+	tables := newFakeTables()
+	claimer := NewClaimer(tables)
+	first, _ := claimer.Take(context.Background(), key, Holder{Attempt: "first"}, 0)
+	clear(tables.rows)
+	if standing, err := claimer.Take(context.Background(), key, Holder{Attempt: "second"}, first.Revision); err == nil {
+		t.Errorf("the claim names %q", standing.Holder.Attempt)
+	}
+}
+
 func TestWritesShareRoundTrips(t *testing.T) {
 	tables := newFakeTables()
 	entered, release := make(chan struct{}, 64), make(chan struct{})
