--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -74,7 +74,8 @@
 	a.engine = observed{Engine: a.engine, gate: a.gate}
 	a.loader = newLoader(a)
 	a.node.OnView = a.viewChanged
-	a.node.Running = func() int { return a.gate.Load().Running }
+	telemetry.ShowLoad(a.load)
+	a.node.Running = a.work
 	return a
 }
 
@@ -139,6 +140,7 @@
 // viewChanged takes over what a new configuration says of this host.
 func (a *Agent) viewChanged(view *node.View) {
 	telemetry.ShowRecord(view.Self, len(view.Records))
+	a.loader.see(view)
 	if view.Snapshot == nil {
 		return
 	}
@@ -155,6 +157,12 @@
 	a.loader.want(view.Snapshot.VersionAt(a.settings.Host.ID))
 }
 
+// work counts the attempts at the back end and those that wait for it.
+func (a *Agent) work() int {
+	load := a.gate.Load()
+	return load.Running + load.Queued
+}
+
 func (a *Agent) load() wire.Load {
 	load := a.gate.Load()
 	load.Generation = a.node.View().Self.Generation
