Fewer parts wait for a slow caller

Cause: 256 parts of up to 64 KiB could wait for each caller that reads slowly, 16 MiB each.

Ruled out: a bound in bytes over all callers, since the agent holds the answer anyway and the flow waits.

Change: 16 parts.

Conclusion: a slow caller holds 1 MiB at most.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -11,7 +11,7 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
-const pieceQueue = 256
+const pieceQueue = 16 // parts of up to 64 KiB that wait for a slow caller
 
 // answer collects a request's answer. An event stream is passed on as it arrives; any other answer is sent once it
 // is whole.
