What the burn report costs an entry, as a slope

Cause: the memory of the sums was reckoned by the histograms' own account and never compared with the heap.

Change: BenchmarkSeries measures heap, answer and time at 15 to 120 busy series.

--- a/internal/burn/bench_test.go
+++ b/internal/burn/bench_test.go
@@ -1,6 +1,8 @@
 package burn
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -21,20 +23,41 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/200, "ns/part")
 }
 
-// BenchmarkWindows answers for 30 series that were busy for more than a day.
-func BenchmarkWindows(b *testing.B) {
-	recorder := NewRecorder()
-	fill(recorder, 10, 30)
-	now := 26*time.Hour - time.Second
-	var raw []byte
+// BenchmarkSeries gives what series cost an entry that were busy for more than a day; x is series.
+func BenchmarkSeries(b *testing.B) {
+	const (
+		servicesFilled = 3
+		perSlot        = 30 // requests of a series in each 5 minutes
+	)
+	for _, series := range []int{15, 30, 60, 120} {
+		b.Run(fmt.Sprintf("x=%d", series), func(b *testing.B) {
+			before := heapInUse()
+			recorder := NewRecorder()
+			fill(recorder, series/servicesFilled, perSlot)
+			held := heapInUse() - before
+			size := answerTo(b, recorder)
+			b.ReportMetric(held, "heap-bytes")
+			b.ReportMetric(float64(size), "answer-bytes")
+		})
+	}
+}
+
+// answerTo answers with four windows and returns the bytes of the answer.
+func answerTo(b *testing.B, recorder *Recorder) int {
+	size := 0
 	for b.Loop() {
-		packed, err := recorder.Windows(now, request(), nil).Pack()
+		packed, err := recorder.Windows(26*time.Hour-time.Second, request(), nil).Pack()
 		if err != nil {
 			b.Fatal(err)
 		}
-		raw = packed.Packed
+		size = len(packed.Packed)
 	}
-	_, size := recorder.Size()
-	b.ReportMetric(float64(len(raw)), "answer-bytes")
-	b.ReportMetric(float64(size), "held-bytes")
+	return size
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
 }
