A queued request runs only if it can still end in time

The small workspace was refused on arrival, since its turn was counted behind all of the large one's requests though its share puts it before them.

Change: twice the mean service time must be left when the turn is expected and again when it comes; the expected turn counts other workspaces by their shares.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -36,15 +36,22 @@
 
 func (q *queue) len() int { return len(q.waiters) }
 
-// ahead counts the waiters that go before w.
+// ahead estimates how many waiters go before w: those that would by order alone, but of other workspaces no more than
+// their shares let through.
 func (q *queue) ahead(w waiter) int {
-	count := 0
+	all, own := 0, 0
+	workspaces := map[core.Workspace]bool{w.workspace: true}
 	for _, other := range q.waiters {
-		if other.before(w) {
-			count++
+		workspaces[other.workspace] = true
+		if !other.before(w) {
+			continue
+		}
+		all++
+		if other.workspace == w.workspace {
+			own++
 		}
 	}
-	return count
+	return min(all, (own+1)*len(workspaces)-1+maxLead)
 }
 
 // push adds the waiter. When the queue is full, one request has to go, which may be the new one: displaced is then true
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -116,7 +116,7 @@
 		return
 	}
 	w := waiter{id: event.ID, workspace: event.Workspace, priority: event.Priority, deadline: event.Deadline}
-	if event.Now+s.expected(w) > event.Deadline {
+	if !s.canEnd(event.Now+s.expectedWait(w), event.Deadline) {
 		s.decide(event.ID, TooLate)
 		return
 	}
@@ -130,11 +130,18 @@
 	}
 }
 
-// expected is how long the request would wait and run, as far as service times are known.
-func (s *State) expected(w waiter) time.Duration {
-	mean := s.service.mean()
+// serviceMargin is the multiple of the mean service time that a request is expected to run at the most.
+const serviceMargin = 2
+
+// expectedWait is how long the request would wait, as far as service times are known.
+func (s *State) expectedWait(w waiter) time.Duration {
 	turn := time.Duration(s.queue.ahead(w) + 1)
-	return turn*mean/time.Duration(max(1, s.limiter.limit)) + mean
+	return turn * s.service.mean() / time.Duration(max(1, s.limiter.limit))
+}
+
+// canEnd tells whether a request that starts then may be expected to end before the deadline.
+func (s *State) canEnd(start, deadline time.Duration) bool {
+	return start+serviceMargin*s.service.mean() <= deadline
 }
 
 func (s *State) admit(now time.Duration, id uint64) {
@@ -161,7 +168,7 @@
 	s.grant(event.Now)
 }
 
-// grant admits waiting requests while there is room. One whose deadline has passed is refused.
+// grant admits waiting requests while there is room. One that cannot make its deadline any more is refused.
 func (s *State) grant(now time.Duration) {
 	for s.running < s.limiter.limit && s.queue.len() > 0 {
 		next := s.queue.pop()
@@ -169,6 +176,10 @@
 			s.decide(next.id, Gone)
 			continue
 		}
+		if !s.canEnd(now, next.deadline) {
+			s.decide(next.id, TooLate)
+			continue
+		}
 		s.admit(now, next.id)
 	}
 }
--- a/internal/admission/state_test.go
+++ b/internal/admission/state_test.go
@@ -181,13 +181,23 @@
 	state := warmState(1, 8)
 	state.Step(Left{Now: 2 * time.Second, End: Whole}) // the mean service time is now 2 s
 	offer(state, 1, "a", 0, time.Hour)
-	if got := fmt.Sprint(state.Step(Offered{Now: 2 * time.Second, ID: 2, Deadline: 5 * time.Second})); got != fmt.Sprint([]Verdict{{2, TooLate}}) {
-		t.Errorf("3 s left for 2 s of waiting and 2 s of running: %s", got)
+	if got := fmt.Sprint(state.Step(Offered{Now: 2 * time.Second, ID: 2, Deadline: 7 * time.Second})); got != fmt.Sprint([]Verdict{{2, TooLate}}) {
+		t.Errorf("5 s left for 2 s of waiting and up to 4 s of running: %s", got)
 	}
-	if got := state.Step(Offered{Now: 2 * time.Second, ID: 3, Deadline: 7 * time.Second}); len(got) != 0 {
-		t.Errorf("5 s left: %v", got)
+	for id, deadline := range map[uint64]time.Duration{3: 9 * time.Second, 4: 30 * time.Second} {
+		if got := state.Step(Offered{Now: 2 * time.Second, ID: id, Deadline: deadline}); len(got) != 0 {
+			t.Errorf("until %v: %v", deadline, got)
+		}
+	}
+	if got := fmt.Sprint(state.Step(Left{Now: 6 * time.Second, End: Whole})); got != fmt.Sprint([]Verdict{{3, TooLate}, {4, Admitted}}) {
+		t.Errorf("its turn came too late: %s", got)
 	}
-	if got := fmt.Sprint(state.Step(Left{Now: 8 * time.Second, End: Whole})); got != fmt.Sprint([]Verdict{{3, Gone}}) {
+}
+
+func TestRequestWhoseDeadlinePassedInTheQueueIsGone(t *testing.T) {
+	state := warmState(1, 8)
+	offer(state, 1, "a", 0, 3*time.Second)
+	if got := fmt.Sprint(state.Step(Left{Now: 3 * time.Second, End: Whole})); got != fmt.Sprint([]Verdict{{1, Gone}}) {
 		t.Errorf("its turn came after its deadline: %s", got)
 	}
 }
