Affinity takes the less loaded of two endpoints of a prefix

Cause: the second endpoint by rendezvous was tried only above the bound, so that prefixes which share a first one filled it.

Change: the less loaded of the two, the first while they are equal.

With the comparison taken out the pick differs from the naive one.

--- a/internal/routing/affinity.go
+++ b/internal/routing/affinity.go
@@ -16,8 +16,8 @@
 	return max(1, xxhash.Sum64(prompt[:min(len(prompt), PrefixBytes)]))
 }
 
-// affine returns the endpoint that the prefix hashes onto by rendezvous, or the next one after it, while it has room
-// and its load is within the bound. It returns nil when neither is.
+// affine returns one of the two endpoints that the prefix hashes onto by rendezvous: the less loaded one, the first when
+// they are equal, while it has room and its load is within the bound. It returns nil when neither is.
 func (t tier) affine(query Query) *Endpoint {
 	var first, second *Endpoint
 	var firstWeight, secondWeight uint64
@@ -37,6 +37,9 @@
 			second, secondWeight = endpoint, weight
 		}
 	}
+	if second != nil && second.lessLoaded(first, query.Now) {
+		first, second = second, first
+	}
 	if first != nil && first.withinBound(load, limit, query) {
 		return first
 	}
--- a/internal/routing/naive_test.go
+++ b/internal/routing/naive_test.go
@@ -52,7 +52,7 @@
 	first := naiveFrom(all, query, firstDraw)[0]
 	second := naiveFrom(all, query, secondDraw)[0]
 	chosen := first
-	if (second.load+1)/second.limit < (first.load+1)/first.limit {
+	if naiveLess(second, first) {
 		chosen = second
 	}
 	if chosen.load < chosen.limit {
@@ -66,6 +66,8 @@
 	return chosen, true
 }
 
+func naiveLess(a, b naiveCandidate) bool { return (a.load+1)/a.limit < (b.load+1)/b.limit }
+
 // naiveFrom returns the candidates that are not excluded, in turn from a drawn position.
 func naiveFrom(all []naiveCandidate, query Query, stream uint64) []naiveCandidate {
 	position := draw(query.Seed, stream, len(all))
@@ -73,11 +75,14 @@
 	return keepNaive(turned, func(c naiveCandidate) bool { return !query.Exclude[c.id] })
 }
 
-// naiveAffine returns the two candidates of the highest rendezvous weight.
+// naiveAffine returns the two candidates of the highest rendezvous weight, the less loaded one first.
 func naiveAffine(left []naiveCandidate, prefix uint64) []naiveCandidate {
 	sorted := append([]naiveCandidate(nil), left...)
 	weight := func(c naiveCandidate) uint64 { return mix(prefix ^ xxhash.Sum64String(string(c.id))) }
 	sort.SliceStable(sorted, func(i, j int) bool { return weight(sorted[i]) > weight(sorted[j]) })
+	if len(sorted) > 1 && naiveLess(sorted[1], sorted[0]) {
+		sorted[0], sorted[1] = sorted[1], sorted[0]
+	}
 	return sorted[:min(2, len(sorted))]
 }
 
