Requests are answered while a version spreads, over processes

Cause: not shown over processes.

Seen first: with only the wanted version accepted, 23 of 100 requests were refused as no_endpoint.

Conclusion: holds where engines load at once. Where all engines of a service load for long at the same time, none serves meanwhile.

--- a/systemtest/admission_test.go
+++ b/systemtest/admission_test.go
@@ -171,3 +171,25 @@
 	c.listHosts(hosts)
 	c.await("no booking goes to the endpoint that leaves", func() bool { return c.booksNothingAt("plain-a") })
 }
+
+func TestRequestsAreAnsweredWhileAVersionSpreads(t *testing.T) {
+	c := newPathCluster(t)
+	c.warm()
+	next := c.addVersion("brief", "brief-v2", bytes.Repeat([]byte{2}, 300_000), 65536)
+	c.put(c.platformAddr, "/faults", `{"origin_bytes_per_s":300000}`) // so that it takes a while
+	options := c.loadOptions(5 * time.Second)
+	options.BookingShare = 0
+	report := c.during(options, func() {
+		c.set.Versions = append(c.set.Versions, next)
+		c.set.Rules[0].Version = "brief-v2"
+		c.apply()
+	})
+	if report.Whole != report.Sent {
+		t.Errorf("not every request was answered while the version spread: %+v", report)
+	}
+	record, err := c.record("runner-a")
+	c.must(err)
+	if len(record.Versions) == 0 || record.Versions[0].Version != next.Manifest {
+		t.Errorf("runner-a serves %+v", record.Versions)
+	}
+}
