--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -74,6 +74,7 @@
 	a.engine = observed{Engine: a.engine, gate: a.gate}
 	a.loader = newLoader(a)
 	a.node.OnView = a.viewChanged
+	telemetry.ShowLoad(a.load)
 	a.node.Running = a.work
 	return a
 }
@@ -139,6 +140,7 @@
 // viewChanged takes over what a new configuration says of this host.
 func (a *Agent) viewChanged(view *node.View) {
 	telemetry.ShowRecord(view.Self, len(view.Records))
+	a.loader.see(view)
 	if view.Snapshot == nil {
 		return
 	}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -56,7 +56,7 @@
 		record.Refuse(errSuspect(), a.load())
 		return
 	}
-	if err := a.admit(ctx, dispatch); err != nil {
+	if err := a.admit(ctx, &dispatch); err != nil {
 		record.Refuse(err, a.load())
 		return
 	}
@@ -108,6 +108,10 @@
 }
 
 func (a *Agent) copyAnswer(ctx context.Context, dispatch wire.Dispatch, record *attempt.Record) error {
+	var held *loaded
+	if dispatch.Version != "" {
+		held = a.loader.holding()
+	}
 	answer, err := a.engine.Call(ctx, backend.Call{
 		Method:      dispatch.Method,
 		Path:        dispatch.Path,
@@ -127,6 +131,9 @@
 	if strings.HasPrefix(answer.ContentType, "text/event-stream") && !strings.HasSuffix(strings.TrimSpace(tail), "data: [DONE]") {
 		return fault.New(fault.EndpointFault, "the event stream ended without its end marker", "send the request again if it is idempotent")
 	}
+	if dispatch.Version != "" {
+		return a.loader.holds(ctx, held, dispatch.Version)
+	}
 	return nil
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -31,6 +31,7 @@
 type EngineFaults struct {
 	IgnoreFences  bool `json:"ignore_fences"`   // an order with an old number is obeyed
 	LoadOther     bool `json:"load_other"`      // an order loads something else
+	LoadWrong     bool `json:"load_wrong"`      // an order loads other bytes than it carries, under the version's name
 	CutAfter      int  `json:"cut_after"`       // tokens after which a stream ends without its marker, 0 for never
 	StallAfter    int  `json:"stall_after"`     // tokens after which a stream goes silent, 0 for never
 	CrashAboveRun int  `json:"crash_above_run"` // requests at once above which the engine fails them all, 0 for never
@@ -45,7 +46,10 @@
 func (e *Engine) App() *fiber.App {
 	app := fiber.New(fiber.Config{BodyLimit: bodyLimit})
 	app.Put("/faults", e.putFaults)
-	app.Post("/admin/load", e.load)
+	app.Post("/admin/load", e.ordered((*Engine).load))
+	app.Post("/admin/unload", e.ordered((*Engine).unload))
+	app.Post("/admin/adapter", e.ordered((*Engine).loadAdapter))
+	app.Post("/admin/role", e.ordered((*Engine).setRole))
 	app.Get("/admin/state", e.getState)
 	app.Post("/admin/restart", e.restart)
 	app.Post("/v1/chat/completions", e.complete)
@@ -63,25 +67,50 @@
 	return nil
 }
 
-func (e *Engine) load(c fiber.Ctx) error {
-	number, err := strconv.ParseUint(c.Get("X-Fence"), 10, 64)
-	if err != nil {
-		return c.SendStatus(fiber.StatusBadRequest)
+// ordered returns a handler that changes the engine's state by an order, unless its fencing number is old.
+func (e *Engine) ordered(change func(*Engine, fiber.Ctx)) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		number, err := strconv.ParseUint(c.Get("X-Fence"), 10, 64)
+		if err != nil {
+			return c.SendStatus(fiber.StatusBadRequest)
+		}
+		fence := core.FenceNumber(number)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if fence <= e.state.Fence && !e.faults.IgnoreFences {
+			return c.SendStatus(fiber.StatusConflict)
+		}
+		e.state.Fence = fence
+		change(e, c)
+		return nil
 	}
-	fence := core.FenceNumber(number)
+}
+
+func (e *Engine) load(c fiber.Ctx) {
 	sum := sha256.Sum256(c.Body())
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if fence <= e.state.Fence && !e.faults.IgnoreFences {
-		return c.SendStatus(fiber.StatusConflict)
-	}
-	e.state.Fence = fence
 	e.state.Version = core.VersionID(strings.Clone(c.Get("X-Version")))
+	e.state.Adapters = nil
 	if e.faults.LoadOther {
 		e.state.Version = "other"
 	}
 	e.state.Contents = hex.EncodeToString(sum[:])
-	return nil
+	if e.faults.LoadWrong {
+		e.state.Contents = hex.EncodeToString(make([]byte, sha256.Size))
+	}
+}
+
+func (e *Engine) unload(fiber.Ctx) {
+	e.state.Version = ""
+	e.state.Contents = ""
+	e.state.Adapters = nil
+}
+
+func (e *Engine) loadAdapter(c fiber.Ctx) {
+	e.state.Adapters = append(e.state.Adapters, strings.Clone(c.Get("X-Adapter")))
+}
+
+func (e *Engine) setRole(c fiber.Ctx) {
+	e.state.Role = backend.EngineRole(strings.Clone(c.Get("X-Role")))
 }
 
 func (e *Engine) getState(c fiber.Ctx) error {
--- a/internal/weights/plan/planner.go
+++ b/internal/weights/plan/planner.go
@@ -22,6 +22,7 @@
 	Gateways         int           // hosts of a region that fetch from the origin
 	Neighbours       int           // peers that a host exchanges maps with by its own choice
 	ControlBytesPerS float64       // bytes a second for maps and requests, both ways
+	JoinPatience     time.Duration // time in which the origin is not asked while hosts that have to hold the version are not heard of
 	Takeover         time.Duration // time without progress of a gateway until the next one fetches its chunks
 	LastResort       time.Duration // time without progress of this host until it asks the origin itself
 	PeerPatience     time.Duration // least time that a fetch from a peer may take
@@ -41,7 +42,8 @@
 		UploadWindow:     30 * time.Minute,
 		Gateways:         8,
 		Neighbours:       5,
-		ControlBytesPerS: 3200,
+		ControlBytesPerS: 2500,
+		JoinPatience:     3 * time.Second,
 		Takeover:         30 * time.Second,
 		LastResort:       time.Minute,
 		PeerPatience:     15 * time.Second,
@@ -51,26 +53,27 @@
 
 // Planner is the reducer's state.
 type Planner struct {
-	self     Peer
-	limits   Limits
-	seed     uint64
-	draws    uint64
-	now      time.Duration
-	peers    map[core.HostID]*peer
-	order    []*peer // every peer of the roster, in order of name
-	chosen   []*peer // the peers that this host sends maps to
-	versions []*version
-	fetches  map[FetchID]*fetch
-	underway []*fetch // in order of start
-	uploads  map[UploadID]upload
-	lastID   FetchID
-	origin   originState
-	control  bucket
-	mapDue   time.Duration
-	peerDue  time.Duration // when maps go to the other gateways next
-	asking   int           // fetches from peers that did not announce the chunk
-	askDue   time.Duration // when such a peer may be asked next
-	effects  []reduce.Effect
+	self      Peer
+	limits    Limits
+	seed      uint64
+	draws     uint64
+	now       time.Duration
+	peers     map[core.HostID]*peer
+	order     []*peer // every peer of the roster, in order of name
+	chosen    []*peer // the peers that this host sends maps to
+	versions  []*version
+	fetches   map[FetchID]*fetch
+	underway  []*fetch // in order of start
+	uploads   map[UploadID]upload
+	lastID    FetchID
+	origin    originState
+	control   bucket
+	mapDue    time.Duration
+	peerDue   time.Duration // when maps go to the other gateways next
+	asking    int           // fetches from peers that did not announce the chunk
+	refusedAt time.Duration // when a peer last refused a chunk for good
+	askDue    time.Duration // when such a peer may be asked next
+	effects   []reduce.Effect
 
 	offers     []*holding // reused between steps
 	candidates []*peer
@@ -80,6 +83,7 @@
 type version struct {
 	id        core.VersionID
 	manifest  weights.Manifest
+	hosts     int // of this region that have to hold it
 	index     map[weights.Digest]int
 	have      Bitmap
 	pending   Bitmap // chunks being fetched
@@ -183,6 +187,7 @@
 	v := &version{
 		id:        wanted.ID,
 		manifest:  wanted.Manifest,
+		hosts:     wanted.Hosts,
 		index:     make(map[weights.Digest]int, n),
 		have:      NewBitmap(n),
 		pending:   NewBitmap(n),
