--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -11,7 +11,7 @@
 const (
 	exchangeInterval = 1250 * time.Millisecond
 	smallInterval    = 500 * time.Millisecond // between exchanges in a small system
-	smallSystem      = 60                    // members
+	smallSystem      = 60                     // members
 	hurryDelay       = 100 * time.Millisecond // from news to the exchange that passes it on
 	hurryBurst       = 6                      // exchanges beside the regular ones that a node may do at once
 	hurryRefill      = 10 * time.Second       // for one more of them
