--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -76,7 +76,7 @@
 // Call names a call of a plain service. A call that no object names is taken as not idempotent.
 type Call struct {
 	Method     string `json:"method"`
-	Path       string `json:"path"` // a path prefix
+	Path       string `json:"path"` // the call's path; it covers the paths below it
 	Idempotent bool   `json:"idempotent"`
 }
 
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"strings"
 
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
@@ -144,21 +143,3 @@
 	}
 	return false
 }
-
-// Idempotent tells whether the service's call may be run more than once. Model requests may; a call of a plain
-// service may only when the service names it so.
-func (s *Service) Idempotent(method, path string) bool {
-	if s.Kind == KindModel {
-		return true
-	}
-	longest := -1
-	idempotent := false
-	for _, call := range s.Calls {
-		if call.Method != method || !strings.HasPrefix(path, call.Path) || len(call.Path) <= longest {
-			continue
-		}
-		longest = len(call.Path)
-		idempotent = call.Idempotent
-	}
-	return idempotent
-}
