A peer that dropped a version is told from one that lies

Ruled out: a shorter time aside, which would favour real liars.

Change: maps are forgotten with their version, and a host answers a request for a chunk of no wanted version as dropped, upon which its map alone is forgotten.

--- a/internal/weights/distribution/distributor.go
+++ b/internal/weights/distribution/distributor.go
@@ -131,6 +131,7 @@
 	kept := make([]weights.Manifest, 0, len(order))
 	d.mu.Lock()
 	clear(d.progress)
+	clear(d.maps)
 	d.manifests = manifests
 	d.mu.Unlock()
 	for _, id := range order {
--- a/internal/weights/distribution/distributor_test.go
+++ b/internal/weights/distribution/distributor_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"context"
 	"crypto/sha256"
 	"fmt"
 	"os"
@@ -96,6 +97,23 @@
 	}
 }
 
+// TestDroppedVersionIsNoLongerAnnounced drops a version that a host held: it must not say that it still holds it, and
+// must hold it again only after it has fetched it again.
+func TestDroppedVersionIsNoLongerAnnounced(t *testing.T) {
+	f := newFleet(t, smallFleet(func(s *fleetShape) { s.hosts = 1 }))
+	f.start()
+	f.await(1)
+	only := f.members[0].distributor
+	only.Want(context.Background(), nil, nil, 0)
+	answer, err := only.swapMaps(context.Background(), wire.Map{Host: "other", Version: f.version})
+	if err != nil || answer.Have != nil {
+		t.Errorf("a dropped version is announced: %+v, %v", answer, err)
+	}
+	if f.share() != 0 {
+		t.Errorf("%.2f of a dropped version's chunks are kept", f.share())
+	}
+}
+
 const (
 	benchHosts  = 40
 	benchChunks = 100
--- a/internal/weights/distribution/perform.go
+++ b/internal/weights/distribution/perform.go
@@ -181,6 +181,8 @@
 		return plan.Spent
 	case wire.StatusChunkGivenOut:
 		return plan.GivenOut
+	case wire.StatusChunkDropped:
+		return plan.Dropped
 	case wire.StatusChunkMissing:
 		return plan.Missing
 	}
--- a/internal/weights/distribution/serve.go
+++ b/internal/weights/distribution/serve.go
@@ -100,6 +100,8 @@
 		return wire.StatusChunkSpent
 	case plan.GivenOut:
 		return wire.StatusChunkGivenOut
+	case plan.Dropped:
+		return wire.StatusChunkDropped
 	case plan.Missing:
 		return wire.StatusChunkMissing
 	default:
--- a/internal/weights/plan/events.go
+++ b/internal/weights/plan/events.go
@@ -79,6 +79,7 @@
 	Spent                     // the uploads of the version have reached their bound
 	GivenOut                  // the chunk has been uploaded to as many hosts as may have it from here
 	Missing                   // the chunk is not held
+	Dropped                   // the host no longer wants any version that has the chunk
 	Corrupt                   // the bytes are not the chunk
 	Stalled                   // no byte arrived for too long
 	Unreachable               // the source gave no answer
--- a/internal/weights/plan/fetch.go
+++ b/internal/weights/plan/fetch.go
@@ -161,6 +161,9 @@
 		p.holdingOf(f.version, f.source).spent = p.now + p.limits.UploadWindow
 	case result == GivenOut:
 		p.refuse(f)
+	case result == Dropped:
+		p.forgetMap(f.version, f.source)
+		f.source.backoff = p.now + missBackoff
 	case result == Missing && !f.announced:
 		f.source.backoff = p.now + missBackoff
 	default:
--- a/internal/weights/plan/naive_test.go
+++ b/internal/weights/plan/naive_test.go
@@ -144,6 +144,10 @@
 		}
 		n.refused[f.Source][f.Index] = true
 		return nil
+	case result == Dropped:
+		delete(n.offers, f.Source)
+		delete(n.refused, f.Source)
+		return aside
 	case result == Missing && n.strange[f.Fetch]:
 		return aside
 	default:
@@ -183,7 +187,7 @@
 			now += eventGap
 			if len(n.underway) > 0 && rapid.Bool().Draw(t, "ends") {
 				f := n.underway[rapid.SampledFrom(sortedIDs(n.underway)).Draw(t, "fetch")]
-				result := rapid.SampledFrom([]Result{Verified, Verified, Busy, GivenOut, Missing, Corrupt, Stalled}).Draw(t, "result")
+				result := rapid.SampledFrom([]Result{Verified, Verified, Busy, GivenOut, Dropped, Missing, Corrupt, Stalled}).Draw(t, "result")
 				aside := n.end(f, result)
 				step(FetchEnded{Stamp: Stamp{Now: now}, Fetch: f.Fetch, Result: result}, aside)
 				continue
--- a/internal/weights/plan/peers.go
+++ b/internal/weights/plan/peers.go
@@ -95,14 +95,18 @@
 // forgetMaps takes the peer's chunks out of the counts.
 func (p *Planner) forgetMaps(old *peer) {
 	for _, v := range p.versions {
-		h := v.holdings[old]
-		if h == nil {
-			continue
-		}
-		v.countMap(h.have, nil)
-		delete(v.holdings, old)
-		v.known = slices.DeleteFunc(v.known, func(other *holding) bool { return other == h })
+		p.forgetMap(v, old)
+	}
+}
+
+func (p *Planner) forgetMap(v *version, old *peer) {
+	h := v.holdings[old]
+	if h == nil {
+		return
 	}
+	v.countMap(h.have, nil)
+	delete(v.holdings, old)
+	v.known = slices.DeleteFunc(v.known, func(other *holding) bool { return other == h })
 }
 
 // chooseNeighbours picks the peers of this region that this host sends maps to. The region's hosts stand in a ring by
--- a/internal/weights/plan/upload.go
+++ b/internal/weights/plan/upload.go
@@ -12,6 +12,9 @@
 }
 
 func (p *Planner) judgeUpload(event UploadAsked) Result {
+	if !p.wants(event.Digest) {
+		return Dropped
+	}
 	v, index := p.findHeld(event.Digest)
 	if v == nil {
 		return Missing
@@ -37,6 +40,16 @@
 	return Granted
 }
 
+// wants tells whether a wanted version has the chunk.
+func (p *Planner) wants(digest weights.Digest) bool {
+	for _, v := range p.versions {
+		if _, ok := v.index[digest]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // findHeld returns the first wanted version in which the chunk is held.
 func (p *Planner) findHeld(digest weights.Digest) (*version, int) {
 	for _, v := range p.versions {
--- a/internal/wire/weights.go
+++ b/internal/wire/weights.go
@@ -9,6 +9,7 @@
 const (
 	StatusChunkSpent    = 403 // the host has uploaded as much of the version as it may
 	StatusChunkMissing  = 404 // the host does not hold the chunk
+	StatusChunkDropped  = 409 // the host no longer wants a version that has the chunk
 	StatusChunkGivenOut = 410 // the host has uploaded the chunk as often as it may
 	StatusChunkBusy     = 429 // too many uploads are under way
 )
