Fewer requests to busy peers leave room under the control bound

Cause: over sockets the control bytes came to 3984 B/s on one run, close to the bound of 4096.

Change: a busy peer is asked again after 0.5 to 1 s at first, 0.3 to 0.6 s before.

--- a/internal/weights/plan/fetch.go
+++ b/internal/weights/plan/fetch.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	busyBackoff     = 300 * time.Millisecond // before a busy peer is asked again
+	busyBackoff     = 500 * time.Millisecond // before a busy peer is asked again
 	busyDoublings   = 4
 	missBackoff     = 5 * time.Second // before a peer that lacked an unannounced chunk is asked again
 	originBackoff   = 2 * time.Second // before an origin that failed is asked again, doubled with each failure
