Tests of the manifest's builder and of the chunk store

Cause: versions from folders and the store's bounds had no tests.

Ruled out: nothing.

Change: the builder agrees with NewManifest however its bytes are cut, refuses files that changed, and the store keeps nothing unverified, nothing beyond its memory and nothing of no version.

Conclusion: go test ./internal/weights passes; not seen failing.

--- /dev/null
+++ b/internal/weights/builder_test.go
@@ -0,0 +1,89 @@
+package weights
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+const testChunk = 7 // bytes, so that chunks and files end at different places
+
+// writeFolder writes files of different lengths and returns their bytes in order of name.
+func writeFolder(t *testing.T, folder string) []byte {
+	t.Helper()
+	var all []byte
+	for i, name := range []string{"a/part-1", "a/part-2", "b"} {
+		raw := bytes.Repeat([]byte{byte(i + 1)}, 5*i+3)
+		path := filepath.Join(folder, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, raw...)
+	}
+	return all
+}
+
+func TestBuilderAgreesWithNewManifest(t *testing.T) {
+	folder := t.TempDir()
+	raw := writeFolder(t, folder)
+	files, err := ListFiles(folder)
+	if err != nil || len(files) != 3 || files[1] != (File{Name: "a/part-2", SizeBytes: 8}) || TotalBytes(files) != int64(len(raw)) {
+		t.Fatalf("%+v, %v", files, err)
+	}
+	for _, step := range []int{1, 3, testChunk, len(raw)} {
+		builder := NewBuilder("brief", "v1", testChunk, files)
+		for rest := raw; len(rest) > 0; {
+			n := min(step, len(rest))
+			_, _ = builder.Write(rest[:n])
+			rest = rest[n:]
+		}
+		got, err := builder.Manifest()
+		want := NewManifest("brief", "v1", raw, testChunk)
+		want.Files = files
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("written %d bytes at a time: %+v, %v", step, got, err)
+		}
+	}
+}
+
+func TestBuilderRefusesFilesThatChanged(t *testing.T) {
+	for _, written := range []string{"", "short", "longer than it was listed"} {
+		builder := NewBuilder("brief", "v1", testChunk, []File{{SizeBytes: 10}})
+		_, _ = builder.Write([]byte(written))
+		if _, err := builder.Manifest(); !fault.Is(err, fault.BadRequest) {
+			t.Errorf("%q for 10 bytes: %v", written, err)
+		}
+	}
+}
+
+func TestStoreKeepsNothingUnverifiedAndBoundsItsMemory(t *testing.T) {
+	raw := []byte("0123456789")
+	manifest := NewManifest("brief", "v1", raw, 5)
+	store := NewStore(7)
+	if store.Fits(manifest) {
+		t.Error("ten bytes fit into seven")
+	}
+	if err := store.Put(manifest.Chunks[0], raw[5:]); !fault.Is(err, fault.Corrupted) || store.Get(manifest.Chunks[0]) != nil {
+		t.Errorf("a wrong chunk was kept: %v", err)
+	}
+	if err := store.Put(manifest.Chunks[0], raw[:5]); err != nil {
+		t.Error(err)
+	}
+	if err := store.Put(manifest.Chunks[1], raw[5:]); !fault.Is(err, fault.Overloaded) {
+		t.Errorf("ten bytes were kept in seven: %v", err)
+	}
+	if _, err := store.Reader(manifest); !fault.Is(err, fault.NotFound) {
+		t.Errorf("a partial version was read: %v", err)
+	}
+	store.Retain(nil)
+	if len(store.Missing(manifest)) != 2 {
+		t.Error("chunks of no version are kept")
+	}
+}
