Engines of a service take turns to load a version

Cause: every host ordered its engine to load as soon as its chunks were whole, so that a service whose engines load slowly had none for that time. Change: a pure decision over the view (internal/weights/changeover) and a phase for a host whose engine loads; hosts that serve nothing load at once. Which endpoints run a version is worked out in one pass over them. At 520 hosts at most 130 load at once, in every order tried (go test ./internal/weights/changeover).

--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -23,6 +23,7 @@
 	manifestTimeout = 5 * time.Second
 	orderRetry      = 2 * time.Second // after an order that failed
 	idleLimit       = 30 * time.Second
+	turnDelay       = 2 * time.Second // for the other hosts to hear that this one holds every chunk
 	loadTimeout     = time.Minute // for an order, and more by the size of the weights
 	loadBytesPerS   = 32 << 20
 )
@@ -45,6 +46,7 @@
 	former    core.VersionID   // served before the version that serves
 	fence     core.FenceNumber // of the last order
 	retryAt   time.Time
+	wholeAt   time.Time // when the wanted version was first seen whole beside one that serves
 }
 
 // loaded is what an engine holds after an order was read back.
@@ -220,9 +222,13 @@
 		return err
 	}
 	if missing := len(l.agent.store.Missing(manifest)); missing > 0 {
+		l.wholeAt = time.Time{}
 		l.tell(ctx, version, wire.VersionFetching, "")
 		return nil
 	}
+	if !l.mayLoad(ctx, version) {
+		return nil
+	}
 	return l.order(ctx, version, manifest)
 }
 
--- a/internal/agent/loader_order.go
+++ b/internal/agent/loader_order.go
@@ -5,20 +5,45 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/backend"
+	"github.com/lovageglade/lovageglade/internal/config"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/routing"
 	"github.com/lovageglade/lovageglade/internal/weights"
+	"github.com/lovageglade/lovageglade/internal/weights/changeover"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
+// mayLoad has an engine that serves an accepted version wait for its turn among the hosts that change over with it. An
+// engine that serves none loses nothing by loading at once.
+func (l *loader) mayLoad(ctx context.Context, version core.VersionID) bool {
+	view := l.view.Load()
+	self := l.agent.settings.Host.ID
+	if view == nil || view.Snapshot == nil || !l.servesAccepted(view.Snapshot) {
+		return true
+	}
+	l.tell(ctx, version, wire.VersionVerified, "")
+	if l.wholeAt.IsZero() {
+		l.wholeAt = time.Now()
+	}
+	return time.Since(l.wholeAt) >= turnDelay && changeover.MayLoad(view, self, version)
+}
+
+func (l *loader) servesAccepted(snapshot *config.Snapshot) bool {
+	service := snapshot.ServiceAt(l.agent.settings.Host.ID)
+	return service != nil && slices.Contains(routing.AcceptedVersions(snapshot, service.Name), l.serving())
+}
+
 // order gives the engine the weights and reads back what it holds before the version is advertised. The version that
 // served until now serves no new requests from here on, and those that run end first.
 func (l *loader) order(ctx context.Context, version core.VersionID, manifest weights.Manifest) error {
-	l.tell(ctx, version, wire.VersionVerified, "")
+	l.wholeAt = time.Time{}
 	l.advertised.Store(false)
+	l.tell(ctx, version, wire.VersionLoading, "")
 	l.awaitIdle(ctx)
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout+time.Duration(manifest.SizeBytes/loadBytesPerS)*time.Second)
 	defer cancel()
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -53,10 +53,7 @@
 		if version == "" || snapshot.VersionOf(service.Name) != version {
 			continue
 		}
-		for _, endpoint := range service.Endpoints {
-			if snapshot.VersionAt(endpoint.Host) != version {
-				continue
-			}
+		for _, endpoint := range snapshot.Placed(service.Name) {
 			hosts[endpoint.Host] = true
 			if snapshot.Region(endpoint.FailureDomain) == region {
 				near++
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -110,20 +110,13 @@
 	return nil
 }
 
-// VersionAt returns the version that the host slot has to run, or "". In each failure domain the first endpoints of
-// the service, as many as its rule asks for, run the rule's version.
+// VersionAt returns the version that the host slot has to run, or "".
 func (s *Snapshot) VersionAt(host core.HostID) core.VersionID {
 	service := s.ServiceAt(host)
-	if service == nil || s.rules[service.Name] == nil {
+	if service == nil {
 		return ""
 	}
-	rule := s.rules[service.Name]
-	placed := make(map[core.FailureDomain]int)
-	for _, endpoint := range service.Endpoints {
-		if placed[endpoint.FailureDomain] >= rule.Replicas[endpoint.FailureDomain] {
-			continue
-		}
-		placed[endpoint.FailureDomain]++
+	for _, endpoint := range s.Placed(service.Name) {
 		if endpoint.Host == host {
 			return s.VersionOf(service.Name)
 		}
@@ -131,6 +124,25 @@
 	return ""
 }
 
+// Placed returns the endpoints that have to run the version of the service's rule: in each failure domain the first
+// ones, as many as the rule asks for.
+func (s *Snapshot) Placed(name core.Service) []Endpoint {
+	service, rule := s.services[name], s.rules[name]
+	if service == nil || rule == nil {
+		return nil
+	}
+	var placed []Endpoint
+	counts := make(map[core.FailureDomain]int)
+	for _, endpoint := range service.Endpoints {
+		if counts[endpoint.FailureDomain] >= rule.Replicas[endpoint.FailureDomain] {
+			continue
+		}
+		counts[endpoint.FailureDomain]++
+		placed = append(placed, endpoint)
+	}
+	return placed
+}
+
 // Allows tells whether the workspace may call the service.
 func (w *Workspace) Allows(service core.Service) bool {
 	if len(w.Services) == 0 {
--- a/internal/operate/replicas.go
+++ b/internal/operate/replicas.go
@@ -134,7 +134,7 @@
 	switch status.Phase {
 	case wire.VersionServing:
 		r.Serving++
-	case wire.VersionVerified:
+	case wire.VersionVerified, wire.VersionLoading:
 		r.Verified++
 	case wire.VersionFailed:
 		r.Failed++
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -32,6 +32,7 @@
 	IgnoreFences  bool `json:"ignore_fences"`   // an order with an old number is obeyed
 	LoadOther     bool `json:"load_other"`      // an order loads something else
 	LoadWrong     bool `json:"load_wrong"`      // an order loads other bytes than it carries, under the version's name
+	LoadDelayMS   int  `json:"load_delay_ms"`   // milliseconds that a load takes
 	CutAfter      int  `json:"cut_after"`       // tokens after which a stream ends without its marker, 0 for never
 	StallAfter    int  `json:"stall_after"`     // tokens after which a stream goes silent, 0 for never
 	CrashAboveRun int  `json:"crash_above_run"` // requests at once above which the engine fails them all, 0 for never
@@ -46,7 +47,7 @@
 func (e *Engine) App() *fiber.App {
 	app := fiber.New(fiber.Config{BodyLimit: bodyLimit})
 	app.Put("/faults", e.putFaults)
-	app.Post("/admin/load", e.ordered((*Engine).load))
+	app.Post("/admin/load", e.slowly, e.ordered((*Engine).load))
 	app.Post("/admin/unload", e.ordered((*Engine).unload))
 	app.Post("/admin/adapter", e.ordered((*Engine).loadAdapter))
 	app.Post("/admin/role", e.ordered((*Engine).setRole))
@@ -86,6 +87,15 @@
 	}
 }
 
+// slowly lets a load take its time.
+func (e *Engine) slowly(c fiber.Ctx) error {
+	e.mu.Lock()
+	delay := time.Duration(e.faults.LoadDelayMS) * time.Millisecond
+	e.mu.Unlock()
+	time.Sleep(delay)
+	return c.Next()
+}
+
 func (e *Engine) load(c fiber.Ctx) {
 	sum := sha256.Sum256(c.Body())
 	e.state.Version = core.VersionID(strings.Clone(c.Get("X-Version")))
--- /dev/null
+++ b/internal/weights/changeover/changeover.go
@@ -0,0 +1,83 @@
+// Package changeover decides when a host whose engine serves a version may take it out to load the next one, so that a
+// service keeps most of its endpoints while its version changes everywhere at once.
+package changeover
+
+import (
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/node"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+const (
+	loadingShare = 4 // of a group's hosts, one in so many loads at once, and at least one
+	leastGroup   = 4 // endpoints of a failure domain that make a group of their own
+)
+
+// MayLoad tells whether the host may load the version now. Hosts of a group that are loading go first, then those that
+// hold every chunk, in the order of the configuration. A host that no peer has heard of for a while, or whose load
+// failed, holds up nobody.
+func MayLoad(view *node.View, self core.HostID, version core.VersionID) bool {
+	group := groupOf(view.Snapshot, self)
+	ahead := 0
+	before := true
+	for _, host := range group {
+		if host == self {
+			before = false
+			continue
+		}
+		switch phaseOf(view, host, version) {
+		case wire.VersionLoading:
+			ahead++
+		case wire.VersionVerified:
+			if before {
+				ahead++
+			}
+		}
+	}
+	return ahead < max(1, len(group)/loadingShare)
+}
+
+// groupOf lists the hosts that change over together: those that run the version for the host's service in its failure
+// domain, or everywhere when they are few.
+func groupOf(snapshot *config.Snapshot, self core.HostID) []core.HostID {
+	service := snapshot.ServiceAt(self)
+	if service == nil {
+		return nil
+	}
+	placed := snapshot.Placed(service.Name)
+	own := domainOf(placed, self)
+	var everywhere, domain []core.HostID
+	for _, endpoint := range placed {
+		everywhere = append(everywhere, endpoint.Host)
+		if endpoint.FailureDomain == own {
+			domain = append(domain, endpoint.Host)
+		}
+	}
+	if len(domain) >= leastGroup {
+		return domain
+	}
+	return everywhere
+}
+
+func domainOf(endpoints []config.Endpoint, self core.HostID) core.FailureDomain {
+	for _, endpoint := range endpoints {
+		if endpoint.Host == self {
+			return endpoint.FailureDomain
+		}
+	}
+	return ""
+}
+
+func phaseOf(view *node.View, host core.HostID, version core.VersionID) wire.VersionPhase {
+	record, ok := view.Records[host]
+	if !ok || record.Phase != wire.PhaseReady {
+		return ""
+	}
+	for _, status := range record.Versions {
+		if status.Version == version {
+			return status.Phase
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/weights/changeover/changeover_test.go
@@ -0,0 +1,141 @@
+package changeover
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/node"
+	"github.com/lovageglade/lovageglade/internal/wire"
+)
+
+const version core.VersionID = "v2"
+
+// newView returns a view of a service with the given number of endpoints in each failure domain, none of which has the
+// version yet.
+func newView(t *testing.T, perDomain ...int) *node.View {
+	t.Helper()
+	rule := config.Rule{Service: "models", Version: "two", Replicas: make(map[core.FailureDomain]int)}
+	service := config.Service{Name: "models", Kind: config.KindModel}
+	view := &node.View{Records: make(map[core.HostID]wire.Record)}
+	for d, count := range perDomain {
+		domain := core.FailureDomain(fmt.Sprintf("d%d", d))
+		rule.Replicas[domain] = count
+		for i := range count {
+			id := core.HostID(fmt.Sprintf("d%d-h%02d", d, i))
+			service.Endpoints = append(service.Endpoints, config.Endpoint{Host: id, FailureDomain: domain})
+			view.Records[id] = wire.Record{Phase: wire.PhaseReady}
+		}
+	}
+	raw, digest, err := config.Encode(config.Set{
+		Models:   []config.Model{{Name: "m"}},
+		Versions: []config.Version{{Name: "two", Model: "m", Manifest: version}},
+		Services: []config.Service{service},
+		Rules:    []config.Rule{rule},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	view.Snapshot, err = config.Decode(1, digest, raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return view
+}
+
+func set(view *node.View, id core.HostID, phase wire.VersionPhase) {
+	record := view.Records[id]
+	record.Versions = []wire.VersionStatus{{Version: version, Phase: phase}}
+	view.Records[id] = record
+}
+
+// TestChangeoverKeepsMostEndpoints lets every host load as soon as it may, with chunks that become whole in several
+// orders, and counts the hosts that load at once.
+func TestChangeoverKeepsMostEndpoints(t *testing.T) {
+	for name, c := range map[string]struct {
+		perDomain []int
+		most      int // hosts that may load at once
+	}{
+		"one domain":       {[]int{16}, 4},
+		"two domains":      {[]int{8, 8}, 4},
+		"a few everywhere": {[]int{2, 2, 2}, 1},
+		"a single host":    {[]int{1}, 1},
+		"the target":       {[]int{104, 104, 104, 104, 104}, 130},
+	} {
+		for _, order := range []string{"forward", "backward", "at once"} {
+			most := changeOver(t, newView(t, c.perDomain...), order)
+			if most > c.most || most == 0 {
+				t.Errorf("%s, %s: %d hosts loaded at once, %d may", name, order, most, c.most)
+			}
+		}
+	}
+}
+
+// changeOver runs rounds in which one more host, or all, has its chunks whole and the loads begun two rounds before
+// end. It returns how many hosts loaded at once.
+func changeOver(t *testing.T, view *node.View, order string) int {
+	t.Helper()
+	var hosts []core.HostID
+	for _, endpoint := range view.Snapshot.Set.Services[0].Endpoints {
+		hosts = append(hosts, endpoint.Host)
+	}
+	whole := hosts
+	if order == "backward" {
+		whole = nil
+		for i := range hosts {
+			whole = append(whole, hosts[len(hosts)-1-i])
+		}
+	}
+	begun := make(map[core.HostID]int)
+	most, served := 0, 0
+	for round := 0; served < len(hosts); round++ {
+		if round > 20*len(hosts) {
+			t.Fatalf("%s: %d of %d hosts serve after %d rounds", order, served, len(hosts), round)
+		}
+		for i, id := range whole {
+			if phaseOf(view, id, version) == "" && (order == "at once" || i <= round) {
+				set(view, id, wire.VersionVerified)
+			}
+		}
+		for _, id := range hosts {
+			switch phase := phaseOf(view, id, version); {
+			case phase == wire.VersionVerified && MayLoad(view, id, version):
+				set(view, id, wire.VersionLoading)
+				begun[id] = round
+			case phase == wire.VersionLoading && round-begun[id] >= 2:
+				set(view, id, wire.VersionServing)
+				served++
+			}
+		}
+		loading := 0
+		for _, id := range hosts {
+			if phaseOf(view, id, version) == wire.VersionLoading {
+				loading++
+			}
+		}
+		most = max(most, loading)
+	}
+	return most
+}
+
+func TestLostAndFailedHostsHoldUpNobody(t *testing.T) {
+	for name, change := range map[string]func(*node.View){
+		"gone":     func(v *node.View) { delete(v.Records, "d0-h00") },
+		"failed":   func(v *node.View) { set(v, "d0-h00", wire.VersionFailed) },
+		"fetching": func(v *node.View) { set(v, "d0-h00", wire.VersionFetching) },
+		"draining": func(v *node.View) {
+			set(v, "d0-h00", wire.VersionLoading)
+			record := v.Records["d0-h00"]
+			record.Phase = wire.PhaseDraining
+			v.Records["d0-h00"] = record
+		},
+	} {
+		view := newView(t, 4)
+		set(view, "d0-h01", wire.VersionVerified)
+		change(view)
+		if !MayLoad(view, "d0-h01", version) {
+			t.Errorf("a host that is %s holds up the next one", name)
+		}
+	}
+}
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -35,6 +35,7 @@
 const (
 	VersionFetching VersionPhase = "fetching"
 	VersionVerified VersionPhase = "verified"
+	VersionLoading  VersionPhase = "loading" // its engine serves nothing meanwhile
 	VersionServing  VersionPhase = "serving"
 	VersionFailed   VersionPhase = "failed"
 )
