--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -168,7 +168,7 @@
 			}
 		}
 		node.state.exchange.differs = false
-		node.state.hostsDue = node.state.hostsWait()
+		node.state.hostsDue = node.state.hostsWait(true)
 		node.state.head.due = time.Duration(f.random.Int64N(int64(headInterval)))
 		node.state.exchange.due = time.Duration(f.random.Int64N(int64(exchangeInterval)))
 		node.state.changedAny()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -11,7 +11,7 @@
 const (
 	exchangeInterval = 1250 * time.Millisecond
 	smallInterval    = 500 * time.Millisecond // between exchanges in a small system
-	smallSystem      = 60                    // members
+	smallSystem      = 60                     // members
 	hurryDelay       = 100 * time.Millisecond // from news to the exchange that passes it on
 	hurryBurst       = 6                      // exchanges beside the regular ones that a node may do at once
 	hurryRefill      = 10 * time.Second       // for one more of them
@@ -353,7 +353,7 @@
 		return
 	}
 	first := s.hostsDue <= seedPatience
-	s.hostsDue = s.now + s.hostsWait()
+	s.hostsDue = s.now + s.hostsWait(first)
 	if first && s.listed() {
 		return // the seeds told what the platform lists
 	}
@@ -364,7 +364,7 @@
 
 // hostsWait draws the time until this node's next read, so that all nodes together read once in hostsInterval. A host
 // that is not listed yet reads more often.
-func (s *State) hostsWait() time.Duration {
+func (s *State) hostsWait(first bool) time.Duration {
 	if !s.listed() {
 		return hostsInterval
 	}
@@ -374,7 +374,11 @@
 			live++
 		}
 	}
-	return time.Duration((0.5 + s.random.Float64()) * float64(hostsInterval) * float64(max(1, live)))
+	share := 0.5 + s.random.Float64()
+	if first { // nodes that start together spread their reads
+		share = s.random.Float64()
+	}
+	return time.Duration(share * float64(hostsInterval) * float64(max(1, live)))
 }
 
 // hostsListed takes the host list. An empty one is taken for an outage.
--- a/internal/node/spread_test.go
+++ b/internal/node/spread_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -120,6 +121,41 @@
 	f.awaits(t, "every view shows its replacement", 10*time.Second, f.knowsAll)
 }
 
+func TestLeavingHostIsKnownToAll(t *testing.T) {
+	f := newFleet(t, 10, 20, 7)
+	f.run(2 * time.Second)
+	leaving, removed := 15, 16
+	f.hosts[leaving].State = core.HostLeaving
+	f.nodes[removed].down = true
+	f.hosts = slices.Delete(slices.Clone(f.hosts), removed, removed+1)
+	f.awaits(t, "every view shows the host as leaving and the other one no more", 10*time.Second, func(node *fleetNode) bool {
+		_, listed := node.view.Hosts[f.nodes[removed].host.ID]
+		_, shown := node.view.Records[f.nodes[removed].host.ID]
+		return !listed && !shown && node.view.Hosts[f.nodes[leaving].host.ID].State == core.HostLeaving
+	})
+}
+
+func TestGenerationHeardIsFetchedFromWhoNamedIt(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		generation core.Generation
+		fetches    bool
+	}{{"older", 1, false}, {"newer", 9, true}} {
+		f := newFleet(t, 2, 2, 8)
+		f.run(time.Second)
+		f.publish(unchanged)
+		var source string
+		for _, effect := range f.nodes[0].state.Step(GenerationHeard{Generation: test.generation, Address: "10.0.0.9:7002"}) {
+			if fetch, ok := effect.(FetchSnapshot); ok {
+				source = fetch.Address
+			}
+		}
+		if (source == "10.0.0.9:7002") != test.fetches {
+			t.Errorf("a generation that is %s was fetched from %q", test.name, source)
+		}
+	}
+}
+
 func TestCutDomainsMeetAgain(t *testing.T) {
 	f := newFleet(t, 10, 20, 6)
 	f.cut["domain-c"] = true
--- a/systemtest/domain_test.go
+++ b/systemtest/domain_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/config"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/load"
@@ -68,6 +69,20 @@
 	c.checkIdle("plain-b", 500*time.Millisecond)
 }
 
+func TestEndpointsComeBackCold(t *testing.T) {
+	limits := config.Limits{Cold: 2, Max: 32, Queue: 32}
+	c := newSlowCluster(t, limits)
+	c.await("slow-b bears more than when cold", func() bool {
+		load.Run(context.Background(), c.slowLoad(30, 500*time.Millisecond))
+		return c.loadOf("slow-b").Limit > limits.Cold
+	})
+	c.setDomain("b", true)
+	c.setDomain("b", false)
+	if limit := c.loadOf("slow-b").Limit; limit != limits.Cold {
+		t.Errorf("slow-b came back with the limit %d", limit)
+	}
+}
+
 func TestDomainOutNamesHostsThatDoNotConfirm(t *testing.T) {
 	c := newPathCluster(t)
 	c.signal("entry-a", syscall.SIGSTOP)
