--- a/internal/weights/plan/fetch.go
+++ b/internal/weights/plan/fetch.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	busyBackoff     = 300 * time.Millisecond // before a busy peer is asked again
+	busyBackoff     = 500 * time.Millisecond // before a busy peer is asked again
 	busyDoublings   = 4
 	missBackoff     = 5 * time.Second // before a peer that lacked an unannounced chunk is asked again
 	originBackoff   = 2 * time.Second // before an origin that failed is asked again, doubled with each failure
@@ -161,6 +161,9 @@
 		p.holdingOf(f.version, f.source).spent = p.now + p.limits.UploadWindow
 	case result == GivenOut:
 		p.refuse(f)
+	case result == Dropped:
+		p.forgetMap(f.version, f.source)
+		f.source.backoff = p.now + missBackoff
 	case result == Missing && !f.announced:
 		f.source.backoff = p.now + missBackoff
 	default:
