--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -311,4 +311,3 @@
 	}
 	node.view = view
 }
-
