--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -353,7 +353,7 @@
 		return
 	}
 	first := s.hostsDue <= seedPatience
-	s.hostsDue = s.now + s.hostsWait()
+	s.hostsDue = s.now + s.hostsWait(first)
 	if first && s.listed() {
 		return // the seeds told what the platform lists
 	}
@@ -364,7 +364,7 @@
 
 // hostsWait draws the time until this node's next read, so that all nodes together read once in hostsInterval. A host
 // that is not listed yet reads more often.
-func (s *State) hostsWait() time.Duration {
+func (s *State) hostsWait(first bool) time.Duration {
 	if !s.listed() {
 		return hostsInterval
 	}
@@ -374,7 +374,11 @@
 			live++
 		}
 	}
-	return time.Duration((0.5 + s.random.Float64()) * float64(hostsInterval) * float64(max(1, live)))
+	share := 0.5 + s.random.Float64()
+	if first { // nodes that start together spread their reads
+		share = s.random.Float64()
+	}
+	return time.Duration(share * float64(hostsInterval) * float64(max(1, live)))
 }
 
 // hostsListed takes the host list. An empty one is taken for an outage.
