--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -24,7 +24,7 @@
 	orderRetry      = 2 * time.Second // after an order that failed
 	idleLimit       = 30 * time.Second
 	turnDelay       = 2 * time.Second // for the other hosts to hear that this one holds every chunk
-	loadTimeout     = time.Minute // for an order, and more by the size of the weights
+	loadTimeout     = time.Minute     // for an order, and more by the size of the weights
 	loadBytesPerS   = 32 << 20
 )
 
