--- /dev/null
+++ b/systemtest/shutdown_test.go
@@ -0,0 +1,33 @@
+package systemtest
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/load"
+)
+
+// TestEntryStopsWithoutCuttingStreams stops an entry while streams run through it. Its balancer sends it no more.
+func TestEntryStopsWithoutCuttingStreams(t *testing.T) {
+	c := newWeightCluster(t)
+	c.apply()
+	done := make(chan load.Report, 1)
+	go func() { done <- load.Run(context.Background(), c.modelLoad(1000, 5*time.Millisecond)) }()
+	c.await("every stream runs", func() bool {
+		running := 0
+		for _, id := range weightRunners {
+			running += c.engineState(id).Running
+		}
+		return running == 5
+	})
+	c.signal("entry-a", syscall.SIGTERM)
+	if report := <-done; report.Whole != 5 {
+		t.Errorf("the stop cut streams: %+v", report)
+	}
+	<-c.nodes["entry-a"].done
+	if code := c.nodes["entry-a"].command.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("the entry ended with code %d", code)
+	}
+}
