--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOL := go tool -modfile=tools/go.mod
 BENCH := go test -run '^$$' -count=1
 
-.PHONY: all build demo test check race unit fuzz bench-entry bench-weights bench-config capacity
+.PHONY: all build demo test check unit bench-entry bench-weights bench-config capacity
 
 all: build
 
@@ -26,8 +26,14 @@
 	@mkdir -p bin && (cd tools && go build -o ../bin/knownred ./knownred)
 	@go test -race -count=1 -timeout 8m -json ./... | bin/knownred KNOWN-RED.txt
 
-bench-entry bench-weights bench-config:
-	@bash scripts/$@.sh
+bench-entry:
+	@bash scripts/bench-entry.sh
+
+bench-weights:
+	@bash scripts/bench-weights.sh
+
+bench-config:
+	@bash scripts/bench-config.sh
 
 capacity:
 	@bash scripts/capacity.sh
