Taking a failure domain out outlasts other publications

Cause: lovagectl domain out read the configuration, changed one flag and lost to any publication in between (exit 4), at the moment when it is urgent. Ruled out: publishing over the other's change, which would revert it. Change: the one flag is changed anew on what stands, ten times at most. Conclusion: the order holds beside other publications, and theirs hold too.

--- a/internal/operate/capacity_bench_test.go
+++ b/internal/operate/capacity_bench_test.go
@@ -36,7 +36,7 @@
 }
 
 // newGatherer returns an operator of a platform that lists the number of nodes, each of which answers its status.
-func newGatherer(b *testing.B, nodes int) *Operator {
+func newGatherer(b testing.TB, nodes int) *Operator {
 	b.Helper()
 	platform := listen(b)
 	app := standin.NewPlatform(0).App()
@@ -53,7 +53,7 @@
 	return operator
 }
 
-func answering(b *testing.B, id core.HostID) core.Host {
+func answering(b testing.TB, id core.HostID) core.Host {
 	b.Helper()
 	listener := listen(b)
 	host := core.Host{ID: id, Role: core.RoleAgent, FailureDomain: "a", Region: "a", ControlAddress: listener.Addr().String()}
@@ -65,7 +65,7 @@
 	return host
 }
 
-func listen(b *testing.B) net.Listener {
+func listen(b testing.TB) net.Listener {
 	b.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -74,7 +74,7 @@
 	return listener
 }
 
-func putHosts(b *testing.B, address string, hosts []core.Host) {
+func putHosts(b testing.TB, address string, hosts []core.Host) {
 	b.Helper()
 	raw, err := json.Marshal(hosts)
 	if err != nil {
--- a/internal/operate/domain.go
+++ b/internal/operate/domain.go
@@ -12,8 +12,22 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
-// SetDomain takes a failure domain out of service or brings it back.
+const domainTries = 10 // publications of others that one change of a failure domain outlasts
+
+// SetDomain takes a failure domain out of service or brings it back. The change is made anew on what others published
+// meanwhile, since it is urgent and touches nothing else.
 func (o *Operator) SetDomain(ctx context.Context, name core.FailureDomain, out bool) error {
+	var err error
+	for range domainTries {
+		err = o.setDomainOnce(ctx, name, out)
+		if !fault.Is(err, fault.Conflict) {
+			return err
+		}
+	}
+	return err
+}
+
+func (o *Operator) setDomainOnce(ctx context.Context, name core.FailureDomain, out bool) error {
 	head, _, err := config.ReadHead(ctx, o.Platform)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/operate/domain_test.go
@@ -0,0 +1,45 @@
+package operate
+
+import (
+	"context"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
+)
+
+// TestDomainOutHoldsBesideOtherPublications takes two failure domains out at the same moment, in many rounds.
+func TestDomainOutHoldsBesideOtherPublications(t *testing.T) {
+	operator := newGatherer(t, 0)
+	names := []core.FailureDomain{"a", "b", "c"}
+	var set config.Set
+	for _, name := range names {
+		set.FailureDomains = append(set.FailureDomains, config.FailureDomain{Name: name, Region: "r"})
+	}
+	if err := operator.publish(t.Context(), set); err != nil {
+		t.Fatal(err)
+	}
+	for round := range 20 {
+		out := round%2 == 0
+		var operators conc.WaitGroup
+		for _, name := range names {
+			operators.Go(func() {
+				if err := operator.SetDomain(context.Background(), name, out); err != nil {
+					t.Errorf("round %d: %s: %v", round, name, err)
+				}
+			})
+		}
+		operators.Wait()
+		snapshot, err := operator.inForce(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range names {
+			if snapshot.DomainOut(name) != out {
+				t.Errorf("round %d: %s is not as ordered", round, name)
+			}
+		}
+	}
+}
