The wait for an entry's end is bounded

Cause: TestEntryStopsWithoutCuttingStreams waited for the process without a limit, so that an entry that never ends hung the test instead of failing it. Change: the harness's wait with its limit. Not run: the mutation without the drain.

--- a/systemtest/shutdown_test.go
+++ b/systemtest/shutdown_test.go
@@ -26,7 +26,14 @@
 	if report := <-done; report.Whole != 5 {
 		t.Errorf("the stop cut streams: %+v", report)
 	}
-	<-c.nodes["entry-a"].done
+	c.await("the entry ends", func() bool {
+		select {
+		case <-c.nodes["entry-a"].done:
+			return true
+		default:
+			return false
+		}
+	})
 	if code := c.nodes["entry-a"].command.ProcessState.ExitCode(); code != 0 {
 		t.Errorf("the entry ended with code %d", code)
 	}
