The regions part a version's chunks; engines take turns to load

Cause: with each region drawing its own copy, 27 hosts needed more than 7 s for a version, the origin's connections were reset, and all engines left at once.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -17,8 +17,11 @@
 	"github.com/lovageglade/lovageglade/internal/reduce"
 )
 
-// Cursor is a position in the history of a table of the store. 0 asks for everything that stands.
-type Cursor uint64
+// Cursor is a position in the history of a table of the store. The zero cursor asks for everything that stands.
+type Cursor struct {
+	Read    bool // something was read: Version counts, also when it is 0
+	Version uint64
+}
 
 // ErrHistoryGone says that the store no longer holds the changes since a cursor; read everything again.
 var ErrHistoryGone = errors.New("the store no longer holds the history since this cursor; read everything again")
@@ -147,7 +150,7 @@
 // recover returns the cursor with which to go on after a failed read.
 func (f *Follower) recover(ctx context.Context, cursor Cursor, err error) Cursor {
 	if errors.Is(err, ErrHistoryGone) {
-		return 0
+		return Cursor{}
 	}
 	f.pause(ctx, retryInterval)
 	return cursor
--- a/internal/gateway/sidecars.go
+++ b/internal/gateway/sidecars.go
@@ -14,7 +14,7 @@
 	// gateways of a deployment together near the slots of an engine.
 	directShare = 2
 	// versionMargin before the bound on a version: a request sent then reaches its engine in time.
-	versionMargin = 1500 * time.Millisecond
+	versionMargin = 800 * time.Millisecond
 )
 
 // sidecars remembers which sidecars could not be reached, and what goes straight to their engines. It is safe for
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -91,13 +91,25 @@
 // burstLimits fit weights of a few megabytes that have to run everywhere within seconds.
 func burstLimits() plan.Limits {
 	limits := plan.DefaultLimits()
-	limits.UploadCopies = 4
+	limits.Downloads = 12
+	limits.PerPeer = 3
+	limits.Uploads = 32
+	limits.UploadCopies = 8
+	limits.UploadFanOut = 64
+	limits.Gateways = 0 // every host of a region
 	limits.ControlBytesPerS = 20_000
 	limits.JoinPatience = 500 * time.Millisecond
 	limits.Takeover = 1500 * time.Millisecond
 	limits.LastResort = 3 * time.Second
 	limits.PeerPatience = 1500 * time.Millisecond
-	limits.OriginPatience = 3 * time.Second
+	limits.OriginPatience = 2 * time.Second
+	limits.OriginDownloads = 1
+	limits.OriginBackoff = 200 * time.Millisecond
+	limits.MissBackoff = 300 * time.Millisecond
+	limits.Aside = 2 * time.Second
+	limits.OneDraw = true
+	limits.AskGateways = true
+	limits.AwaitUpload = 1200 * time.Millisecond
 	return limits
 }
 
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
@@ -48,6 +49,9 @@
 type keeper struct {
 	sidecar   *Sidecar
 	target    target
+	named     time.Duration // when this process heard of the target, on the boot clock
+	due       time.Duration // by when the engine has to leave what it runs for a newer version
+	loaded    int64
 	manifest  *weights.Manifest
 	id        core.VersionID
 	seeded    bool // what lay staged at the engine was taken into the store
@@ -74,7 +78,8 @@
 		return err
 	}
 	loaded := report.Loaded[wanted.model]
-	s.serving.Store(loaded > 0)
+	k.loaded = loaded
+	s.serving.Store(loaded > 0 && !report.Busy)
 	if err := k.fetchManifest(ctx, view); err != nil {
 		return err
 	}
@@ -85,11 +90,29 @@
 	if progress, known := s.distributor.Progress(k.id); !known || progress.Have < progress.Total {
 		return nil
 	}
+	if now := bootclock.Now(); loaded > 0 && now < k.turn(view) {
+		return nil
+	}
 	return k.load(ctx)
 }
 
+// turn is when this engine may stop taking requests to load the wanted version.
+func (k *keeper) turn(view *catalog.View) time.Duration {
+	hosts := []core.HostID{core.HostID(k.sidecar.settings.Address)}
+	for _, host := range k.sidecar.neighbours(view) {
+		hosts = append(hosts, host.ID)
+	}
+	place := placeInTurn(hosts[0], hosts, k.target.version)
+	return turnAt(k.named, k.due, k.sidecar.settings.VersionMs.Duration(), place)
+}
+
 func (k *keeper) aim(wanted target) {
 	k.sidecar.logger.Info().Str("model", string(wanted.model)).Int64("version", wanted.version).Msg("version wanted")
+	now := bootclock.Now()
+	if k.due == 0 || k.loaded == k.target.version {
+		k.due = now + k.sidecar.settings.VersionMs.Duration()
+	}
+	k.named = now
 	k.target, k.manifest, k.seeded, k.neighbour = wanted, nil, false, 0
 	k.sidecar.follower.ReadEndpointsNow()
 }
@@ -188,6 +211,7 @@
 			return fault.New(fault.Corrupted, "staged piece "+strconv.Itoa(piece)+" does not match its digest", "stage it again")
 		}
 	}
+	s.serving.Store(false) // the engine takes nothing new from here until it has loaded
 	outcome, err := s.engine.Start(ctx, k.target.model, k.target.version)
 	s.logger.Info().Str("model", string(k.target.model)).Int64("version", k.target.version).Int("outcome", int(outcome)).Err(err).Msg("engine ordered to load")
 	return err
--- a/internal/weights/plan/fetch.go
+++ b/internal/weights/plan/fetch.go
@@ -9,10 +9,7 @@
 const (
 	busyBackoff     = 500 * time.Millisecond // before a busy peer is asked again
 	busyDoublings   = 4
-	missBackoff     = 5 * time.Second // before a peer that lacked an unannounced chunk is asked again
-	originBackoff   = 2 * time.Second // before an origin that failed is asked again, doubled with each failure
 	originDoublings = 4
-	originUnderway  = 2                      // fetches from the origin at once in its own region
 	patienceFactor  = 8                      // a fetch may take this many times what fetches took of late
 	askGap          = 500 * time.Millisecond // after such a peer refused
 	askStrangers    = 1                      // fetches at once from peers that did not announce the chunk
@@ -140,7 +137,7 @@
 }
 
 func (p *Planner) originFailed() {
-	p.origin.backoff = p.now + originBackoff<<min(p.origin.failures, originDoublings)
+	p.origin.backoff = p.now + p.limits.OriginBackoff<<min(p.origin.failures, originDoublings)
 	p.origin.failures++
 }
 
@@ -163,9 +160,9 @@
 		p.refuse(f)
 	case result == Dropped:
 		p.forgetMap(f.version, f.source)
-		f.source.backoff = p.now + missBackoff
+		f.source.backoff = p.now + p.limits.MissBackoff
 	case result == Missing && !f.announced:
-		f.source.backoff = p.now + missBackoff
+		f.source.backoff = p.now + p.limits.MissBackoff
 	default:
 		p.putAside(f.source)
 	}
@@ -201,7 +198,7 @@
 		}
 		for p.startOrigin(v) {
 		}
-		for len(p.underway) < p.limits.Downloads && p.startPeer(v) {
+		for len(p.underway) < p.limits.Downloads && (p.startPeer(v) || p.startGateway(v)) {
 		}
 	}
 }
--- a/internal/weights/plan/origin.go
+++ b/internal/weights/plan/origin.go
@@ -15,6 +15,10 @@
 	if chunk < 0 {
 		return false
 	}
+	if source := v.farGateway(chunk); source != nil && p.healthy(source) {
+		p.startFetch(v, chunk, source, false)
+		return true
+	}
 	if p.origin.backoff <= p.now {
 		if p.origin.underway >= p.originSlots() {
 			return false
@@ -34,7 +38,7 @@
 	if p.remote() {
 		return 1
 	}
-	return originUnderway
+	return p.limits.OriginDownloads
 }
 
 // originChunk returns the next chunk that this host has to fetch from outside its region, or -1.
@@ -47,13 +51,13 @@
 	skipped := p.stalledGateways(v)
 	stuck := desperate || p.now-v.progress > p.takeover(v)
 	offered, given := p.offeredChunks(v), p.refusedChunks(v)
-	strangers := p.hasStrangers(v) || p.now-p.refusedAt < missBackoff
+	strangers := p.hasStrangers(v) || p.now-p.refusedAt < p.limits.MissBackoff
 	for n := range v.first {
 		i := (offset + n) % len(v.first)
 		if v.have.Has(i) || v.pending.Has(i) || !stuck && (offered.Has(i) || strangers && given.Has(i)) {
 			continue
 		}
-		if desperate || p.fetcher(v, i, skipped) == nil {
+		if desperate || p.fetcher(v, i, skipped) == nil && !p.farBusy(v, i) {
 			return i
 		}
 	}
--- a/internal/weights/plan/peers.go
+++ b/internal/weights/plan/peers.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	asideFirst   = 20 * time.Second // time that a peer is put aside after its first fault
 	asideLongest = 10 * time.Minute
 	asideDoubles = 5 // doublings until asideLongest
 )
@@ -141,23 +140,28 @@
 	v.gateways = append(v.gateways, gateway{hash: own, score: score(key, own)})
 	slices.SortFunc(v.gateways, func(a, b gateway) int { return cmp.Compare(b.score, a.score) })
 	v.gateways = v.gateways[:min(p.gatewayCount(), len(v.gateways))]
-	p.assignChunks(v)
+	v.first = p.assignChunks(v, v.gateways)
+	if p.limits.OneDraw {
+		p.assignRegions(v)
+	}
 }
 
 // assignChunks gives each chunk to its best gateway that has not got its even share yet: the gateways of a region part
 // a link evenly, so the one with the most chunks ends last.
-func (p *Planner) assignChunks(v *version) {
-	share := (len(v.first) + len(v.gateways) - 1) / len(v.gateways)
-	loads := make([]int, len(v.gateways))
+func (p *Planner) assignChunks(v *version, gateways []gateway) []int32 {
+	first := make([]int32, len(v.keys))
+	share := (len(first) + len(gateways) - 1) / len(gateways)
+	loads := make([]int, len(gateways))
 	var full uint64
-	for i := range v.first {
-		at := p.rankChunk(v, i, v.gateways, full)
-		v.first[i] = int32(at)
+	for i := range first {
+		at := p.rankChunk(v, i, gateways, full)
+		first[i] = int32(at)
 		loads[at]++
 		if loads[at] == share && at < wordBits {
 			full |= 1 << at
 		}
 	}
+	return first
 }
 
 func (p *Planner) gatewayCount() int {
@@ -196,7 +200,7 @@
 
 // putAside keeps this host from asking the peer for a while, longer with each fault.
 func (p *Planner) putAside(other *peer) {
-	span := min(asideFirst<<min(other.faults, asideDoubles), asideLongest)
+	span := min(p.limits.Aside<<min(other.faults, asideDoubles), asideLongest)
 	other.faults++
 	other.aside = p.now + span
 	p.forgetMaps(other)
--- a/internal/weights/plan/planner.go
+++ b/internal/weights/plan/planner.go
@@ -29,6 +29,13 @@
 	OriginPatience   time.Duration // least time that a fetch from the origin may take
 	OriginRegion     core.Region   // the region that holds the origin; "" when it is in none
 	RegionBytesPerS  int64         // share of the link between regions for weights, in bytes a second; 0 means unlimited
+	OriginDownloads  int           // fetches from the origin under way
+	OriginBackoff    time.Duration // before an origin that failed is asked again, doubled with each failure
+	MissBackoff      time.Duration // before a peer that lacked an unannounced chunk is asked again
+	Aside            time.Duration // for which a peer is put aside after its first fault
+	OneDraw          bool          // the regions part the chunks among them, and each gets the others' from there
+	AskGateways      bool          // a chunk's gateway is asked for it before the gateway has announced it
+	AwaitUpload      time.Duration // for which the request for a chunk that is not held yet waits; 0 refuses it at once
 }
 
 // DefaultLimits returns the limits of an agent.
@@ -48,6 +55,10 @@
 		LastResort:       time.Minute,
 		PeerPatience:     15 * time.Second,
 		OriginPatience:   time.Minute,
+		OriginDownloads:  2,
+		OriginBackoff:    2 * time.Second,
+		MissBackoff:      5 * time.Second,
+		Aside:            20 * time.Second,
 	}
 }
 
@@ -65,6 +76,7 @@
 	fetches   map[FetchID]*fetch
 	underway  []*fetch // in order of start
 	uploads   map[UploadID]upload
+	awaiting  []awaitedUpload
 	lastID    FetchID
 	origin    originState
 	control   bucket
@@ -99,6 +111,7 @@
 	given     []uint8  // uploads of each chunk in this upload window
 	keys      []uint64 // hash of each chunk
 	first     []int32  // index into gateways of each chunk's first fetcher
+	far       []*peer  // with OneDraw, the gateway in another region that has to fetch the chunk first; nil for none
 }
 
 // holding is what a peer says that it holds of a version, and how it took this host's requests.
@@ -134,6 +147,7 @@
 	switch event := event.(type) {
 	case Tick:
 		p.expire()
+		p.expireAwaited()
 		p.exchange()
 		p.schedule()
 	case RosterChanged:
@@ -155,6 +169,7 @@
 		p.uploadAsked(event)
 	case UploadEnded:
 		delete(p.uploads, event.Upload)
+		p.dropAwaited(event.Upload)
 	}
 	return p.effects
 }
@@ -240,6 +255,7 @@
 		}
 		p.report(v)
 	}
+	p.answerAwaited(digest)
 }
 
 // indicesOf returns the indices of missing chunks of the version with the digest. A digest can stand more than once.
--- a/internal/weights/plan/upload.go
+++ b/internal/weights/plan/upload.go
@@ -1,6 +1,11 @@
 package plan
 
-import "github.com/lovageglade/lovageglade/internal/weights"
+import (
+	"slices"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/weights"
+)
 
 // upload is an upload under way.
 type upload struct{ digest weights.Digest }
@@ -8,14 +13,61 @@
 // uploadAsked grants the upload while few are under way and the version's bound is not reached.
 func (p *Planner) uploadAsked(event UploadAsked) {
 	p.control.charge(p.now, requestBytes)
-	p.emit(AnswerUpload{Upload: event.Upload, Result: p.judgeUpload(event)})
+	p.answerUpload(event.Upload, event.Digest, p.now+p.limits.AwaitUpload)
+}
+
+// answerUpload judges the upload. One of a chunk that this host does not hold yet waits for it.
+func (p *Planner) answerUpload(id UploadID, digest weights.Digest, until time.Duration) {
+	result := p.judgeUpload(id, digest)
+	if result == Missing && p.now < until {
+		p.awaiting = append(p.awaiting, awaitedUpload{id: id, digest: digest, until: until})
+		return
+	}
+	p.emit(AnswerUpload{Upload: id, Result: result})
+}
+
+// awaitedUpload waits until this host holds the chunk.
+type awaitedUpload struct {
+	id     UploadID
+	digest weights.Digest
+	until  time.Duration
+}
+
+// answerAwaited answers the requests that waited for a chunk that has arrived.
+func (p *Planner) answerAwaited(digest weights.Digest) {
+	waiting := p.awaiting
+	p.awaiting = nil
+	for _, awaited := range waiting {
+		if awaited.digest == digest {
+			p.answerUpload(awaited.id, awaited.digest, p.now)
+			continue
+		}
+		p.awaiting = append(p.awaiting, awaited)
+	}
+}
+
+// expireAwaited refuses the requests that waited too long, or for a version that is no longer wanted.
+func (p *Planner) expireAwaited() {
+	waiting := p.awaiting
+	p.awaiting = nil
+	for _, awaited := range waiting {
+		if awaited.until <= p.now || !p.wants(awaited.digest) {
+			p.answerUpload(awaited.id, awaited.digest, p.now)
+			continue
+		}
+		p.awaiting = append(p.awaiting, awaited)
+	}
+}
+
+func (p *Planner) dropAwaited(id UploadID) {
+	p.awaiting = slices.DeleteFunc(p.awaiting, func(awaited awaitedUpload) bool { return awaited.id == id })
 }
 
-func (p *Planner) judgeUpload(event UploadAsked) Result {
-	if !p.wants(event.Digest) {
+func (p *Planner) judgeUpload(id UploadID, digest weights.Digest) Result {
+	if !p.wants(digest) {
 		return Dropped
 	}
-	v, index := p.findHeld(event.Digest)
+	v, index := p.findHeld(digest)
 	if v == nil {
 		return Missing
 	}
@@ -36,7 +88,7 @@
 	}
 	v.uploaded += length
 	v.given[index]++
-	p.uploads[event.Upload] = upload{digest: event.Digest}
+	p.uploads[id] = upload{digest: digest}
 	return Granted
 }
 
