Weights after a restart of everything; silent streams go on elsewhere

Cause: sidecars that restarted together read the registry before engines had registered, and not again for ten seconds, so each drew its own copy of the origin; streams through a partition were silent until their deadline.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -62,7 +62,7 @@
 	// Encode returns the header to be sent to the endpoint.
 	Encode(c *Call, send Send) http.Header
 	// EncodeForwarded returns the header of a call that another process of the system has sent on.
-	EncodeForwarded(c *Call, patience time.Duration) http.Header
+	EncodeForwarded(c *Call, send Send) http.Header
 	// Reply reads the header of an answer.
 	Reply(status int, header http.Header) Reply
 	// Answer returns the header that goes to the caller: the endpoint's own, without what concerns one connection.
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -8,12 +8,57 @@
 	"github.com/lovageglade/lovageglade/internal/core"
 )
 
-// Wanted is a model version that operators want everywhere.
-type Wanted struct {
+// Naming is a model version that operators want everywhere.
+type Naming struct {
 	Version int64
 	Seen    time.Duration // when this process first read of it, on the boot clock
 }
 
+// namingsKept of a model at most. An older one is past its bound, or soon a newer one is.
+const namingsKept = 8
+
+// Namings are the versions of a model that operators named, in the order of the versions. They must not be changed.
+type Namings []Naming
+
+// With returns the namings with one more, or the same if it is not newer than all of them.
+func (n Namings) With(naming Naming) Namings {
+	if naming.Version <= n.Newest() {
+		return n
+	}
+	more := append(slices.Clone(n), naming)
+	return more[max(0, len(more)-namingsKept):]
+}
+
+// Newest returns the version that is wanted, 0 for none.
+func (n Namings) Newest() int64 {
+	if len(n) == 0 {
+		return 0
+	}
+	return n[len(n)-1].Version
+}
+
+// Required returns the oldest version that may still run the model's requests when each has to be replaced within the
+// bound after a newer one was named; 0 for any.
+func (n Namings) Required(now, bound time.Duration) int64 {
+	required := int64(0)
+	for _, naming := range n {
+		if naming.Seen+bound <= now {
+			required = naming.Version
+		}
+	}
+	return required
+}
+
+// Due returns when an engine that runs the version has to have left it; false when no newer one is named.
+func (n Namings) Due(version int64, bound time.Duration) (time.Duration, bool) {
+	for _, naming := range n {
+		if naming.Version > version {
+			return naming.Seen + bound, true
+		}
+	}
+	return 0, false
+}
+
 // Index answers lookups in one configuration.
 type Index struct {
 	Configuration *Configuration
@@ -84,15 +129,17 @@
 type View struct {
 	*Index    // nil until a configuration is known
 	Evacuated map[core.FailureDomain]bool
-	Wanted    map[core.Model]Wanted
+	Wanted    map[core.Model]Namings
 
 	endpoints map[core.Service][]*Endpoint
+	listed    map[core.Service][]*Endpoint
 }
 
 // NewView joins the parts. Draining endpoints and those of evacuated failure domains take no new work.
-func NewView(index *Index, evacuated map[core.FailureDomain]bool, wanted map[core.Model]Wanted, endpoints []*Endpoint) *View {
-	v := &View{Index: index, Evacuated: evacuated, Wanted: wanted, endpoints: make(map[core.Service][]*Endpoint)}
+func NewView(index *Index, evacuated map[core.FailureDomain]bool, wanted map[core.Model]Namings, endpoints []*Endpoint) *View {
+	v := &View{Index: index, Evacuated: evacuated, Wanted: wanted, endpoints: make(map[core.Service][]*Endpoint), listed: make(map[core.Service][]*Endpoint)}
 	for _, endpoint := range endpoints {
+		v.listed[endpoint.Service] = append(v.listed[endpoint.Service], endpoint)
 		if endpoint.Draining || evacuated[endpoint.FailureDomain] {
 			continue
 		}
@@ -107,6 +154,9 @@
 // Endpoints returns the endpoints of the service that take new work, in order of their ids.
 func (v *View) Endpoints(service core.Service) []*Endpoint { return v.endpoints[service] }
 
+// Listed returns all endpoints of the service, also those that take no new work, in no order.
+func (v *View) Listed(service core.Service) []*Endpoint { return v.listed[service] }
+
 // Backend chooses the service of a request by the weights; draw is uniform in [0, 1).
 func (r *Route) Backend(draw float64) core.Service {
 	total := 0
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -55,7 +55,7 @@
 type state struct {
 	index     *catalog.Index
 	evacuated map[core.FailureDomain]bool
-	wanted    map[core.Model]catalog.Wanted
+	wanted    map[core.Model]catalog.Namings
 	endpoints map[catalog.EndpointID]*catalog.Endpoint
 	lapsed    map[catalog.EndpointID]bool // kept although the registry lists them no longer
 	lastRead  time.Duration               // of the endpoints
@@ -66,7 +66,7 @@
 func newState() *state {
 	return &state{
 		evacuated: make(map[core.FailureDomain]bool),
-		wanted:    make(map[core.Model]catalog.Wanted),
+		wanted:    make(map[core.Model]catalog.Namings),
 		endpoints: make(map[catalog.EndpointID]*catalog.Endpoint),
 		lapsed:    make(map[catalog.EndpointID]bool),
 	}
@@ -102,10 +102,10 @@
 	changed := s.configurationChanged(event.changes.Configuration)
 	changed = s.evacuationsChanged(event.changes) || changed
 	for model, version := range event.changes.Wanted {
-		if version <= s.wanted[model].Version {
+		if version <= s.wanted[model].Newest() {
 			continue
 		}
-		s.wanted[model] = catalog.Wanted{Version: version, Seen: event.sent}
+		s.wanted[model] = s.wanted[model].With(catalog.Naming{Version: version, Seen: event.sent})
 		s.emit(report{change: "model version wanted", name: string(model), version: version})
 		changed = true
 	}
--- a/internal/gateway/flow.go
+++ b/internal/gateway/flow.go
@@ -36,6 +36,7 @@
 	sure   bool // no endpoint runs it or will
 	stream *streamState
 	held   *held
+	watch  *watch // of the attempt under way
 	last   error  // why the last endpoint gave no answer
 	leave  func() // ends what the attempt under way holds of an endpoint; nil for nothing
 }
@@ -97,7 +98,7 @@
 	}
 	if f.route.Generates {
 		query.Model = f.call.Model
-		query.Version = f.requiredVersion()
+		query.Version = f.requiredVersion(view)
 	}
 	return f.g.placer.Pick(view.Endpoints(f.service), query)
 }
@@ -118,7 +119,11 @@
 	load := f.g.placer.Load(endpoint.ID)
 	load.Add(1)
 	defer f.release(load)
-	answer, reply, err := f.send(endpoint)
+	attempt, end := context.WithCancel(f.ctx)
+	defer end()
+	f.watch = f.newWatch(end)
+	defer f.watch.stop()
+	answer, reply, err := f.send(attempt, endpoint)
 	if err != nil {
 		f.failed(endpoint, err)
 		return false
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -28,15 +29,15 @@
 }
 
 // send sends the call to the endpoint, through its sidecar if it has one that can be reached.
-func (f *flow) send(endpoint *catalog.Endpoint) (*dispatch.Answer, call.Reply, error) {
+func (f *flow) send(ctx context.Context, endpoint *catalog.Endpoint) (*dispatch.Answer, call.Reply, error) {
 	request := f.request(endpoint)
 	if !f.route.Generates {
-		return f.exchange(request)
+		return f.exchange(ctx, request)
 	}
 	now := f.g.now()
 	if f.g.sidecars.reachable(endpoint.ID, now) {
 		request.Address = f.g.relayAddress(endpoint)
-		answer, reply, err := f.exchange(request)
+		answer, reply, err := f.exchange(ctx, request)
 		if err == nil {
 			return f.fromSidecar(endpoint, answer, reply)
 		}
@@ -47,17 +48,17 @@
 		f.g.pool.Forget(request.Address)
 		f.g.logger.Warn().Str("endpoint", string(endpoint.ID)).Err(err).Msg("sidecar cannot be reached")
 	}
-	return f.direct(endpoint, request)
+	return f.direct(ctx, endpoint, request)
 }
 
 // direct sends the call straight to an engine whose sidecar is away.
-func (f *flow) direct(endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Answer, call.Reply, error) {
+func (f *flow) direct(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Answer, call.Reply, error) {
 	if !f.g.sidecars.enterDirect(endpoint.ID) {
 		return nil, call.Reply{}, &refusalError{reason: "its sidecar is away and this gateway's share of it is in use"}
 	}
 	f.leave = func() { f.g.sidecars.leaveDirect(endpoint.ID) }
 	request.Address = endpoint.Address
-	return f.exchange(request)
+	return f.exchange(ctx, request)
 }
 
 func (f *flow) request(endpoint *catalog.Endpoint) *dispatch.Request {
@@ -66,7 +67,7 @@
 		send.Workspace = f.workspace.Name
 	}
 	if f.route.Generates {
-		send.Version = f.requiredVersion()
+		send.Version = f.exactVersion()
 	}
 	if f.stream != nil && f.stream.last != "" {
 		send.ResumeAfter = f.stream.last
@@ -86,8 +87,8 @@
 	}
 }
 
-func (f *flow) exchange(request *dispatch.Request) (*dispatch.Answer, call.Reply, error) {
-	answer, err := f.g.pool.Send(f.ctx, request)
+func (f *flow) exchange(ctx context.Context, request *dispatch.Request) (*dispatch.Answer, call.Reply, error) {
+	answer, err := f.g.pool.Send(ctx, request)
 	if err != nil {
 		return nil, call.Reply{}, err
 	}
@@ -120,12 +121,17 @@
 	return host + ":" + strconv.Itoa(g.settings.RelayPort())
 }
 
-// requiredVersion is the version of the model that must run the call, or 0 while another one still may: the wanted one
-// once the time for bringing it everywhere is nearly over.
-func (f *flow) requiredVersion() int64 {
-	wanted, ok := f.view.Wanted[f.call.Model]
-	if !ok || bootclock.Now()-wanted.Seen < f.g.settings.VersionMs.Duration()-versionMargin {
-		return 0
+// requiredVersion is the oldest version of the model that may run the call; 0 for any.
+func (f *flow) requiredVersion(view *catalog.View) int64 {
+	return view.Wanted[f.call.Model].Required(bootclock.Now(), f.g.settings.VersionMs.Duration()-versionMargin)
+}
+
+// exactVersion is the version that the endpoint is told to run the call with, or 0 for any. An endpoint can only be
+// told one, so nothing is said while two may run it.
+func (f *flow) exactVersion() int64 {
+	view := f.g.follower.View()
+	if required := f.requiredVersion(view); required == view.Wanted[f.call.Model].Newest() {
+		return required
 	}
-	return wanted.Version
+	return 0
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,6 +41,7 @@
 	events.Buffer(make([]byte, 0, eventBytes), maxEventBytes)
 	events.Split(splitEvents)
 	flusher, _ := f.w.(http.Flusher)
+	defer f.watch.stop()
 	var rest []byte // after the last whole event; it belongs to the stream only if that is complete
 	for events.Scan() {
 		event := events.Bytes()
@@ -48,6 +49,7 @@
 			rest = bytes.Clone(event)
 			continue
 		}
+		f.watch.progress()
 		f.begin(answer)
 		if _, err := f.w.Write(event); err != nil {
 			f.end() // the caller has gone
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -24,7 +24,7 @@
 		return true
 	}
 	version, ok := endpoint.Serves(query.Model)
-	return ok && (query.Version == 0 || version == query.Version)
+	return ok && version >= query.Version
 }
 
 func (p *Placer) withoutFailing(endpoints []*catalog.Endpoint, now time.Duration) []*catalog.Endpoint {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -18,7 +18,7 @@
 	Home    core.Region // where the gateway stands
 	Exclude map[catalog.EndpointID]bool
 	Model   core.Model // "" for a plain service
-	Version int64      // the only version that may run it; 0 for any
+	Version int64      // the oldest version that may run it; 0 for any
 	Now     time.Duration
 }
 
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -38,7 +38,7 @@
 		s.refuse(w, c, refusedBad, err)
 		return
 	}
-	if !s.serving.Load() {
+	if s.serving.Load() == 0 {
 		s.refuse(w, c, refusedLoading, nil)
 		return
 	}
@@ -70,7 +70,7 @@
 		Method:  c.Method,
 		Target:  c.Target,
 		Host:    r.Host,
-		Header:  s.codec.EncodeForwarded(c, patience),
+		Header:  s.codec.EncodeForwarded(c, call.Send{Patience: patience, Version: s.serving.Load()}),
 		Body:    c.Body,
 		Matches: func(header http.Header) bool {
 			id := s.codec.Reply(0, header).ID
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,7 +55,7 @@
 	peers       *rpc.Client
 	store       *weights.Store
 	distributor *distribution.Distributor
-	serving     atomic.Bool // the engine holds weights that may run requests
+	serving     atomic.Int64 // version that the engine runs requests with; 0 while it must not run any
 	changed     chan struct{}
 }
 
@@ -205,14 +205,18 @@
 	}
 }
 
-// neighbours are the sidecars of the service's other engines.
-func (s *Sidecar) neighbours(view *catalog.View) []core.Host {
-	var hosts []core.Host
-	for _, endpoint := range view.Endpoints(s.settings.Service) {
+// neighbours are the sidecars of the service's other engines, those of evacuated failure domains included. Listed
+// tells whether the registry holds this sidecar's own engine: until then it may lack others that started with it.
+func (s *Sidecar) neighbours(view *catalog.View) (hosts []core.Host, listed bool) {
+	for _, endpoint := range view.Listed(s.settings.Service) {
+		listed = listed || endpoint.Address == s.settings.EngineAddress
+		if endpoint.Draining {
+			continue
+		}
 		address, _, _ := strings.Cut(endpoint.Address, ":")
 		if address != s.settings.Address {
 			hosts = append(hosts, s.hostOf(address, endpoint.FailureDomain, endpoint.Region))
 		}
 	}
-	return hosts
+	return hosts, listed
 }
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -20,6 +20,26 @@
 	checkInterval = 200 * time.Millisecond
 )
 
+const (
+	// listPatience is how long a sidecar waits until its own engine stands in the registry: a heartbeat and the lag of
+	// the list.
+	listPatience = 1500 * time.Millisecond
+	// listInterval is between two reads of the registry while weights are brought: engines that start together
+	// register within about a heartbeat of each other.
+	listInterval = 700 * time.Millisecond
+)
+
+// dueMargin before a version has to be left: a request that is let in then begins in time.
+const dueMargin = 500 * time.Millisecond
+
+// serve opens the gate for requests that run on the version, or closes it.
+func (s *Sidecar) serve(version int64, closed bool) {
+	if closed {
+		version = 0
+	}
+	s.serving.Store(version)
+}
+
 // target is the model and the version that the engine should run.
 type target struct {
 	model   core.Model
@@ -50,12 +70,11 @@
 	sidecar   *Sidecar
 	target    target
 	named     time.Duration // when this process heard of the target, on the boot clock
-	due       time.Duration // by when the engine has to leave what it runs for a newer version
-	loaded    int64
 	manifest  *weights.Manifest
 	id        core.VersionID
-	seeded    bool // what lay staged at the engine was taken into the store
-	neighbour int  // number of neighbours that the distributor was told of
+	seeded    bool          // what lay staged at the engine was taken into the store
+	listed    time.Duration // when the registry was last read for the version
+	neighbour int           // number of neighbours that the distributor was told of
 }
 
 // check takes the next step towards the wanted version.
@@ -74,12 +93,13 @@
 	}
 	report, err := s.engine.Report(ctx)
 	if err != nil {
-		s.serving.Store(false)
+		s.serve(0, true)
 		return err
 	}
 	loaded := report.Loaded[wanted.model]
-	k.loaded = loaded
-	s.serving.Store(loaded > 0 && !report.Busy)
+	namings := view.Wanted[wanted.model]
+	due, leaving := namings.Due(loaded, s.settings.VersionMs.Duration())
+	s.serve(loaded, report.Busy || leaving && bootclock.Now() > due-dueMargin)
 	if err := k.fetchManifest(ctx, view); err != nil {
 		return err
 	}
@@ -90,29 +110,26 @@
 	if progress, known := s.distributor.Progress(k.id); !known || progress.Have < progress.Total {
 		return nil
 	}
-	if now := bootclock.Now(); loaded > 0 && now < k.turn(view) {
+	if now := bootclock.Now(); loaded > 0 && now < k.turn(view, due) {
 		return nil
 	}
 	return k.load(ctx)
 }
 
 // turn is when this engine may stop taking requests to load the wanted version.
-func (k *keeper) turn(view *catalog.View) time.Duration {
+func (k *keeper) turn(view *catalog.View, due time.Duration) time.Duration {
+	neighbours, _ := k.sidecar.neighbours(view)
 	hosts := []core.HostID{core.HostID(k.sidecar.settings.Address)}
-	for _, host := range k.sidecar.neighbours(view) {
+	for _, host := range neighbours {
 		hosts = append(hosts, host.ID)
 	}
 	place := placeInTurn(hosts[0], hosts, k.target.version)
-	return turnAt(k.named, k.due, k.sidecar.settings.VersionMs.Duration(), place)
+	return turnAt(k.named, due, k.sidecar.settings.VersionMs.Duration(), place)
 }
 
 func (k *keeper) aim(wanted target) {
 	k.sidecar.logger.Info().Str("model", string(wanted.model)).Int64("version", wanted.version).Msg("version wanted")
-	now := bootclock.Now()
-	if k.due == 0 || k.loaded == k.target.version {
-		k.due = now + k.sidecar.settings.VersionMs.Duration()
-	}
-	k.named = now
+	k.named = bootclock.Now()
 	k.target, k.manifest, k.seeded, k.neighbour = wanted, nil, false, 0
 	k.sidecar.follower.ReadEndpointsNow()
 }
@@ -124,7 +141,7 @@
 		return target{}, false
 	}
 	model := service.Engine.Models[0]
-	return target{model: model, version: max(firstVersion, view.Wanted[model].Version)}, true
+	return target{model: model, version: max(firstVersion, view.Wanted[model].Newest())}, true
 }
 
 func (k *keeper) fetchManifest(ctx context.Context, view *catalog.View) error {
@@ -146,7 +163,16 @@
 // meet tells the distributor what is wanted and who else has to hold it.
 func (k *keeper) meet(ctx context.Context, view *catalog.View, loaded int64) {
 	s := k.sidecar
-	hosts := s.neighbours(view)
+	hosts, listed := s.neighbours(view)
+	now := bootclock.Now()
+	if !listed && now-k.named < listPatience {
+		s.follower.ReadEndpointsNow()
+		return
+	}
+	if progress, known := s.distributor.Progress(k.id); (!known || progress.Have < progress.Total) && now-k.listed > listInterval {
+		k.listed = now
+		s.follower.ReadEndpointsNow()
+	}
 	if len(hosts) != k.neighbour || !k.seeded {
 		k.neighbour = len(hosts)
 		s.distributor.SetPeers(ctx, hosts)
@@ -211,7 +237,7 @@
 			return fault.New(fault.Corrupted, "staged piece "+strconv.Itoa(piece)+" does not match its digest", "stage it again")
 		}
 	}
-	s.serving.Store(false) // the engine takes nothing new from here until it has loaded
+	s.serve(0, true) // the engine takes nothing new from here until it has loaded
 	outcome, err := s.engine.Start(ctx, k.target.model, k.target.version)
 	s.logger.Info().Str("model", string(k.target.model)).Int64("version", k.target.version).Int("outcome", int(outcome)).Err(err).Msg("engine ordered to load")
 	return err
