Weights are brought while the engine is away; chunks have turns at the origin; pieces are staged as they arrive

A sidecar waited for its engine before it fetched anything, and peers were listed twice after restarts.

--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -261,11 +261,11 @@
 		return
 	}
 	l.asked = order
-	manifests := make(map[core.VersionID]weights.Manifest, len(order))
+	wanted := make([]plan.Version, 0, len(order))
 	for _, version := range order {
-		manifests[version] = l.manifests[version]
+		wanted = append(wanted, plan.Version{ID: version, Manifest: l.manifests[version], Hosts: l.roster.near})
 	}
-	l.distributor.Want(ctx, manifests, order, l.roster.near)
+	l.distributor.Want(ctx, wanted)
 }
 
 func equalVersions(a, b []core.VersionID) bool {
--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -62,7 +62,17 @@
 
 // Origin is where the weights of new versions come from.
 type Origin struct {
-	Address string // IP number and port
+	Address string  // IP number and port
+	Mbps    float64 // rate of its link in Mbit/s, for all that draw on it; 0 when unknown
+}
+
+// Time returns how long the bytes take on the origin's link, 0 when its rate is unknown.
+func (o Origin) Time(bytes int64) time.Duration {
+	if o.Mbps <= 0 {
+		return 0
+	}
+	const bitsPerByte, bitsPerMbit = 8, 1e6
+	return time.Duration(float64(bytes) * bitsPerByte / (o.Mbps * bitsPerMbit) * float64(time.Second))
 }
 
 // Workspace is a customer's workspace.
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -115,14 +115,14 @@
 // Service returns the service, or nil.
 func (x *Index) Service(name core.Service) *Service { return x.services[name] }
 
-// Origin returns the address of the service that serves weights, or "".
-func (x *Index) Origin() string {
+// Origin returns the origin of weights; its address is "" when there is none.
+func (x *Index) Origin() Origin {
 	for i := range x.Configuration.Services {
 		if origin := x.Configuration.Services[i].Origin; origin != nil {
-			return origin.Address
+			return *origin
 		}
 	}
-	return ""
+	return Origin{}
 }
 
 // View is what a process knows at one moment. It must not be changed.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -180,7 +180,7 @@
 	case confirm:
 		f.asOf.Store(int64(effect.sent))
 	case believed:
-		f.logger.Info().Str("endpoint", string(effect.endpoint)).Str("state", effect.state).Msg("endpoint changed")
+		f.logger.Info().Str("endpoint", string(effect.endpoint)).Str("state", effect.state).Int("count", effect.count).Msg("endpoints changed")
 	case report:
 		f.logger.Info().Str("change", effect.change).Int64("version", effect.version).Str("name", effect.name).Msg("configuration taken over")
 	}
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -52,11 +52,12 @@
 	version int64
 }
 
-// believed is logged: an endpoint is new, or its state changed.
+// believed is logged: an endpoint is new or its state changed, or the whole list was read.
 type believed struct {
 	reduce.IsEffect
-	endpoint catalog.EndpointID
+	endpoint catalog.EndpointID // "" for the whole list
 	state    string
+	count    int // of the whole list
 }
 
 // state is the reducer's state.
@@ -161,10 +162,12 @@
 	changes := event.changes
 	gone := changes.Gone
 	if changes.Whole {
+		s.emit(believed{state: "listed", count: len(changes.Present)})
 		gone = s.missing(changes.Present)
 	}
 	for _, endpoint := range changes.Present {
-		if before := s.endpoints[endpoint.ID]; before == nil || before.Draining != endpoint.Draining {
+		before := s.endpoints[endpoint.ID]
+		if !changes.Whole && (before == nil || before.Draining != endpoint.Draining) {
 			s.emit(believed{endpoint: endpoint.ID, state: stateOf(endpoint)})
 		}
 		s.endpoints[endpoint.ID] = endpoint
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -208,13 +208,15 @@
 // neighbours are the sidecars of the service's other engines, those of evacuated failure domains included. Listed
 // tells whether the registry holds this sidecar's own engine: until then it may lack others that started with it.
 func (s *Sidecar) neighbours(view *catalog.View) (hosts []core.Host, listed bool) {
+	known := make(map[string]bool) // an engine that restarted stands in the list twice for a while
 	for _, endpoint := range view.Listed(s.settings.Service) {
 		listed = listed || endpoint.Address == s.settings.EngineAddress
 		if endpoint.Draining {
 			continue
 		}
 		address, _, _ := strings.Cut(endpoint.Address, ":")
-		if address != s.settings.Address {
+		if address != s.settings.Address && !known[address] {
+			known[address] = true
 			hosts = append(hosts, s.hostOf(address, endpoint.FailureDomain, endpoint.Region))
 		}
 	}
--- /dev/null
+++ b/internal/sidecar/staging.go
@@ -0,0 +1,82 @@
+package sidecar
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/lovageglade/lovageglade/internal/bootclock"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/weights"
+)
+
+// takeStaged takes pieces of the target that lie staged at the engine already, so that they need not be fetched and
+// others can have them from here. Those of another version do not match and stay out.
+func (k *keeper) takeStaged(ctx context.Context) {
+	s := k.sidecar
+	held, err := s.engine.Staged(ctx, k.target.model)
+	if err != nil {
+		s.logger.Warn().Err(err).Msg("staged pieces not listed; they will be fetched")
+		return
+	}
+	for _, piece := range held {
+		if piece >= len(k.manifest.Chunks) {
+			continue
+		}
+		raw, err := s.engine.ReadStaged(ctx, k.target.model, piece)
+		if err != nil {
+			s.logger.Warn().Err(err).Int("piece", piece).Msg("staged piece not read; it will be fetched")
+			continue
+		}
+		if err := s.store.Put(k.manifest.Chunks[piece], raw); err != nil {
+			return // the first one that does not match shows that another version lies there
+		}
+	}
+}
+
+// stageArrived stages the pieces that have arrived since it was last called.
+func (k *keeper) stageArrived(ctx context.Context) error {
+	for piece, digest := range k.manifest.Chunks {
+		if k.staged[piece] {
+			continue
+		}
+		raw := k.sidecar.store.Get(digest)
+		if raw == nil {
+			continue
+		}
+		if err := k.sidecar.engine.Stage(ctx, k.target.model, piece, raw); err != nil {
+			return err
+		}
+		k.staged[piece] = true
+		if len(k.staged) == len(k.manifest.Chunks) {
+			k.sidecar.logger.Info().Str("model", string(k.target.model)).Int64("version", k.target.version).Dur("after", bootclock.Now()-k.named).Msg("weights complete and staged")
+		}
+	}
+	return nil
+}
+
+// load reads every staged piece back and orders the engine to load them.
+func (k *keeper) load(ctx context.Context) error {
+	s := k.sidecar
+	if err := k.verifyStaged(ctx); err != nil {
+		return err
+	}
+	s.serve(0, true) // the engine takes nothing new from here until it has loaded
+	outcome, err := s.engine.Start(ctx, k.target.model, k.target.version)
+	s.logger.Info().Str("model", string(k.target.model)).Int64("version", k.target.version).Int("outcome", int(outcome)).Err(err).Msg("engine ordered to load")
+	return err
+}
+
+// verifyStaged reads the staged pieces back: they may have turned bad, or be lost with the engine's machine. Those are
+// staged again by the next stageArrived.
+func (k *keeper) verifyStaged(ctx context.Context) error {
+	for piece, digest := range k.manifest.Chunks {
+		raw, err := k.sidecar.engine.ReadStaged(ctx, k.target.model, piece)
+		if err != nil || weights.Sum(raw) != digest {
+			delete(k.staged, piece)
+		}
+	}
+	if missing := len(k.manifest.Chunks) - len(k.staged); missing > 0 {
+		return fault.New(fault.Corrupted, strconv.Itoa(missing)+" staged pieces are gone or do not match their digests", "they are staged again")
+	}
+	return nil
+}
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/weights"
+	"github.com/lovageglade/lovageglade/internal/weights/plan"
 )
 
 const (
@@ -18,42 +20,48 @@
 	// checkInterval is between two looks at the engine: short against the seconds in which a version has to run, and
 	// the report of an engine is free on its own machine.
 	checkInterval = 200 * time.Millisecond
-)
-
-const (
 	// listPatience is how long a sidecar waits until its own engine stands in the registry: a heartbeat and the lag of
 	// the list.
 	listPatience = 1500 * time.Millisecond
 	// listInterval is between two reads of the registry while weights are brought: engines that start together
 	// register within about a heartbeat of each other.
 	listInterval = 700 * time.Millisecond
+	// manifestDoubt without a new chunk makes the manifest suspect: it comes over the same links as chunks, and chunks
+	// never match a corrupted one.
+	manifestDoubt = 3 * time.Second
+	// dueMargin before a version has to be left: a request that is let in then begins in time.
+	dueMargin = 500 * time.Millisecond
 )
 
-// dueMargin before a version has to be left: a request that is let in then begins in time.
-const dueMargin = 500 * time.Millisecond
-
-// serve opens the gate for requests that run on the version, or closes it.
-func (s *Sidecar) serve(version int64, closed bool) {
-	if closed {
-		version = 0
-	}
-	s.serving.Store(version)
-}
-
 // target is the model and the version that the engine should run.
 type target struct {
 	model   core.Model
 	version int64
 }
 
+// keeper brings the engine to the wanted version.
+type keeper struct {
+	sidecar  *Sidecar
+	target   target
+	named    time.Duration // when this process heard of the target, on the boot clock
+	manifest *weights.Manifest
+	id       core.VersionID
+	begun    bool         // the distributor was told of the version
+	staged   map[int]bool // pieces of the target that lie staged, as far as known
+	hosts    []core.Host  // that the distributor was told of
+	listed   time.Duration
+	have     int           // chunks at the last progress
+	advanced time.Duration // when the last chunk arrived
+}
+
 // keepVersion brings the engine to the wanted version, again and again, until the context ends.
 func (s *Sidecar) keepVersion(ctx context.Context) {
-	keeper := &keeper{sidecar: s}
+	k := &keeper{sidecar: s}
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
-		if err := keeper.check(ctx); err != nil && ctx.Err() == nil {
-			s.logger.Warn().Err(err).Str("model", string(keeper.target.model)).Int64("version", keeper.target.version).Msg("version not brought yet")
+		if err := k.check(ctx); err != nil && ctx.Err() == nil {
+			s.logger.Warn().Err(err).Str("model", string(k.target.model)).Int64("version", k.target.version).Msg("version not brought yet")
 		}
 		select {
 		case <-ctx.Done():
@@ -65,19 +73,7 @@
 	}
 }
 
-// keeper is the state of keepVersion.
-type keeper struct {
-	sidecar   *Sidecar
-	target    target
-	named     time.Duration // when this process heard of the target, on the boot clock
-	manifest  *weights.Manifest
-	id        core.VersionID
-	seeded    bool          // what lay staged at the engine was taken into the store
-	listed    time.Duration // when the registry was last read for the version
-	neighbour int           // number of neighbours that the distributor was told of
-}
-
-// check takes the next step towards the wanted version.
+// check takes the next steps towards the wanted version. Weights are brought also while the engine cannot be reached.
 func (k *keeper) check(ctx context.Context) error {
 	s := k.sidecar
 	view := s.follower.View()
@@ -91,31 +87,64 @@
 	if wanted != k.target {
 		k.aim(wanted)
 	}
-	report, err := s.engine.Report(ctx)
-	if err != nil {
-		s.serve(0, true)
-		return err
-	}
+	report, unreachable := s.engine.Report(ctx)
 	loaded := report.Loaded[wanted.model]
-	namings := view.Wanted[wanted.model]
-	due, leaving := namings.Due(loaded, s.settings.VersionMs.Duration())
-	s.serve(loaded, report.Busy || leaving && bootclock.Now() > due-dueMargin)
-	if err := k.fetchManifest(ctx, view); err != nil {
+	due, leaving := view.Wanted[wanted.model].Due(loaded, s.settings.VersionMs.Duration())
+	late := leaving && bootclock.Now() > due-dueMargin
+	s.serve(loaded, unreachable != nil || report.Busy || late)
+	if unreachable != nil && !k.othersServe(view) {
+		return unreachable // it may come up with the weights
+	}
+	if err := k.bring(ctx, view); err != nil {
 		return err
 	}
-	k.meet(ctx, view, loaded)
-	if loaded == wanted.version || report.Busy {
-		return nil
+	if unreachable != nil || report.Busy || loaded == wanted.version || !k.begun {
+		return unreachable
 	}
-	if progress, known := s.distributor.Progress(k.id); !known || progress.Have < progress.Total {
-		return nil
+	if err := k.stageArrived(ctx); err != nil {
+		return err
 	}
-	if now := bootclock.Now(); loaded > 0 && now < k.turn(view, due) {
+	if len(k.staged) < len(k.manifest.Chunks) || loaded > 0 && bootclock.Now() < k.turn(view, due) {
 		return nil
 	}
 	return k.load(ctx)
 }
 
+// serve opens the gate for requests that run on the version, or closes it.
+func (s *Sidecar) serve(version int64, closed bool) {
+	if closed {
+		version = 0
+	}
+	if before := s.serving.Swap(version); before != version {
+		s.logger.Info().Int64("before", before).Int64("version", version).Msg("version served changed")
+	}
+}
+
+// wanted returns the version that the engine of this sidecar should run.
+func (s *Sidecar) wanted(view *catalog.View) (target, bool) {
+	service := view.Service(s.settings.Service)
+	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
+		return target{}, false
+	}
+	model := service.Engine.Models[0]
+	return target{model: model, version: max(firstVersion, view.Wanted[model].Newest())}, true
+}
+
+func (k *keeper) aim(wanted target) {
+	k.sidecar.logger.Info().Str("model", string(wanted.model)).Int64("version", wanted.version).Msg("version wanted")
+	*k = keeper{sidecar: k.sidecar, target: wanted, named: bootclock.Now(), staged: make(map[int]bool)}
+	k.advanced = k.named
+	k.sidecar.follower.ReadEndpointsNow()
+}
+
+// othersServe tells whether another engine serves the target, so that its sidecar has the weights.
+func (k *keeper) othersServe(view *catalog.View) bool {
+	return slices.ContainsFunc(view.Listed(k.sidecar.settings.Service), func(endpoint *catalog.Endpoint) bool {
+		version, ok := endpoint.Serves(k.target.model)
+		return ok && version == k.target.version && endpoint.Address != k.sidecar.settings.EngineAddress
+	})
+}
+
 // turn is when this engine may stop taking requests to load the wanted version.
 func (k *keeper) turn(view *catalog.View, due time.Duration) time.Duration {
 	neighbours, _ := k.sidecar.neighbours(view)
@@ -127,28 +156,33 @@
 	return turnAt(k.named, due, k.sidecar.settings.VersionMs.Duration(), place)
 }
 
-func (k *keeper) aim(wanted target) {
-	k.sidecar.logger.Info().Str("model", string(wanted.model)).Int64("version", wanted.version).Msg("version wanted")
-	k.named = bootclock.Now()
-	k.target, k.manifest, k.seeded, k.neighbour = wanted, nil, false, 0
-	k.sidecar.follower.ReadEndpointsNow()
-}
-
-// wanted returns the version that the engine of this sidecar should run.
-func (s *Sidecar) wanted(view *catalog.View) (target, bool) {
-	service := view.Service(s.settings.Service)
-	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
-		return target{}, false
+// bring keeps the distributor informed of what is wanted and of who else has to hold it.
+func (k *keeper) bring(ctx context.Context, view *catalog.View) error {
+	hosts, listed := k.sidecar.neighbours(view)
+	now := bootclock.Now()
+	if !listed && !k.begun && now-k.named < listPatience && !k.othersServe(view) {
+		k.sidecar.follower.ReadEndpointsNow()
+		return nil
 	}
-	model := service.Engine.Models[0]
-	return target{model: model, version: max(firstVersion, view.Wanted[model].Newest())}, true
+	if err := k.fetchManifest(ctx, view); err != nil {
+		return err
+	}
+	if !slices.Equal(hosts, k.hosts) {
+		k.hosts = hosts
+		k.sidecar.distributor.SetPeers(ctx, hosts)
+	}
+	if !k.begun {
+		k.begin(ctx, view)
+	}
+	k.observeProgress(now)
+	return nil
 }
 
 func (k *keeper) fetchManifest(ctx context.Context, view *catalog.View) error {
 	if k.manifest != nil {
 		return nil
 	}
-	manifest, err := k.sidecar.origin.Manifest(ctx, view.Origin(), k.target.model, k.target.version)
+	manifest, err := k.sidecar.origin.Manifest(ctx, view.Origin().Address, k.target.model, k.target.version)
 	if err != nil {
 		return err
 	}
@@ -160,87 +194,37 @@
 	return nil
 }
 
-// meet tells the distributor what is wanted and who else has to hold it.
-func (k *keeper) meet(ctx context.Context, view *catalog.View, loaded int64) {
+func (k *keeper) begin(ctx context.Context, view *catalog.View) {
 	s := k.sidecar
-	hosts, listed := s.neighbours(view)
-	now := bootclock.Now()
-	if !listed && now-k.named < listPatience {
-		s.follower.ReadEndpointsNow()
-		return
-	}
-	if progress, known := s.distributor.Progress(k.id); (!known || progress.Have < progress.Total) && now-k.listed > listInterval {
-		k.listed = now
-		s.follower.ReadEndpointsNow()
-	}
-	if len(hosts) != k.neighbour || !k.seeded {
-		k.neighbour = len(hosts)
-		s.distributor.SetPeers(ctx, hosts)
-	}
-	if k.seeded {
-		return
-	}
-	k.seeded = true
-	if loaded == k.target.version {
-		k.takeStaged(ctx)
-	}
+	k.begun = true
+	k.takeStaged(ctx)
 	inRegion := 1
-	for _, host := range hosts {
+	for _, host := range k.hosts {
 		if host.Region == s.settings.Region {
 			inRegion++
 		}
 	}
-	s.distributor.Want(ctx, map[core.VersionID]weights.Manifest{k.id: *k.manifest}, []core.VersionID{k.id}, inRegion)
+	s.distributor.Want(ctx, []plan.Version{{ID: k.id, Manifest: *k.manifest, Hosts: inRegion, OriginGap: view.Origin().Time(k.manifest.ChunkBytes)}})
 }
 
-// takeStaged takes the pieces of a version that the engine runs from where it loaded them, so that others can have
-// them from here.
-func (k *keeper) takeStaged(ctx context.Context) {
-	s := k.sidecar
-	held, err := s.engine.Staged(ctx, k.target.model)
-	if err != nil {
-		s.logger.Warn().Err(err).Msg("staged pieces not listed; they will be fetched")
+// observeProgress reads the registry now and then while chunks are missing, and doubts the manifest when none arrives.
+func (k *keeper) observeProgress(now time.Duration) {
+	progress, known := k.sidecar.distributor.Progress(k.id)
+	if known && progress.Have == progress.Total {
 		return
 	}
-	for _, piece := range held {
-		if piece >= len(k.manifest.Chunks) {
-			continue
-		}
-		raw, err := s.engine.ReadStaged(ctx, k.target.model, piece)
-		if err == nil {
-			err = s.store.Put(k.manifest.Chunks[piece], raw)
-		}
-		if err != nil {
-			s.logger.Warn().Err(err).Int("piece", piece).Msg("staged piece not taken; it will be fetched")
-		}
+	if progress.Have != k.have {
+		k.have, k.advanced = progress.Have, now
 	}
-}
-
-// load stages every piece, reads each back, and orders the engine to load them.
-func (k *keeper) load(ctx context.Context) error {
-	s := k.sidecar
-	for piece, digest := range k.manifest.Chunks {
-		raw := s.store.Get(digest)
-		if raw == nil {
-			return fault.New(fault.NotFound, "chunk "+strconv.Itoa(piece)+" is not held", "wait until it is fetched")
-		}
-		if err := s.engine.Stage(ctx, k.target.model, piece, raw); err != nil {
-			return err
-		}
+	if now-k.listed > listInterval {
+		k.listed = now
+		k.sidecar.follower.ReadEndpointsNow()
 	}
-	for piece, digest := range k.manifest.Chunks {
-		raw, err := s.engine.ReadStaged(ctx, k.target.model, piece)
-		if err != nil {
-			return err
-		}
-		if weights.Sum(raw) != digest {
-			return fault.New(fault.Corrupted, "staged piece "+strconv.Itoa(piece)+" does not match its digest", "stage it again")
-		}
+	if now-k.advanced > manifestDoubt {
+		k.sidecar.logger.Warn().Str("manifest", string(k.id)).Int("have", progress.Have).Msg("no chunk arrives; manifest is fetched again")
+		k.advanced = now
+		k.manifest, k.begun = nil, false
 	}
-	s.serve(0, true) // the engine takes nothing new from here until it has loaded
-	outcome, err := s.engine.Start(ctx, k.target.model, k.target.version)
-	s.logger.Info().Str("model", string(k.target.model)).Int64("version", k.target.version).Int("outcome", int(outcome)).Err(err).Msg("engine ordered to load")
-	return err
 }
 
 // pieces fetches chunks from the origin for the distributor. The object's name is the version's number.
@@ -254,5 +238,5 @@
 	if !ok || err != nil {
 		return nil, fault.New(fault.NotFound, "no version "+object+" is wanted", "wait for the configuration")
 	}
-	return p.sidecar.origin.Piece(ctx, view.Origin(), wanted.model, version, int(offset/length))
+	return p.sidecar.origin.Piece(ctx, view.Origin().Address, wanted.model, version, int(offset/length))
 }
--- a/internal/weights/distribution/distributor.go
+++ b/internal/weights/distribution/distributor.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	tickInterval  = 250 * time.Millisecond
+	tickInterval  = 250 * time.Millisecond // while nothing is to be fetched, and without turns at the origin
 	chunkProgress = 10 * time.Second // until a peer's connection without a byte is given up
 	connsPerPeer  = 4
 	mapTimeout    = 2 * time.Second
@@ -54,6 +54,7 @@
 	mu        sync.Mutex
 	addresses map[core.HostID]core.Host
 	manifests map[core.VersionID]weights.Manifest
+	wanted    []plan.Version
 	progress  map[core.VersionID]plan.Progress
 	fetches   map[plan.FetchID]context.CancelFunc
 	uploads   map[plan.UploadID]chan plan.Result
@@ -96,18 +97,33 @@
 }
 
 func (d *Distributor) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			d.loop.Post(ctx, plan.Tick{Stamp: d.stamp()})
+			timer.Reset(d.nextTick())
 		}
 	}
 }
 
+// nextTick is short enough for the turns at the origin while chunks are missing.
+func (d *Distributor) nextTick() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := tickInterval
+	for _, wanted := range d.wanted {
+		progress := d.progress[wanted.ID]
+		if wanted.OriginGap > 0 && (progress.Total == 0 || progress.Have < progress.Total) {
+			next = min(next, wanted.OriginGap)
+		}
+	}
+	return next
+}
+
 func (d *Distributor) stamp() plan.Stamp { return plan.Stamp{Now: time.Since(d.start)} }
 
 // SetPeers replaces the hosts that are believed live.
@@ -125,21 +141,23 @@
 }
 
 // Want replaces the versions that the host has to hold, in order of priority. Chunks of other versions are dropped.
-// Hosts is the number of hosts of this region that have to hold them, with this one, or 0 when it is unknown.
-func (d *Distributor) Want(ctx context.Context, manifests map[core.VersionID]weights.Manifest, order []core.VersionID, hosts int) {
-	wanted := make([]plan.Version, 0, len(order))
-	kept := make([]weights.Manifest, 0, len(order))
+// Which chunks are held already is read from the store.
+func (d *Distributor) Want(ctx context.Context, wanted []plan.Version) {
+	kept := make([]weights.Manifest, 0, len(wanted))
+	manifests := make(map[core.VersionID]weights.Manifest, len(wanted))
+	for i := range wanted {
+		kept = append(kept, wanted[i].Manifest)
+		manifests[wanted[i].ID] = wanted[i].Manifest
+	}
 	d.mu.Lock()
 	clear(d.progress)
 	clear(d.maps)
 	d.manifests = manifests
+	d.wanted = wanted
 	d.mu.Unlock()
-	for _, id := range order {
-		kept = append(kept, manifests[id])
-	}
 	d.options.Store.Retain(kept)
-	for _, id := range order {
-		wanted = append(wanted, plan.Version{ID: id, Manifest: manifests[id], Held: d.heldOf(manifests[id]), Hosts: hosts})
+	for i := range wanted {
+		wanted[i].Held = d.heldOf(wanted[i].Manifest)
 	}
 	d.loop.Post(ctx, plan.VersionsWanted{Stamp: d.stamp(), Versions: wanted})
 }
--- a/internal/weights/distribution/distributor_test.go
+++ b/internal/weights/distribution/distributor_test.go
@@ -106,7 +106,7 @@
 	f.start()
 	f.await(1)
 	only := f.members[0].distributor
-	only.Want(context.Background(), nil, nil, 0)
+	only.Want(context.Background(), nil)
 	answer, err := only.swapMaps(context.Background(), wire.Map{Host: "other", Version: f.version})
 	if err != nil || answer.Have != nil {
 		t.Errorf("a dropped version is announced: %+v, %v", answer, err)
--- a/internal/weights/distribution/fleet_test.go
+++ b/internal/weights/distribution/fleet_test.go
@@ -165,7 +165,7 @@
 func (f *fleet) start() {
 	f.announce()
 	for _, m := range f.members {
-		m.distributor.Want(context.Background(), map[core.VersionID]weights.Manifest{f.version: f.manifest}, []core.VersionID{f.version}, 0)
+		m.distributor.Want(context.Background(), []plan.Version{{ID: f.version, Manifest: f.manifest}})
 	}
 }
 
--- a/internal/weights/plan/events.go
+++ b/internal/weights/plan/events.go
@@ -21,6 +21,9 @@
 	Manifest weights.Manifest
 	Held     Bitmap // chunks that are verified already
 	Hosts    int    // of this region that have to hold it, with this one; 0 when unknown
+	// OriginGap is between the turns of two chunks at the origin, so that the first ones are there early instead of all
+	// at the end; 0 for no turns. It is the time that a chunk takes on the origin's link.
+	OriginGap time.Duration
 }
 
 // Stamp is the time of an event, counted from the start of the process.
--- a/internal/weights/plan/origin.go
+++ b/internal/weights/plan/origin.go
@@ -54,7 +54,7 @@
 	strangers := p.hasStrangers(v) || p.now-p.refusedAt < p.limits.MissBackoff
 	for n := range v.first {
 		i := (offset + n) % len(v.first)
-		if v.have.Has(i) || v.pending.Has(i) || !stuck && (offered.Has(i) || strangers && given.Has(i)) {
+		if v.have.Has(i) || v.pending.Has(i) || !v.hasTurn(i, p.now) || !stuck && (offered.Has(i) || strangers && given.Has(i)) {
 			continue
 		}
 		if desperate || p.fetcher(v, i, skipped) == nil && !p.farBusy(v, i) {
@@ -64,6 +64,11 @@
 	return -1
 }
 
+// hasTurn tells whether the chunk may be drawn from the origin already.
+func (v *version) hasTurn(chunk int, now time.Duration) bool {
+	return now >= v.start+time.Duration(chunk)*v.originGap
+}
+
 // joining tells whether hosts that have to hold the version may only not be heard of yet: a host that has just started
 // would take itself for the only gateway.
 func (p *Planner) joining(v *version) bool {
--- a/internal/weights/plan/planner.go
+++ b/internal/weights/plan/planner.go
@@ -96,6 +96,7 @@
 	id        core.VersionID
 	manifest  weights.Manifest
 	hosts     int // of this region that have to hold it
+	originGap time.Duration
 	index     map[weights.Digest]int
 	have      Bitmap
 	pending   Bitmap // chunks being fetched
@@ -203,6 +204,7 @@
 		id:        wanted.ID,
 		manifest:  wanted.Manifest,
 		hosts:     wanted.Hosts,
+		originGap: wanted.OriginGap,
 		index:     make(map[weights.Digest]int, n),
 		have:      NewBitmap(n),
 		pending:   NewBitmap(n),
