--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -105,7 +105,7 @@
 	limits.OriginPatience = 2 * time.Second
 	limits.OriginDownloads = 1
 	limits.OriginBackoff = 200 * time.Millisecond
-	limits.MissBackoff = 300 * time.Millisecond
+	limits.MissBackoff = 100 * time.Millisecond
 	limits.Aside = 2 * time.Second
 	limits.OneDraw = true
 	limits.AskGateways = true
--- a/internal/weights/distribution/perform.go
+++ b/internal/weights/distribution/perform.go
@@ -83,9 +83,11 @@
 	source := d.addresses[effect.Source]
 	d.mu.Unlock()
 	result := plan.Unreachable
+	begun := time.Now()
 	if ok {
 		result = d.fetchFrom(ctx, manifest, effect, source)
 	}
+	d.options.Logger.Debug().Str("version", string(effect.Version)).Int("chunk", effect.Index).Str("source", string(effect.Source)).Int("result", int(result)).Dur("took", time.Since(begun)).Msg("chunk fetched")
 	d.mu.Lock()
 	delete(d.fetches, effect.Fetch)
 	d.mu.Unlock()
--- a/internal/weights/plan/regions.go
+++ b/internal/weights/plan/regions.go
@@ -62,16 +62,14 @@
 	return other != nil && p.healthy(other) && other.fetching >= p.limits.PerPeer
 }
 
-// startGateway asks the gateway of a missing chunk, which answers once it holds the chunk.
+// startGateway asks the gateway of a missing chunk whose turn at the origin has come. It answers once it holds it.
 func (p *Planner) startGateway(v *version) bool {
 	if !p.limits.AskGateways {
 		return false
 	}
 	skipped := p.stalledGateways(v)
-	offset := int(p.draw() % uint64(len(v.first)))
-	for n := range v.first {
-		i := (offset + n) % len(v.first)
-		if v.have.Has(i) || v.pending.Has(i) {
+	for i := range v.first {
+		if v.have.Has(i) || v.pending.Has(i) || !v.hasTurn(i, p.now) {
 			continue
 		}
 		if source := p.fetcher(v, i, skipped); source != nil && p.usable(source) {
