Sidecars refuse what would begin late, so that prompts are spread over engines

Change: a sidecar estimates the first event from the published costs of a pass and the unread prompts; a gateway's bound rises from endpoint to endpoint, and the last one takes the request without a bound.

--- /dev/null
+++ b/internal/admission/reading.go
@@ -0,0 +1,103 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+// EngineModel is the published cost of an engine's passes. A pass decodes Stride tokens of every stream that writes,
+// and reads the prompts that wait beside it.
+type EngineModel struct {
+	Step          time.Duration // of one token of all streams together
+	PerStream     time.Duration // more for each stream that writes
+	Stride        int
+	ReadPerSecond float64 // prompt tokens
+	Pace          float64 // above 1 for an engine that is slower than published; 0 counts as 1
+}
+
+// passesUntilFirst is how many passes without their reading go by until the first event of a prompt: on average half of
+// the one under way, and the one that writes the event.
+const passesUntilFirst = 1.5
+
+// FirstEvent estimates the time until the first event of a request when writing streams are under way and unread prompt
+// tokens wait, its own included.
+func (m EngineModel) FirstEvent(writing, unread int) time.Duration {
+	if m.ReadPerSecond <= 0 {
+		return 0
+	}
+	pass := time.Duration(m.Stride) * (m.Step + time.Duration(writing)*m.PerStream)
+	reading := time.Duration(float64(unread) / m.ReadPerSecond * float64(time.Second))
+	estimate := time.Duration(passesUntilFirst*float64(pass)) + reading
+	return time.Duration(float64(estimate) * max(1, m.Pace))
+}
+
+// Reading knows which prompts an engine has still to read. Prompts that arrive together delay one another and all
+// streams that write, however few requests run. It answers the load of many callers who find the same engine the least
+// loaded at the same moment. It is safe for concurrent use.
+type Reading struct {
+	mu      sync.Mutex
+	model   EngineModel
+	unread  int // tokens of prompts without a first event
+	pending int // requests without a first event
+	running int
+}
+
+// SetModel takes over the engine's costs.
+func (r *Reading) SetModel(model EngineModel) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.model = model
+}
+
+// SetPace takes over how slow the engine says it is.
+func (r *Reading) SetPace(pace float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.model.Pace = pace
+}
+
+// Enter lets a prompt in if its first event may be expected within the bound; 0 bounds nothing. Estimate is that time.
+// The prompt's Begin and End must follow.
+func (r *Reading) Enter(tokens int, bound time.Duration) (prompt *Prompt, estimate time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	estimate = r.model.FirstEvent(r.running-r.pending, r.unread+tokens)
+	if bound > 0 && estimate > bound {
+		return nil, estimate
+	}
+	r.unread += tokens
+	r.pending++
+	r.running++
+	return &Prompt{reading: r, tokens: tokens}, estimate
+}
+
+// Prompt is a prompt that was let in.
+type Prompt struct {
+	reading *Reading
+	tokens  int
+	begun   bool
+}
+
+// Begin says that the first event has come: the prompt is read.
+func (p *Prompt) Begin() {
+	p.reading.mu.Lock()
+	defer p.reading.mu.Unlock()
+	p.begin()
+}
+
+func (p *Prompt) begin() {
+	if p.begun {
+		return
+	}
+	p.begun = true
+	p.reading.unread -= p.tokens
+	p.reading.pending--
+}
+
+// End says that the request has ended, however it did.
+func (p *Prompt) End() {
+	p.reading.mu.Lock()
+	defer p.reading.mu.Unlock()
+	p.begin()
+	p.reading.running--
+}
--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -55,6 +55,10 @@
 type Engine struct {
 	Slots      int // requests in one batch
 	Models     []core.Model
+	Step       time.Duration // of one token of all streams together
+	PerStream  time.Duration // more for each stream that writes
+	Stride     int           // tokens that a pass writes of each stream
+	ReadPerS   float64       // prompt tokens that are read in a second
 	Layers     int
 	Chunks     int // of a version's weights
 	ChunkBytes int64
--- a/internal/gateway/flow.go
+++ b/internal/gateway/flow.go
@@ -79,6 +79,7 @@
 		}
 		f.tried[endpoint.ID] = true
 		if f.attempt(endpoint) {
+			f.log(endpoint)
 			return
 		}
 		if f.ctx.Err() != nil || !f.mayGoOn() {
@@ -88,6 +89,15 @@
 	f.giveUp()
 }
 
+// log writes the line of a request that got an endpoint's answer.
+func (f *flow) log(endpoint *catalog.Endpoint) {
+	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("route", f.route.Name).Str("endpoint", string(endpoint.ID)).Int("picks", len(f.tried)).Int("runs", f.runs).Dur("took", time.Since(f.arrived))
+	if f.stream != nil {
+		entry.Dur("first_event", f.stream.first).Dur("longest_pause", f.stream.pause).Str("last_event", f.stream.last)
+	}
+	entry.Int64("configuration", f.view.Configuration.Version).Msg("request answered")
+}
+
 func (f *flow) pick() *catalog.Endpoint {
 	view := f.g.follower.View() // the newest one: an endpoint may have left since the call was accepted
 	query := placement.Query{
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/call"
@@ -37,6 +38,7 @@
 	now := f.g.now()
 	if f.g.sidecars.reachable(endpoint.ID, now) {
 		request.Address = f.g.relayAddress(endpoint)
+		f.boundFirstEvent(request.Header)
 		answer, reply, err := f.exchange(ctx, request)
 		if err == nil {
 			return f.fromSidecar(endpoint, answer, reply)
@@ -48,9 +50,24 @@
 		f.g.pool.Forget(request.Address)
 		f.g.logger.Warn().Str("endpoint", string(endpoint.ID)).Err(err).Msg("sidecar cannot be reached")
 	}
+	request.Header.Del(wire.HeaderFirstEvent)
 	return f.direct(ctx, endpoint, request)
 }
 
+// firstEventShares of a route's objective bound the first event at the first endpoints that are asked, one after the
+// other. The last one that may be asked takes the request whatever it expects: late is better than never.
+var firstEventShares = [maxPicks - 1]float64{0.45, 0.65, 0.85}
+
+// boundFirstEvent asks the sidecar to refuse the call if its first event would come late there.
+func (f *flow) boundFirstEvent(header http.Header) {
+	picks := len(f.tried)
+	if f.route.Objective == 0 || picks > len(firstEventShares) || f.runs > 0 {
+		return
+	}
+	bound := time.Duration(firstEventShares[picks-1] * float64(f.route.Objective))
+	header.Set(wire.HeaderFirstEvent, strconv.FormatInt(bound.Milliseconds(), 10))
+}
+
 // direct sends the call straight to an engine whose sidecar is away.
 func (f *flow) direct(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Answer, call.Reply, error) {
 	if !f.g.sidecars.enterDirect(endpoint.ID) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"time"
 
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/catalog"
@@ -23,8 +24,23 @@
 
 // streamState is how far a stream has come at the caller.
 type streamState struct {
-	begun bool   // its header has gone to the caller
-	last  string // id of the last whole event that went to the caller
+	begun  bool          // its header has gone to the caller
+	last   string        // id of the last whole event that went to the caller
+	first  time.Duration // after which the first event went to the caller
+	pause  time.Duration // longest one between two events
+	lastAt time.Time
+}
+
+// passed takes note of an event that went to the caller.
+func (s *streamState) passed(event []byte, arrived time.Time) {
+	now := time.Now()
+	if s.lastAt.IsZero() {
+		s.first = now.Sub(arrived)
+	} else {
+		s.pause = max(s.pause, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+	s.last = idOf(event, s.last)
 }
 
 // deliverStream passes the events of a stream on as they arrive, whole ones only, so that another endpoint can go on
@@ -56,7 +72,7 @@
 			return true
 		}
 		flusher.Flush()
-		f.stream.last = idOf(event, f.stream.last)
+		f.stream.passed(event, f.arrived)
 	}
 	if err := events.Err(); err != nil {
 		f.broken(endpoint, err)
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -13,6 +13,7 @@
 	Loaded  map[core.Model]int64
 	Running int
 	Waiting int
+	Pace    float64 // above 1 for one that is slower than published
 }
 
 // OrderOutcome says what an engine made of an order.
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/admission"
@@ -18,6 +19,7 @@
 	refusedBad         = "bad request"
 	refusedLoading     = "weights are loading"
 	refusedFull        = "no room"
+	refusedSlow        = "first event later than the bound"
 	refusedUnreachable = "engine cannot be reached"
 )
 
@@ -47,9 +49,36 @@
 		s.refuse(w, c, refusedFull, err)
 		return
 	}
+	bound := firstEventBound(r)
+	c.Forward.Del(wire.HeaderFirstEvent)
+	prompt, estimate := s.reading.Enter(c.PromptTokens, bound)
+	if prompt == nil {
+		s.gate.Return()
+		s.refuse(w, c, refusedSlow, nil)
+		return
+	}
+	defer prompt.End()
 	held := false
 	defer func() { s.gate.Leave(held) }()
-	held = s.relay(w, r, c, arrived)
+	held = s.relay(w, r, &admitted{call: c, arrived: arrived, prompt: prompt, estimate: estimate})
+}
+
+// admitted is a call that was let in.
+type admitted struct {
+	call     *call.Call
+	arrived  time.Time
+	prompt   *admission.Prompt
+	estimate time.Duration // of its first event
+	begun    bool          // a part of its answer has come
+}
+
+// firstEventBound returns the bound that the gateway set, 0 for none.
+func firstEventBound(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(wire.HeaderFirstEvent))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
 }
 
 func patienceOf(c *call.Call) time.Duration {
@@ -60,7 +89,8 @@
 }
 
 // relay sends the call to the engine and its answer back. It returns false when the answer broke off.
-func (s *Sidecar) relay(w http.ResponseWriter, r *http.Request, c *call.Call, arrived time.Time) bool {
+func (s *Sidecar) relay(w http.ResponseWriter, r *http.Request, a *admitted) bool {
+	c, arrived := a.call, a.arrived
 	patience := c.Patience
 	if patience > 0 {
 		patience -= time.Since(arrived)
@@ -86,11 +116,11 @@
 		panic(http.ErrAbortHandler) // a closed connection says that the outcome is unknown
 	}
 	defer answer.Close()
-	s.copyAnswer(w, c, answer)
+	s.copyAnswer(w, a, answer)
 	return true
 }
 
-func (s *Sidecar) copyAnswer(w http.ResponseWriter, c *call.Call, answer *dispatch.Answer) {
+func (s *Sidecar) copyAnswer(w http.ResponseWriter, a *admitted, answer *dispatch.Answer) {
 	header := w.Header()
 	for name, values := range s.codec.Answer(answer.Header) {
 		header[name] = values
@@ -105,6 +135,7 @@
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
+			s.begin(a)
 			if _, failed := w.Write(buffer[:n]); failed != nil {
 				panic(http.ErrAbortHandler)
 			}
@@ -114,12 +145,22 @@
 			return
 		}
 		if err != nil {
-			s.logger.Info().Str("request", string(c.ID)).Err(err).Msg("engine's answer broken off")
+			s.logger.Info().Str("request", string(a.call.ID)).Err(err).Msg("engine's answer broken off")
 			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
+// begin takes note of the first part of an answer.
+func (s *Sidecar) begin(a *admitted) {
+	if a.begun {
+		return
+	}
+	a.begun = true
+	a.prompt.Begin()
+	s.logger.Debug().Str("request", string(a.call.ID)).Dur("estimated", a.estimate).Dur("took", time.Since(a.arrived)).Int("tokens", a.call.PromptTokens).Msg("first event")
+}
+
 func (s *Sidecar) setLoad(header http.Header) {
 	load := s.gate.Load()
 	header.Set(wire.HeaderLoad, fmt.Sprintf("%d,%d,%d", load.Running, load.Queued, load.Limit))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -51,6 +51,7 @@
 	origin      Origin
 	logger      *log.Logger
 	gate        *admission.Gate
+	reading     admission.Reading
 	pool        *dispatch.Pool
 	peers       *rpc.Client
 	store       *weights.Store
@@ -131,6 +132,7 @@
 		if service := view.Service(s.settings.Service); service != nil && service.Engine != nil {
 			slots := service.Engine.Slots
 			s.gate.SetBounds(admission.Bounds{Cold: slots, Max: slots})
+			s.reading.SetModel(modelOf(service.Engine))
 		}
 	}
 	select {
@@ -139,6 +141,10 @@
 	}
 }
 
+func modelOf(engine *catalog.Engine) admission.EngineModel {
+	return admission.EngineModel{Step: engine.Step, PerStream: engine.PerStream, Stride: engine.Stride, ReadPerSecond: engine.ReadPerS}
+}
+
 // Run serves until the context ends, then shuts down gracefully within the grace period.
 func (s *Sidecar) Run(ctx context.Context) error {
 	relay, err := s.listen(s.settings.RelayPort())
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -88,6 +88,7 @@
 		k.aim(wanted)
 	}
 	report, unreachable := s.engine.Report(ctx)
+	s.reading.SetPace(report.Pace)
 	loaded := report.Loaded[wanted.model]
 	due, leaving := view.Wanted[wanted.model].Due(loaded, s.settings.VersionMs.Duration())
 	late := leaving && bootclock.Now() > due-dueMargin
--- a/internal/weights/distribution/distributor.go
+++ b/internal/weights/distribution/distributor.go
@@ -22,7 +22,7 @@
 
 const (
 	tickInterval  = 250 * time.Millisecond // while nothing is to be fetched, and without turns at the origin
-	chunkProgress = 10 * time.Second // until a peer's connection without a byte is given up
+	chunkProgress = 10 * time.Second       // until a peer's connection without a byte is given up
 	connsPerPeer  = 4
 	mapTimeout    = 2 * time.Second
 	answerTimeout = 5 * time.Second // for the control thread to judge an upload
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -6,4 +6,7 @@
 	HeaderRefused = "Lovage-Refused"
 	// HeaderLoad tells the requests that run and wait at the endpoint and how many it runs at once: "running,waiting,limit".
 	HeaderLoad = "Lovage-Load"
+	// HeaderFirstEvent bounds the time until the first event of a stream, in milliseconds: a sidecar that expects it
+	// later refuses the request, so that another endpoint can be asked.
+	HeaderFirstEvent = "Lovage-First-Event-Ms"
 )
