Connections of requests that may run once are not kept

Each such request opened a connection and left it in the pool, so that some fifty stood idle at the nearest endpoint. Ruled out: lost answers and grey endpoints (the resets hit only the two nearest endpoints, from the second at which the load is whole). TestFreshConnectionsAreNotKept failed before.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -189,7 +189,7 @@
 		address: request.Address,
 		conn:    c,
 		body:    in.Body,
-		keep:    framed && !in.Close,
+		keep:    framed && !in.Close && !request.Fresh, // kept ones that nobody takes would fill the endpoint's limit
 		written: written,
 	}
 }
--- a/internal/dispatch/exchange_test.go
+++ b/internal/dispatch/exchange_test.go
@@ -331,3 +331,39 @@
 		}
 	}
 }
+
+// TestFreshConnectionsAreNotKept plays the incident of hbx-lovage: connections of requests that may run once piled up
+// until the endpoint reset new ones for being over its limit.
+func TestFreshConnectionsAreNotKept(t *testing.T) {
+	open := make(chan int, 64)
+	b := newBackEnd(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		open <- 1
+		defer func() { open <- -1 }()
+		for {
+			id, body, ok := request(reader)
+			if !ok {
+				return
+			}
+			respond(conn, id, body)
+		}
+	})
+	pool := NewPool()
+	defer pool.Close()
+	for range 8 {
+		answer, err := pool.Send(context.Background(), &Request{Address: b.listener.Addr().String(), Method: http.MethodPost, Target: "/", Host: "a", Header: http.Header{"Id": {"1"}}, Body: []byte("body"), Fresh: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.ReadAll(answer)
+		answer.Close()
+	}
+	sum := 0
+	for range 16 { // each of the eight connections opens and closes
+		select {
+		case change := <-open:
+			sum += change
+		case <-time.After(patience):
+			t.Fatalf("%d connections are still open", sum)
+		}
+	}
+}
--- a/internal/gateway/flow.go
+++ b/internal/gateway/flow.go
@@ -30,15 +30,16 @@
 	end     context.CancelFunc
 	regions catalog.Regions
 
-	tried  map[catalog.EndpointID]bool
-	runs   int  // endpoints that may have run it
-	sends  int  // endpoints that it reached
-	sure   bool // no endpoint runs it or will
-	stream *streamState
-	held   *held
-	watch  *watch // of the attempt under way
-	last   error  // why the last endpoint gave no answer
-	leave  func() // ends what the attempt under way holds of an endpoint; nil for nothing
+	tried    map[catalog.EndpointID]bool
+	runs     int  // endpoints that may have run it
+	sends    int  // endpoints that it reached
+	sure     bool // no endpoint runs it or will
+	stream   *streamState
+	held     *held
+	watch    *watch   // of the attempt under way
+	last     error    // why the last endpoint gave no answer
+	refusals []string // why sidecars did not let it through
+	leave    func()   // ends what the attempt under way holds of an endpoint; nil for nothing
 }
 
 func (g *Gateway) newFlow(w http.ResponseWriter, r *http.Request, a *accepted, arrived time.Time) *flow {
@@ -95,6 +96,9 @@
 	if f.stream != nil {
 		entry.Dur("first_event", f.stream.first).Dur("longest_pause", f.stream.pause).Str("last_event", f.stream.last)
 	}
+	if len(f.refusals) > 0 {
+		entry.Strs("refusals", f.refusals)
+	}
 	entry.Int64("configuration", f.view.Configuration.Version).Msg("request answered")
 }
 
@@ -170,12 +174,15 @@
 // failed takes note of an endpoint that gave no answer.
 func (f *flow) failed(endpoint *catalog.Endpoint, err error) {
 	f.last = err
-	refused := isRefusal(err)
-	if !refused && f.ctx.Err() == nil {
+	if isRefusal(err) {
+		f.refusals = append(f.refusals, err.Error())
+		return
+	}
+	if f.ctx.Err() == nil {
 		f.g.placer.Failed(endpoint.ID, f.g.now())
 	}
 	f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Bool("not_sent", dispatch.NotSent(err)).Err(err).Msg("endpoint gave no answer")
-	if refused || dispatch.NotSent(err) {
+	if dispatch.NotSent(err) {
 		return
 	}
 	f.sends++
