Delegates read the store for the others; abandoned requests are reset

Change: the processes at the seeds' addresses read the store; the others long-poll one of their own region, by the store's own cursors, and read for themselves when none answers. Ruled out: slower reading, which the bounds on drains and keys forbid.

--- a/cmd/lovage-gateway/main.go
+++ b/cmd/lovage-gateway/main.go
@@ -15,6 +15,7 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/follow"
 	"github.com/lovageglade/lovageglade/internal/gateway"
+	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/platform"
@@ -41,7 +42,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	logger := telemetry.NewLogger(config.LogLevel, config.Host)
-	follower := follow.New(platform.NewStore(config.StoreAddress, config.Regions, logger), pace, logger)
+	peers := rpc.NewClient()
+	defer peers.Close()
+	delegates := follow.Delegates{Self: config.ControlAddress, Region: config.Region, Addresses: config.Delegates, Peers: peers}
+	follower := follow.New(platform.NewStore(config.StoreAddress, config.Regions, logger), pace, delegates, logger)
 	exitOn(gateway.New(config, platform.Headers{}, follower, logger).Run(ctx))
 }
 
--- a/cmd/lovage-sidecar/main.go
+++ b/cmd/lovage-sidecar/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/follow"
+	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
 	"github.com/lovageglade/lovageglade/internal/sidecar"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
@@ -27,7 +28,7 @@
 
 // pace reads the operators' table often enough to hear of a version well within the time for bringing it, also after a
 // connection went silent. The other sidecars are read anew when weights have to be brought.
-var pace = follow.Pace{OperatorWait: 3 * time.Second, EndpointsInterval: 10 * time.Second}
+var pace = follow.Pace{OperatorWait: 2 * time.Second, EndpointsInterval: 10 * time.Second}
 
 func main() {
 	var line commandLine
@@ -41,7 +42,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	logger := telemetry.NewLogger(config.LogLevel, config.Host)
-	follower := follow.New(platform.NewStore(config.StoreAddress, config.Regions, logger), pace, logger)
+	peers := rpc.NewClient()
+	defer peers.Close()
+	delegates := follow.Delegates{Region: config.Region, Addresses: config.Delegates, Peers: peers}
+	follower := follow.New(platform.NewStore(config.StoreAddress, config.Regions, logger), pace, delegates, logger)
 	engine := platform.NewEngine(config.EngineAddress)
 	exitOn(sidecar.New(config, platform.Headers{}, follower, engine, platform.NewOrigin(), logger).Run(ctx))
 }
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -122,6 +122,15 @@
 	delete(p.idle, address)
 }
 
+// reset closes the connection so that bytes which have not arrived yet never do: a request that its caller has given up
+// must not reach the endpoint after a partition has healed.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close()
+}
+
 // quiet tells whether the other end has neither closed the connection nor sent bytes that belong to no request.
 func (c *conn) quiet() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -77,11 +77,11 @@
 	if err != nil {
 		return nil, err
 	}
-	release := context.AfterFunc(ctx, func() { _ = c.Close() })
+	release := context.AfterFunc(ctx, c.reset)
 	answer, err := p.exchange(c, request)
 	if err != nil {
 		release()
-		_ = c.Close()
+		c.reset()
 		if ctx.Err() != nil && !NotSent(err) {
 			err = ctx.Err()
 		}
--- /dev/null
+++ b/internal/follow/delegate.go
@@ -0,0 +1,166 @@
+package follow
+
+import (
+	"context"
+	"hash/maphash"
+	"slices"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/bootclock"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/rpc"
+)
+
+// methodFollow is the control method by which followers read from a delegate.
+const methodFollow = "follow.read"
+
+const (
+	// delegateSlack is how much longer than the wait a delegate's answer may take: many round trips between regions.
+	delegateSlack = 400 * time.Millisecond
+	// delegateAge beyond the wait is the oldest read of the store that a follower takes from a delegate.
+	delegateAge = 1500 * time.Millisecond
+	// delegateRetry follows a delegate that did not answer, or whose own reads fail.
+	delegateRetry = 2 * time.Second
+)
+
+// readRequest asks a delegate for what is newer than the cursors.
+type readRequest struct {
+	Operator  Cursor
+	Endpoints Cursor
+	Wait      time.Duration
+}
+
+// readAnswer is what a delegate knows.
+type readAnswer struct {
+	Region    core.Region
+	Age       time.Duration // for which the operators' table may have changed unseen by the delegate
+	Operator  OperatorChanges
+	Endpoints EndpointChanges
+}
+
+// Delegates are the processes that read the store for others, so that its calls don't grow with the number of processes.
+// A process that is a delegate itself reads the store. When no delegate answers, each process reads for itself.
+type Delegates struct {
+	Self      string // control address of this process, "" for none
+	Region    core.Region
+	Addresses []string // control addresses; none means that each process reads for itself
+	Peers     *rpc.Client
+}
+
+// delegate is what a follower knows of one.
+type delegate struct {
+	address string
+	region  core.Region // "" until it has answered
+	until   time.Duration
+}
+
+// order returns the delegates to ask now: those of the own region first, then those of which nothing is known.
+func order(delegates []*delegate, region core.Region, now time.Duration) []*delegate {
+	rank := func(d *delegate) int {
+		switch d.region {
+		case region:
+			return 0
+		case "":
+			return 1
+		}
+		return 2
+	}
+	var able []*delegate
+	for _, d := range delegates {
+		if d.until <= now {
+			able = append(able, d)
+		}
+	}
+	slices.SortStableFunc(able, func(a, b *delegate) int { return rank(a) - rank(b) })
+	return able
+}
+
+// newDelegates begins at a place that differs between processes, so that they spread.
+func newDelegates(config Delegates) []*delegate {
+	delegates := make([]*delegate, 0, len(config.Addresses))
+	for _, address := range config.Addresses {
+		delegates = append(delegates, &delegate{address: address})
+	}
+	if len(delegates) > 1 {
+		start := int(maphash.String(maphash.MakeSeed(), config.Self) % uint64(len(delegates)))
+		delegates = append(delegates[start:], delegates[:start]...)
+	}
+	return delegates
+}
+
+// Methods returns the control methods that a delegate answers.
+func (f *Follower) Methods() map[string]rpc.Method {
+	return map[string]rpc.Method{methodFollow: rpc.Handle(f.answerFollower)}
+}
+
+func (f *Follower) answerFollower(ctx context.Context, request readRequest) (readAnswer, error) {
+	if _, known := f.Age(); !known || !f.reads {
+		return readAnswer{}, fault.New(fault.NotReady, "this process reads no store for others, or has read nothing yet", "ask another delegate")
+	}
+	f.mirror.wait(ctx, request.Operator, request.Endpoints, request.Wait)
+	operator, sent := f.mirror.operatorSince(request.Operator)
+	return readAnswer{
+		Region:    f.delegates.Region,
+		Age:       bootclock.Now() - sent,
+		Operator:  operator,
+		Endpoints: f.mirror.endpointsSince(request.Endpoints),
+	}, nil
+}
+
+// followDelegates reads from delegates, and from the store while none answers.
+func (f *Follower) followDelegates(ctx context.Context) {
+	delegates := newDelegates(f.delegates)
+	lost := dependency{name: "delegates that read the store", logger: f.logger}
+	var operator, endpoints Cursor
+	for ctx.Err() == nil {
+		sent := bootclock.Now()
+		answer, err := f.askDelegates(ctx, delegates, readRequest{Operator: operator, Endpoints: endpoints, Wait: f.pace.OperatorWait})
+		lost.observe(err)
+		if err != nil {
+			operator, endpoints = f.readOnce(ctx, operator, endpoints)
+			continue
+		}
+		operator, endpoints = answer.Operator.Cursor, answer.Endpoints.Cursor
+		f.loop.Post(ctx, operatorRead{sent: sent - answer.Age, changes: answer.Operator})
+		f.loop.Post(ctx, endpointsRead{sent: sent, now: bootclock.Now(), changes: answer.Endpoints})
+	}
+}
+
+// askDelegates returns the answer of the first delegate that has a fresh one.
+func (f *Follower) askDelegates(ctx context.Context, delegates []*delegate, request readRequest) (readAnswer, error) {
+	err := error(fault.New(fault.Interrupted, "no delegate answers", "check the processes at the seeds' addresses; the store is read instead"))
+	for _, d := range order(delegates, f.delegates.Region, bootclock.Now()) {
+		var answer readAnswer
+		call, stop := context.WithTimeout(ctx, request.Wait+delegateSlack)
+		err = f.delegates.Peers.Call(call, d.address, methodFollow, request, &answer)
+		stop()
+		if err == nil && answer.Age <= request.Wait+delegateAge {
+			d.region = answer.Region
+			return answer, nil
+		}
+		if err == nil {
+			err = fault.New(fault.Interrupted, "the delegate's own reads of the store fail", "check the store and the network to it")
+		}
+		d.until = bootclock.Now() + delegateRetry
+	}
+	return readAnswer{}, err
+}
+
+// readOnce reads the store once, and returns the cursors from which to go on.
+func (f *Follower) readOnce(ctx context.Context, operator, endpoints Cursor) (Cursor, Cursor) {
+	sent := bootclock.Now()
+	changes, err := f.source.Operator(ctx, operator, 0)
+	if err != nil {
+		return f.recover(ctx, operator, err), endpoints
+	}
+	f.loop.Post(ctx, operatorRead{sent: sent, changes: changes})
+	sent = bootclock.Now()
+	listed, err := f.source.Endpoints(ctx, endpoints)
+	if err != nil {
+		return changes.Cursor, f.recover(ctx, endpoints, err)
+	}
+	f.loop.Post(ctx, endpointsRead{sent: sent, now: bootclock.Now(), changes: listed})
+	f.pause(ctx, min(f.pace.OperatorWait, f.pace.EndpointsInterval)-(bootclock.Now()-sent))
+	return changes.Cursor, listed.Cursor
+}
--- /dev/null
+++ b/internal/follow/delegate_test.go
@@ -0,0 +1,217 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/lovageglade/lovageglade/internal/catalog"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/rpc"
+)
+
+const patience = 20 * time.Second // of a test for something that has to happen
+
+// fakeStore is a source whose rows a test writes.
+type fakeStore struct {
+	mu      sync.Mutex
+	version uint64
+	config  int64
+	ready   map[catalog.EndpointID]bool
+	away    bool
+	calls   atomic.Int32
+}
+
+func (s *fakeStore) change(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	s.version++
+}
+
+var errAway = errors.New("away")
+
+func (s *fakeStore) Operator(context.Context, Cursor, time.Duration) (OperatorChanges, error) {
+	time.Sleep(2 * time.Millisecond) // a paced reader
+	s.calls.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return OperatorChanges{}, errAway
+	}
+	changes := OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: s.version}}
+	if s.config > 0 {
+		changes.Configuration = &catalog.Configuration{Version: s.config}
+	}
+	return changes, nil
+}
+
+func (s *fakeStore) Endpoints(context.Context, Cursor) (EndpointChanges, error) {
+	s.calls.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return EndpointChanges{}, errAway
+	}
+	changes := EndpointChanges{Whole: true, Cursor: Cursor{Read: true, Version: s.version}}
+	for id, ready := range s.ready {
+		changes.Present = append(changes.Present, &catalog.Endpoint{ID: id, Service: "s", Draining: !ready})
+	}
+	return changes, nil
+}
+
+var testPace = Pace{OperatorWait: 100 * time.Millisecond, EndpointsInterval: 10 * time.Millisecond}
+
+// startFollower runs a follower of the store; Self makes it answer others at that address.
+func startFollower(t *testing.T, store *fakeStore, delegates Delegates, listener net.Listener) *Follower {
+	t.Helper()
+	delegates.Peers = rpc.NewClient()
+	f := New(store, testPace, delegates, &log.Logger{Level: log.PanicLevel})
+	ctx, stop := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { f.Run(ctx) })
+	var server *rpc.Server
+	if listener != nil {
+		server = rpc.Serve(listener, f.Methods())
+	}
+	t.Cleanup(func() {
+		stop()
+		delegates.Peers.Close()
+		if server != nil {
+			server.Close()
+		}
+		tasks.Wait()
+	})
+	return f
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+func wait(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("waited in vain for " + what)
+		}
+	}
+}
+
+func versionOf(f *Follower) int64 {
+	if index := f.View().Index; index != nil {
+		return index.Configuration.Version
+	}
+	return 0
+}
+
+func TestFollowersReadFromADelegate(t *testing.T) {
+	listener := listen(t)
+	address := listener.Addr().String()
+	store := &fakeStore{config: 1, ready: map[catalog.EndpointID]bool{"a": true}}
+	delegate := startFollower(t, store, Delegates{Self: address, Region: "east", Addresses: []string{address}}, listener)
+	wait(t, "the delegate", func() bool { return versionOf(delegate) == 1 })
+	unused := &fakeStore{away: true}
+	follower := startFollower(t, unused, Delegates{Region: "east", Addresses: []string{address}}, nil)
+	wait(t, "the configuration", func() bool { return versionOf(follower) == 1 && len(follower.View().Endpoints("s")) == 1 })
+	store.change(func() {
+		store.config = 2
+		store.ready["a"] = false
+		store.ready["b"] = true
+	})
+	wait(t, "the changes", func() bool {
+		view := follower.View()
+		return versionOf(follower) == 2 && len(view.Endpoints("s")) == 1 && view.Endpoints("s")[0].ID == "b"
+	})
+	store.change(func() { delete(store.ready, "a") })
+	wait(t, "the removal", func() bool { return len(follower.View().Listed("s")) == 1 })
+	if age, known := follower.Age(); !known || age > patience {
+		t.Errorf("the age is %v, %v", age, known)
+	}
+	if unused.calls.Load() != 0 {
+		t.Errorf("the follower read the store %d times", unused.calls.Load())
+	}
+}
+
+// TestAFollowerReadsForItselfWhileNoDelegateAnswers begins without a delegate, and gets one whose own reads fail.
+func TestAFollowerReadsForItselfWhileNoDelegateAnswers(t *testing.T) {
+	listener := listen(t)
+	address := listener.Addr().String()
+	own := &fakeStore{config: 3}
+	follower := startFollower(t, own, Delegates{Addresses: []string{address, "127.0.0.1:1"}}, nil)
+	wait(t, "the configuration", func() bool { return versionOf(follower) == 3 })
+	startFollower(t, &fakeStore{away: true}, Delegates{Self: address, Addresses: []string{address}}, listener)
+	own.change(func() { own.config = 4 })
+	wait(t, "the next configuration", func() bool { return versionOf(follower) == 4 })
+}
+
+// TestADelegateThatLagsBringsNothingBack lets a follower go on from the store's cursor at a delegate that is behind.
+func TestADelegateThatLagsBringsNothingBack(t *testing.T) {
+	m := newMirror()
+	ready := &catalog.Endpoint{ID: "a", Service: "s"}
+	m.addEndpoints(0, EndpointChanges{Whole: true, Cursor: Cursor{Read: true, Version: 10}, Present: []*catalog.Endpoint{ready}})
+	ahead := Cursor{Read: true, Version: 20}
+	got := m.endpointsSince(ahead)
+	if got.Whole || len(got.Present) != 0 || got.Cursor != ahead {
+		t.Errorf("%+v", got)
+	}
+	m.addEndpoints(0, EndpointChanges{Cursor: Cursor{Read: true, Version: 15}, Present: []*catalog.Endpoint{{ID: "a", Service: "s", Slots: 3}}})
+	if got := m.endpointsSince(ahead); len(got.Present) != 0 {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestAMirrorListsRemovalsOnceAndForgetsThem(t *testing.T) {
+	m := newMirror()
+	at := func(version uint64) Cursor { return Cursor{Read: true, Version: version} }
+	m.addEndpoints(0, EndpointChanges{Whole: true, Cursor: at(1), Present: []*catalog.Endpoint{{ID: "a"}, {ID: "b"}}})
+	m.addEndpoints(0, EndpointChanges{Cursor: at(2), Gone: []catalog.EndpointID{"a"}})
+	if got := m.endpointsSince(at(1)); len(got.Gone) != 1 || got.Gone[0] != "a" {
+		t.Errorf("%+v", got)
+	}
+	if got := m.endpointsSince(at(2)); len(got.Gone)+len(got.Present) != 0 {
+		t.Errorf("%+v", got)
+	}
+	m.addEndpoints(2*goneKept, EndpointChanges{Cursor: at(3)})
+	if got := m.endpointsSince(at(1)); !got.Whole || len(got.Present) != 1 {
+		t.Errorf("after the removal was forgotten: %+v", got)
+	}
+}
+
+func TestAnEntryThatIsOnlyWrittenAgainIsNoNews(t *testing.T) {
+	m := newMirror()
+	m.addEndpoints(0, EndpointChanges{Whole: true, Cursor: Cursor{Read: true, Version: 1}, Present: []*catalog.Endpoint{{ID: "a"}}})
+	m.addEndpoints(0, EndpointChanges{Cursor: Cursor{Read: true, Version: 9}, Present: []*catalog.Endpoint{{ID: "a"}}})
+	if got := m.endpointsSince(Cursor{Read: true, Version: 1}); len(got.Present) != 0 || got.Cursor.Version != 9 {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestEvacuationsThatEndedUnseenEndAtFollowers(t *testing.T) {
+	m := newMirror()
+	m.addOperator(0, OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 1}, Evacuations: map[core.FailureDomain]bool{"x": true}})
+	m.addOperator(0, OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 5}})
+	got, _ := m.operatorSince(Cursor{Read: true, Version: 1})
+	if out, known := got.Evacuations["x"]; out || !known {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestDelegatesOfTheOwnRegionGoFirst(t *testing.T) {
+	far, unknown, near, away := &delegate{region: "west"}, &delegate{}, &delegate{region: "east"}, &delegate{region: "east", until: time.Minute}
+	got := order([]*delegate{far, unknown, near, away}, "east", time.Second)
+	if len(got) != 3 || got[0] != near || got[1] != unknown || got[2] != far {
+		t.Errorf("%v", got)
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -54,7 +55,7 @@
 // Pace says how often the store is read.
 type Pace struct {
 	OperatorWait      time.Duration // that one read of the operators' table waits for a change
-	EndpointsInterval time.Duration // between two reads of the endpoints; 0 reads none
+	EndpointsInterval time.Duration // between two reads of the endpoints
 }
 
 // retryInterval follows a failed read: short against the bounds on configuration, long against the store's rates.
@@ -72,11 +73,16 @@
 	// Changed is called on the control thread after each new view. It must not wait.
 	Changed func(*catalog.View)
 	wake    chan struct{}
+
+	delegates Delegates
+	mirror    *mirror
+	reads     bool // this process reads the store itself
 }
 
 // New returns a follower that has not started.
-func New(source Source, pace Pace, logger *log.Logger) *Follower {
-	f := &Follower{source: source, pace: pace, logger: logger, state: newState(), wake: make(chan struct{}, 1)}
+func New(source Source, pace Pace, delegates Delegates, logger *log.Logger) *Follower {
+	f := &Follower{source: source, pace: pace, delegates: delegates, logger: logger, state: newState(), mirror: newMirror(), wake: make(chan struct{}, 1)}
+	f.reads = len(delegates.Addresses) == 0 || slices.Contains(delegates.Addresses, delegates.Self)
 	f.view.Store(catalog.NewView(nil, nil, nil, nil))
 	f.loop = reduce.NewLoop(f.state.step, f.apply, func(context.Context, reduce.Effect) {})
 	return f
@@ -98,9 +104,11 @@
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
-	tasks.Go(func() { f.readOperator(ctx) })
-	if f.pace.EndpointsInterval > 0 {
+	if f.reads {
+		tasks.Go(func() { f.readOperator(ctx) })
 		tasks.Go(func() { f.readEndpoints(ctx) })
+	} else {
+		tasks.Go(func() { f.followDelegates(ctx) })
 	}
 	f.loop.Run(ctx)
 	tasks.Wait()
@@ -126,6 +134,7 @@
 			continue
 		}
 		cursor = changes.Cursor
+		f.mirror.addOperator(sent, changes)
 		f.loop.Post(ctx, operatorRead{sent: sent, changes: changes})
 	}
 }
@@ -142,6 +151,7 @@
 			continue
 		}
 		cursor = changes.Cursor
+		f.mirror.addEndpoints(bootclock.Now(), changes)
 		f.loop.Post(ctx, endpointsRead{sent: sent, now: bootclock.Now(), changes: changes})
 		f.pause(ctx, f.pace.EndpointsInterval-(bootclock.Now()-sent))
 	}
@@ -178,7 +188,7 @@
 			f.Changed(effect.view)
 		}
 	case confirm:
-		f.asOf.Store(int64(effect.sent))
+		f.asOf.Store(max(f.asOf.Load(), int64(effect.sent))) // a delegate may be behind another one
 	case believed:
 		f.logger.Info().Str("endpoint", string(effect.endpoint)).Str("state", effect.state).Int("count", effect.count).Msg("endpoints changed")
 	case report:
--- /dev/null
+++ b/internal/follow/mirror.go
@@ -0,0 +1,219 @@
+package follow
+
+import (
+	"context"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/catalog"
+	"github.com/lovageglade/lovageglade/internal/core"
+)
+
+// goneKept is how long a removal is remembered for followers: they ask every few seconds.
+const goneKept = time.Minute
+
+// mirror holds what a delegate has read, under the store's versions, so that followers can go on from a cursor of the
+// store as well as from one of another delegate. It is safe for concurrent use.
+type mirror struct {
+	mu        sync.Mutex
+	operator  Cursor
+	endpoints Cursor
+	sent      time.Duration // when the last read of the operators' table was sent, on the boot clock
+
+	configuration   *catalog.Configuration
+	configurationAt uint64
+	evacuations     map[core.FailureDomain]mirrored[bool]
+	wanted          map[core.Model]mirrored[int64]
+	listed          map[catalog.EndpointID]mirrored[*catalog.Endpoint] // nil for one that is gone
+	horizon         uint64                                             // removals up to it are forgotten
+	changed         chan struct{}
+}
+
+// mirrored is a value with the version of the read that brought it.
+type mirrored[T any] struct {
+	value T
+	at    uint64
+	seen  time.Duration
+}
+
+func newMirror() *mirror {
+	return &mirror{
+		evacuations: make(map[core.FailureDomain]mirrored[bool]),
+		wanted:      make(map[core.Model]mirrored[int64]),
+		listed:      make(map[catalog.EndpointID]mirrored[*catalog.Endpoint]),
+		changed:     make(chan struct{}),
+	}
+}
+
+// addOperator takes over a read of the operators' table.
+func (m *mirror) addOperator(sent time.Duration, changes OperatorChanges) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := changes.Cursor.Version
+	news := changes.Configuration != nil || len(changes.Evacuations) > 0 || len(changes.Wanted) > 0
+	if changes.Configuration != nil {
+		m.configuration, m.configurationAt = changes.Configuration, at
+	}
+	if changes.Whole {
+		for domain := range m.evacuations {
+			m.evacuations[domain] = mirrored[bool]{value: false, at: at}
+		}
+	}
+	for domain, out := range changes.Evacuations {
+		m.evacuations[domain] = mirrored[bool]{value: out, at: at}
+	}
+	for model, version := range changes.Wanted {
+		m.wanted[model] = mirrored[int64]{value: version, at: at}
+	}
+	m.operator, m.sent = changes.Cursor, sent
+	if news {
+		m.wake()
+	}
+}
+
+// addEndpoints takes over a read of the registry. Entries that were only written again are no news.
+func (m *mirror) addEndpoints(now time.Duration, changes EndpointChanges) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := changes.Cursor.Version
+	gone := changes.Gone
+	present := make(map[catalog.EndpointID]bool, len(changes.Present))
+	news := false
+	for _, endpoint := range changes.Present {
+		present[endpoint.ID] = true
+		if before, ok := m.listed[endpoint.ID]; ok && reflect.DeepEqual(before.value, endpoint) {
+			continue
+		}
+		m.listed[endpoint.ID] = mirrored[*catalog.Endpoint]{value: endpoint, at: at, seen: now}
+		news = true
+	}
+	if changes.Whole {
+		for id := range m.listed {
+			if !present[id] {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for _, id := range gone {
+		if m.listed[id].value != nil {
+			m.listed[id] = mirrored[*catalog.Endpoint]{at: at, seen: now}
+			news = true
+		}
+	}
+	m.forget(now)
+	m.endpoints = changes.Cursor
+	if news {
+		m.wake()
+	}
+}
+
+func (m *mirror) forget(now time.Duration) {
+	for id, entry := range m.listed {
+		if entry.value == nil && now-entry.seen > goneKept {
+			m.horizon = max(m.horizon, entry.at)
+			delete(m.listed, id)
+		}
+	}
+}
+
+func (m *mirror) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// wait returns when something is newer than the cursors, or after the time.
+func (m *mirror) wait(ctx context.Context, operator, endpoints Cursor, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		news := m.newer(operator, endpoints)
+		changed := m.changed
+		m.mu.Unlock()
+		if news {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-changed:
+		}
+	}
+}
+
+// newer tells whether something changed since the cursors. The lock is held.
+func (m *mirror) newer(operator, endpoints Cursor) bool {
+	if !operator.Read || !endpoints.Read || m.configurationAt > operator.Version {
+		return true
+	}
+	for _, entry := range m.evacuations {
+		if entry.at > operator.Version {
+			return true
+		}
+	}
+	for _, entry := range m.wanted {
+		if entry.at > operator.Version {
+			return true
+		}
+	}
+	for _, entry := range m.listed {
+		if entry.at > endpoints.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// operatorSince returns the changes since the cursor and when they were last known to be all.
+func (m *mirror) operatorSince(since Cursor) (OperatorChanges, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changes := OperatorChanges{
+		Whole:       !since.Read,
+		Cursor:      later(since, m.operator),
+		Evacuations: make(map[core.FailureDomain]bool),
+		Wanted:      make(map[core.Model]int64),
+	}
+	if changes.Whole || m.configurationAt > since.Version {
+		changes.Configuration = m.configuration
+	}
+	for domain, entry := range m.evacuations {
+		if changes.Whole && entry.value || !changes.Whole && entry.at > since.Version {
+			changes.Evacuations[domain] = entry.value
+		}
+	}
+	for model, entry := range m.wanted {
+		if changes.Whole || entry.at > since.Version {
+			changes.Wanted[model] = entry.value
+		}
+	}
+	return changes, m.sent
+}
+
+// endpointsSince returns the changes since the cursor.
+func (m *mirror) endpointsSince(since Cursor) EndpointChanges {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	whole := !since.Read || since.Version < m.horizon
+	changes := EndpointChanges{Whole: whole, Cursor: later(since, m.endpoints)}
+	for id, entry := range m.listed {
+		switch {
+		case entry.value != nil && (whole || entry.at > since.Version):
+			changes.Present = append(changes.Present, entry.value)
+		case entry.value == nil && !whole && entry.at > since.Version:
+			changes.Gone = append(changes.Gone, id)
+		}
+	}
+	return changes
+}
+
+// later returns the later of two cursors.
+func later(a, b Cursor) Cursor {
+	if !a.Read || b.Read && b.Version > a.Version {
+		return b
+	}
+	return a
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/lovageglade/lovageglade/internal/follow"
 	"github.com/lovageglade/lovageglade/internal/placement"
 	"github.com/lovageglade/lovageglade/internal/retry"
+	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
 )
 
@@ -69,6 +70,12 @@
 	if err != nil {
 		return err
 	}
+	control, err := listen(g.settings.ControlAddress, "control")
+	if err != nil {
+		return err
+	}
+	methods := rpc.Serve(control, g.follower.Methods())
+	defer methods.Close()
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	var tasks conc.WaitGroup
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -69,7 +69,7 @@
 	w.configure(routes(), "key-1")
 	logger := &log.Logger{Level: log.PanicLevel}
 	regions := map[core.FailureDomain]core.Region{"e": "east", "w": "west"}
-	follower := follow.New(platform.NewStore(w.store.Address(), regions, logger), follow.Pace{OperatorWait: 50 * time.Millisecond, EndpointsInterval: 10 * time.Millisecond}, logger)
+	follower := follow.New(platform.NewStore(w.store.Address(), regions, logger), follow.Pace{OperatorWait: 50 * time.Millisecond, EndpointsInterval: 10 * time.Millisecond}, follow.Delegates{}, logger)
 	config := settings.Gateway{RevocationMs: 5000, VersionMs: 8000, GraceMs: 8000, RetryShare: 10}
 	config.Region = "east"
 	config.Ports = []int{1, 3} // no sidecar listens there
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -17,6 +17,10 @@
 	StoreAddress  string                             `json:"store_address" validate:"required,ip_port"`
 	LogLevel      string                             `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
 
+	// Delegates are the control addresses of gateways that read the store for the others. Those that are down are passed
+	// over; without any, each process reads for itself.
+	Delegates []string `json:"delegates" validate:"dive,ip_port"`
+
 	// Ports is the first and the last port that the system's processes may use among themselves, the same on every
 	// machine. The sidecars listen at the first three.
 	Ports       []int `json:"ports" validate:"len=2,dive,gte=1,lte=65535"`
@@ -43,8 +47,9 @@
 // Gateway holds the settings of lovage-gateway.
 type Gateway struct {
 	Place
-	FrontAddress string `json:"front_address" validate:"required,ip_port"`
-	ReadyAddress string `json:"ready_address" validate:"required,ip_port"`
+	FrontAddress   string `json:"front_address" validate:"required,ip_port"`
+	ReadyAddress   string `json:"ready_address" validate:"required,ip_port"`
+	ControlAddress string `json:"control_address" validate:"required,ip_port"` // of the gateway's own control messages
 
 	GraceMs      Millis  `json:"grace_ms" validate:"gt=0"`       // from SIGTERM until the process is killed
 	RevocationMs Millis  `json:"revocation_ms" validate:"gte=0"` // within which a key that was taken away stops working; 0 for no bound
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -183,7 +183,7 @@
 	config.Address, config.Region, config.FailureDomain = "127.0.0.1", "east", "x"
 	config.Ports = []int{1, 3}
 	logger := &log.Logger{Level: log.PanicLevel}
-	follower := follow.New(source, follow.Pace{EndpointsInterval: 20 * time.Millisecond}, logger)
+	follower := follow.New(source, follow.Pace{EndpointsInterval: 20 * time.Millisecond}, follow.Delegates{}, logger)
 	s := New(config, plainCodec{}, follower, engine, origin, logger)
 	ctx, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
