--- a/cmd/lovage-sidecar/main.go
+++ b/cmd/lovage-sidecar/main.go
@@ -44,7 +44,7 @@
 	logger := telemetry.NewLogger(config.LogLevel, config.Host)
 	peers := rpc.NewClient()
 	defer peers.Close()
-	delegates := follow.Delegates{Region: config.Region, Addresses: config.Delegates, Peers: peers}
+	delegates := follow.Delegates{Region: config.Region, Addresses: config.Delegates, Peers: peers, Bare: true}
 	follower := follow.New(platform.NewStore(config.StoreAddress, config.Regions, logger), pace, delegates, logger)
 	engine := platform.NewEngine(config.EngineAddress)
 	exitOn(sidecar.New(config, platform.Headers{}, follower, engine, platform.NewOrigin(), logger).Run(ctx))
--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -29,13 +29,15 @@
 	Operator  Cursor
 	Endpoints Cursor
 	Wait      time.Duration
+	Bare      bool // without routes and workspaces
 }
 
 // readAnswer is what a delegate knows.
 type readAnswer struct {
 	Region    core.Region
-	Age       time.Duration // for which the operators' table may have changed unseen by the delegate
-	Operator  OperatorChanges
+	Age       time.Duration   // for which the operators' table may have changed unseen by the delegate
+	Operator  OperatorChanges // without the configuration
+	Packed    packed          // configuration, empty when it did not change
 	Endpoints EndpointChanges
 }
 
@@ -46,6 +48,7 @@
 	Region    core.Region
 	Addresses []string // control addresses; none means that each process reads for itself
 	Peers     *rpc.Client
+	Bare      bool // this process needs no routes and workspaces
 }
 
 // delegate is what a follower knows of one.
@@ -99,11 +102,12 @@
 		return readAnswer{}, fault.New(fault.NotReady, "this process reads no store for others, or has read nothing yet", "ask another delegate")
 	}
 	f.mirror.wait(ctx, request.Operator, request.Endpoints, request.Wait)
-	operator, sent := f.mirror.operatorSince(request.Operator)
+	operator, configuration, sent := f.mirror.operatorSince(request.Operator, request.Bare)
 	return readAnswer{
 		Region:    f.delegates.Region,
 		Age:       bootclock.Now() - sent,
 		Operator:  operator,
+		Packed:    configuration,
 		Endpoints: f.mirror.endpointsSince(request.Endpoints),
 	}, nil
 }
@@ -115,7 +119,7 @@
 	var operator, endpoints Cursor
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
-		answer, err := f.askDelegates(ctx, delegates, readRequest{Operator: operator, Endpoints: endpoints, Wait: f.pace.OperatorWait})
+		answer, err := f.askDelegates(ctx, delegates, readRequest{Operator: operator, Endpoints: endpoints, Wait: f.pace.OperatorWait, Bare: f.delegates.Bare})
 		lost.observe(err)
 		if err != nil {
 			operator, endpoints = f.readOnce(ctx, operator, endpoints)
@@ -135,6 +139,9 @@
 		call, stop := context.WithTimeout(ctx, request.Wait+delegateSlack)
 		err = f.delegates.Peers.Call(call, d.address, methodFollow, request, &answer)
 		stop()
+		if err == nil {
+			answer.Operator.Configuration, err = answer.Packed.unpack()
+		}
 		if err == nil && answer.Age <= request.Wait+delegateAge {
 			d.region = answer.Region
 			return answer, nil
--- a/internal/follow/delegate_test.go
+++ b/internal/follow/delegate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -200,9 +201,11 @@
 
 func TestEvacuationsThatEndedUnseenEndAtFollowers(t *testing.T) {
 	m := newMirror()
-	m.addOperator(0, OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 1}, Evacuations: map[core.FailureDomain]bool{"x": true}})
-	m.addOperator(0, OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 5}})
-	got, _ := m.operatorSince(Cursor{Read: true, Version: 1})
+	first := OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 1}, Evacuations: map[core.FailureDomain]bool{"x": true}}
+	if err := errors.Join(m.addOperator(0, first), m.addOperator(0, OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 5}})); err != nil {
+		t.Fatal(err)
+	}
+	got, _, _ := m.operatorSince(Cursor{Read: true, Version: 1}, false)
 	if out, known := got.Evacuations["x"]; out || !known {
 		t.Errorf("%+v", got)
 	}
@@ -215,3 +218,34 @@
 		t.Errorf("%v", got)
 	}
 }
+
+// TestALargeConfigurationIsSmallOnTheWay holds the case of hbx-lovage-grown, where 1,856 routes came at once and whole
+// copies for every process filled the links between regions.
+func TestALargeConfigurationIsSmallOnTheWay(t *testing.T) {
+	configuration := &catalog.Configuration{Version: 7, Services: []catalog.Service{{Name: "s"}}, Workspaces: []catalog.Workspace{{Name: "w"}}}
+	for i := range 2000 {
+		host := strconv.Itoa(i * 7919 % 10007)
+		configuration.Routes = append(configuration.Routes, catalog.Route{Name: "r-" + host, Host: host + ".example", Prefix: "/" + host + "/", Timeout: time.Second, Backends: []catalog.Backend{{Service: "s", Weight: 1}}})
+	}
+	m := newMirror()
+	if err := m.addOperator(0, OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 1}, Configuration: configuration}); err != nil {
+		t.Fatal(err)
+	}
+	_, whole, _ := m.operatorSince(Cursor{}, false)
+	_, bare, _ := m.operatorSince(Cursor{}, true)
+	const bytesARoute = 40 // a region of the target's size gets 2,000 routes within the bound over a narrow link
+	if len(whole) > bytesARoute*len(configuration.Routes) || len(bare) > 1000 {
+		t.Errorf("%d bytes, %d without routes", len(whole), len(bare))
+	}
+	unpacked, err := whole.unpack()
+	if err != nil || len(unpacked.Routes) != 2000 || unpacked.Routes[9].Prefix != configuration.Routes[9].Prefix {
+		t.Errorf("%v", err)
+	}
+	services, err := bare.unpack()
+	if err != nil || services.Version != 7 || len(services.Services) != 1 || len(services.Routes)+len(services.Workspaces) != 0 {
+		t.Errorf("%+v, %v", services, err)
+	}
+	if _, err := packed("no gzip").unpack(); err == nil {
+		t.Error("bytes that are no configuration are accepted")
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -134,7 +134,9 @@
 			continue
 		}
 		cursor = changes.Cursor
-		f.mirror.addOperator(sent, changes)
+		if err := f.mirror.addOperator(sent, changes); err != nil {
+			f.logger.Error().Err(err).Msg("configuration not offered to followers")
+		}
 		f.loop.Post(ctx, operatorRead{sent: sent, changes: changes})
 	}
 }
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -22,6 +22,8 @@
 	sent      time.Duration // when the last read of the operators' table was sent, on the boot clock
 
 	configuration   *catalog.Configuration
+	whole           packed // the configuration
+	services        packed // the configuration without routes and workspaces
 	configurationAt uint64
 	evacuations     map[core.FailureDomain]mirrored[bool]
 	wanted          map[core.Model]mirrored[int64]
@@ -47,13 +49,13 @@
 }
 
 // addOperator takes over a read of the operators' table.
-func (m *mirror) addOperator(sent time.Duration, changes OperatorChanges) {
+func (m *mirror) addOperator(sent time.Duration, changes OperatorChanges) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	at := changes.Cursor.Version
 	news := changes.Configuration != nil || len(changes.Evacuations) > 0 || len(changes.Wanted) > 0
-	if changes.Configuration != nil {
-		m.configuration, m.configurationAt = changes.Configuration, at
+	if err := m.setConfiguration(changes.Configuration, at); err != nil {
+		return err
 	}
 	if changes.Whole {
 		for domain := range m.evacuations {
@@ -70,6 +72,23 @@
 	if news {
 		m.wake()
 	}
+	return nil
+}
+
+func (m *mirror) setConfiguration(next *catalog.Configuration, at uint64) error {
+	if next == nil || m.configuration != nil && next.Version <= m.configuration.Version {
+		return nil
+	}
+	whole, err := pack(next)
+	if err != nil {
+		return err
+	}
+	services, err := pack(&catalog.Configuration{Version: next.Version, Services: next.Services})
+	if err != nil {
+		return err
+	}
+	m.configuration, m.whole, m.services, m.configurationAt = next, whole, services, at
+	return nil
 }
 
 // addEndpoints takes over a read of the registry. Entries that were only written again are no news.
@@ -167,8 +186,9 @@
 	return false
 }
 
-// operatorSince returns the changes since the cursor and when they were last known to be all.
-func (m *mirror) operatorSince(since Cursor) (OperatorChanges, time.Duration) {
+// operatorSince returns the changes since the cursor and when they were last known to be all. The configuration is
+// packed; bare leaves out its routes and workspaces.
+func (m *mirror) operatorSince(since Cursor, bare bool) (OperatorChanges, packed, time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changes := OperatorChanges{
@@ -177,8 +197,12 @@
 		Evacuations: make(map[core.FailureDomain]bool),
 		Wanted:      make(map[core.Model]int64),
 	}
+	var configuration packed
 	if changes.Whole || m.configurationAt > since.Version {
-		changes.Configuration = m.configuration
+		configuration = m.whole
+		if bare {
+			configuration = m.services
+		}
 	}
 	for domain, entry := range m.evacuations {
 		if changes.Whole && entry.value || !changes.Whole && entry.at > since.Version {
@@ -190,7 +214,7 @@
 			changes.Wanted[model] = entry.value
 		}
 	}
-	return changes, m.sent
+	return changes, configuration, m.sent
 }
 
 // endpointsSince returns the changes since the cursor.
