--- a/cmd/lovage-gateway/main.go
+++ b/cmd/lovage-gateway/main.go
@@ -41,7 +41,15 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	logger := telemetry.NewLogger(config.LogLevel, config.Host)
+	logger := telemetry.NewBoundedLogger(config.LogLevel, config.Host)
+	go telemetry.OnHangup(ctx, logger, func() error {
+		fresh, err := settings.LoadGateway(line.Settings)
+		if err == nil {
+			logger.SetLevel(telemetry.LevelOf(fresh.LogLevel))
+		}
+		return err
+	})
+	go telemetry.ServeMetricsAt(ctx, logger, config.Address, config.MetricsPort)
 	peers := rpc.NewClient()
 	defer peers.Close()
 	delegates := follow.Delegates{Self: config.ControlAddress, Region: config.Region, Addresses: config.Delegates, Peers: peers}
--- a/internal/gateway/flow.go
+++ b/internal/gateway/flow.go
@@ -11,6 +11,7 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/placement"
 	"github.com/lovageglade/lovageglade/internal/routing"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
 const (
@@ -92,6 +93,7 @@
 
 // log writes the line of a request that got an endpoint's answer.
 func (f *flow) log(endpoint *catalog.Endpoint) {
+	telemetry.Answered(f.route.Name, "answered", f.untilAnswer())
 	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("route", f.route.Name).Str("endpoint", string(endpoint.ID)).Int("picks", len(f.tried)).Int("runs", f.runs).Dur("took", time.Since(f.arrived))
 	if f.stream != nil {
 		entry.Dur("first_event", f.stream.first).Dur("longest_pause", f.stream.pause).Str("last_event", f.stream.last)
@@ -102,6 +104,14 @@
 	entry.Int64("configuration", f.view.Configuration.Version).Msg("request answered")
 }
 
+// untilAnswer is the time until the answer, or the first event of a stream.
+func (f *flow) untilAnswer() time.Duration {
+	if f.stream != nil {
+		return f.stream.first
+	}
+	return time.Since(f.arrived)
+}
+
 func (f *flow) pick() *catalog.Endpoint {
 	view := f.g.follower.View() // the newest one: an endpoint may have left since the call was accepted
 	query := placement.Query{
@@ -193,6 +203,7 @@
 // giveUp answers a call that no endpoint answered.
 func (f *flow) giveUp() {
 	if f.stream != nil && f.stream.begun {
+		telemetry.Answered(f.route.Name, "broken_off", f.untilAnswer())
 		f.g.logger.Info().Str("request", string(f.call.ID)).Str("last_event", f.stream.last).Msg("stream broken off")
 		panic(http.ErrAbortHandler) // ends the connection, so that the stream does not look complete
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
 type errorType = errorx.Type
@@ -55,6 +56,7 @@
 		entry.Str("request", string(a.call.ID))
 	}
 	if a != nil && a.route != nil {
+		telemetry.Answered(a.route.Name, fault.Kind(err), 0)
 		entry.Str("route", a.route.Name)
 	}
 	entry.Msg("request refused")
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -11,6 +11,7 @@
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -168,6 +169,7 @@
 
 // refuse states that the request has not run and will not run here.
 func (s *Sidecar) refuse(w http.ResponseWriter, c *call.Call, reason string, cause error) {
+	telemetry.TurnedAway(reason)
 	entry := s.logger.Debug().Str("reason", reason).Str("kind", fault.Kind(cause))
 	if c != nil {
 		entry.Str("request", string(c.ID))
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -9,13 +9,18 @@
 	"github.com/lovageglade/lovageglade/internal/core"
 )
 
+// LevelOf returns the level of the name; "" is info.
+func LevelOf(name string) log.Level {
+	if name == "" {
+		return log.InfoLevel
+	}
+	return log.ParseLevel(name)
+}
+
 // NewLogger returns a logger that writes JSON lines with the host's name to standard error.
 func NewLogger(level string, host core.HostID) *log.Logger {
-	if level == "" {
-		level = "info"
-	}
 	return &log.Logger{
-		Level:   log.ParseLevel(level),
+		Level:   LevelOf(level),
 		Writer:  &log.IOWriter{Writer: os.Stderr},
 		Context: log.NewContext(nil).Str("host", string(host)).Value(),
 	}
--- a/scripts/bench-config.sh
+++ b/scripts/bench-config.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 status=0
-output=$(GOGC=800 go test ./internal/node -run '^$' -bench '^BenchmarkConfig$' -benchtime 1x -timeout 5m 2>&1) || status=$?
+output=$(GOGC=100 go test ./internal/node -run '^$' -bench '^BenchmarkConfig$' -benchtime 1x -timeout 5m 2>&1) || status=$?
 sed -n 's/^figure //p' <<<"$output"
 if [ "$status" -ne 0 ]; then
   grep -v '^figure ' <<<"$output" >&2
