--- a/internal/admission/reading.go
+++ b/internal/admission/reading.go
@@ -31,6 +31,16 @@
 	return time.Duration(float64(estimate) * max(1, m.Pace))
 }
 
+// readingShare is how much longer a stream takes for the prompts that an engine near its capacity reads beside it.
+const readingShare = 1.6
+
+// Duration estimates how long a request runs that writes the tokens beside other streams.
+func (m EngineModel) Duration(writing, unread, tokens int) time.Duration {
+	token := m.Step + time.Duration(writing)*m.PerStream
+	decoding := time.Duration(readingShare * float64(tokens) * float64(token) * max(1, m.Pace))
+	return m.FirstEvent(writing, unread) + decoding
+}
+
 // Reading knows which prompts an engine has still to read. Prompts that arrive together delay one another and all
 // streams that write, however few requests run. It answers the load of many callers who find the same engine the least
 // loaded at the same moment. It is safe for concurrent use.
@@ -49,6 +59,13 @@
 	r.model = model
 }
 
+// Duration estimates how long a request with the prompt and the answer would run now, both in tokens.
+func (r *Reading) Duration(prompt, answer int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.model.Duration(r.running-r.pending, r.unread+prompt, answer)
+}
+
 // SetPace takes over how slow the engine says it is.
 func (r *Reading) SetPace(pace float64) {
 	r.mu.Lock()
--- a/internal/admission/reading_test.go
+++ b/internal/admission/reading_test.go
@@ -53,3 +53,10 @@
 		t.Errorf("%d tokens of %d prompts are unread, %d requests run", r.unread, r.pending, r.running)
 	}
 }
+
+func TestALongAnswerRunsLonger(t *testing.T) {
+	short, long := publishedModel.Duration(10, 1000, 20), publishedModel.Duration(10, 1000, 200)
+	if short < 300*time.Millisecond || long < 2*time.Second || long > 5*time.Second {
+		t.Errorf("20 tokens take %v, 200 take %v", short, long)
+	}
+}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/admission"
+	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 	"github.com/lovageglade/lovageglade/internal/fault"
@@ -21,6 +22,7 @@
 	refusedLoading     = "weights are loading"
 	refusedFull        = "no room"
 	refusedSlow        = "first event later than the bound"
+	refusedLeaving     = "it would run into a change of weights"
 	refusedUnreachable = "engine cannot be reached"
 )
 
@@ -45,6 +47,10 @@
 		s.refuse(w, c, refusedLoading, nil)
 		return
 	}
+	if !s.endsInTime(c) {
+		s.refuse(w, c, refusedLeaving, nil)
+		return
+	}
 	ticket := admission.Ticket{Deadline: arrived.Add(patienceOf(c))}
 	if err := s.gate.Enter(r.Context(), ticket); err != nil {
 		s.refuse(w, c, refusedFull, err)
@@ -64,6 +70,23 @@
 	held = s.relay(w, r, &admitted{call: c, arrived: arrived, prompt: prompt, estimate: estimate})
 }
 
+// changeSlack is how far a request may be expected to run into a change of weights. Each engine that changes takes
+// nothing new until what it runs has ended, so that one long request keeps all its slots empty.
+const changeSlack = 400 * time.Millisecond
+
+// endsInTime tells whether the call may be expected to end about when the engine has to be empty.
+func (s *Sidecar) endsInTime(c *call.Call) bool {
+	leaving := time.Duration(s.leaving.Load())
+	if leaving == 0 {
+		return true
+	}
+	tokens := c.OutputHint
+	if tokens == 0 {
+		tokens = c.OutputTokens
+	}
+	return bootclock.Now()+s.reading.Duration(c.PromptTokens, tokens) <= leaving+changeSlack
+}
+
 // admitted is a call that was let in.
 type admitted struct {
 	call     *call.Call
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -57,6 +57,7 @@
 	store       *weights.Store
 	distributor *distribution.Distributor
 	serving     atomic.Int64 // version that the engine runs requests with; 0 while it must not run any
+	leaving     atomic.Int64 // boot clock in nanoseconds at which the engine stops taking requests to load; 0 for none
 	changed     chan struct{}
 }
 
@@ -81,7 +82,7 @@
 		Origin:        &pieces{sidecar: s},
 		Peers:         s.peers,
 		Logger:        logger,
-		Limits:        burstLimits(),
+		Limits:        plan.BurstLimits(),
 		LinkBytesPerS: int64(config.LinkMbps * bytesPerMbit * weightsShare),
 		Seed:          rand.Uint64(),
 	})
@@ -89,31 +90,6 @@
 	return s
 }
 
-// burstLimits fit weights of a few megabytes that have to run everywhere within seconds.
-func burstLimits() plan.Limits {
-	limits := plan.DefaultLimits()
-	limits.Downloads = 12
-	limits.PerPeer = 3
-	limits.Uploads = 32
-	limits.UploadCopies = 8
-	limits.UploadFanOut = 64
-	limits.Gateways = 0 // every host of a region
-	limits.ControlBytesPerS = 20_000
-	limits.JoinPatience = 500 * time.Millisecond
-	limits.Takeover = 1500 * time.Millisecond
-	limits.LastResort = 3 * time.Second
-	limits.PeerPatience = 1500 * time.Millisecond
-	limits.OriginPatience = 2 * time.Second
-	limits.OriginDownloads = 1
-	limits.OriginBackoff = 200 * time.Millisecond
-	limits.MissBackoff = 100 * time.Millisecond
-	limits.Aside = 2 * time.Second
-	limits.OneDraw = true
-	limits.AskGateways = true
-	limits.AwaitUpload = 1200 * time.Millisecond
-	return limits
-}
-
 // hostOf names the sidecar at the address. There is one on each machine.
 func (s *Sidecar) hostOf(address string, domain core.FailureDomain, region core.Region) core.Host {
 	return core.Host{
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/lovageglade/lovageglade/internal/admission"
+	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
@@ -337,3 +339,19 @@
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
 }
+
+// TestLongRequestsGoElsewhereBeforeAChangeOfWeights answers the load of a service that changes its weights at two
+// thirds of its capacity: one long stream would keep all slots of an engine empty until it has ended.
+func TestLongRequestsGoElsewhereBeforeAChangeOfWeights(t *testing.T) {
+	s := newSidecar(t, &fakeEngine{staged: make(map[int][]byte), spoil: -1, version: 1}, &fakeOrigin{}, &fakeSource{}, "127.0.0.1:9")
+	s.reading.SetModel(admission.EngineModel{Step: 9 * time.Millisecond, Stride: 5, ReadPerSecond: 19000})
+	short, long := &call.Call{OutputHint: 10}, &call.Call{OutputHint: 10, OutputTokens: 400}
+	long.OutputHint = 400
+	if !s.endsInTime(long) {
+		t.Error("a long request is refused although no change is near")
+	}
+	s.leaving.Store(int64(bootclock.Now() + time.Second))
+	if !s.endsInTime(short) || s.endsInTime(long) || s.endsInTime(&call.Call{OutputTokens: 400}) {
+		t.Error("the requests that end before a change are not told from those that don't")
+	}
+}
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -100,17 +100,30 @@
 		return err
 	}
 	if unreachable != nil || report.Busy || loaded == wanted.version || !k.begun {
+		s.leaving.Store(0)
 		return unreachable
 	}
 	if err := k.stageArrived(ctx); err != nil {
 		return err
 	}
-	if len(k.staged) < len(k.manifest.Chunks) || loaded > 0 && bootclock.Now() < k.turn(view, due) {
+	turn := k.turn(view, due)
+	complete := len(k.staged) == len(k.manifest.Chunks)
+	k.announceTurn(turn, complete)
+	if !complete || loaded > 0 && bootclock.Now() < turn {
 		return nil
 	}
 	return k.load(ctx)
 }
 
+// announceTurn lets the gate know when the engine has to be empty. Nothing is known while the turn has passed and
+// weights are missing.
+func (k *keeper) announceTurn(turn time.Duration, complete bool) {
+	if !complete && bootclock.Now() > turn {
+		turn = 0
+	}
+	k.sidecar.leaving.Store(int64(turn))
+}
+
 // serve opens the gate for requests that run on the version, or closes it.
 func (s *Sidecar) serve(version int64, closed bool) {
 	if closed {
--- a/internal/weights/plan/network_test.go
+++ b/internal/weights/plan/network_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -50,6 +51,13 @@
 	cutFrom       map[core.Region]bool
 	transfers     map[FetchID]*transfer
 	next          UploadID
+	asked         map[UploadID]asking
+}
+
+// asking is a request for an upload that is not answered yet.
+type asking struct {
+	transfer *transfer
+	fetch    FetchID
 }
 
 // transfer is a fetch under way on the network.
@@ -70,6 +78,7 @@
 	killed        float64 // share of the hosts
 	corrupted     float64 // share of the transfers
 	seed          uint64
+	tickEvery     time.Duration // 0 means the usual one
 	limits        func(*Limits)
 	actor         func(self Peer, limits Limits, seed uint64) actor
 	prepare       func(*network)
@@ -138,6 +147,7 @@
 		cutFrom:   make(map[core.Region]bool),
 		verified:  make(map[weights.Digest]int),
 		transfers: make(map[FetchID]*transfer),
+		asked:     make(map[UploadID]asking),
 	}
 	if n.shape.actor != nil {
 		h.actor = n.shape.actor(h.peer, limits, n.rng.Uint64())
@@ -199,9 +209,9 @@
 		return
 	}
 	n.deliver(h, Tick{Stamp: n.stamp()})
-	wait := tickEvery
+	wait := cmp.Or(n.tickEvery, tickEvery)
 	if n.now == 0 {
-		wait = time.Duration(n.rng.Int64N(int64(tickEvery)))
+		wait = time.Duration(n.rng.Int64N(int64(wait)))
 	}
 	n.after(wait, func() { n.tick(h) })
 }
@@ -252,6 +262,12 @@
 			n.endUpload(t)
 			delete(h.transfers, effect.Fetch)
 		}
+	case AnswerUpload:
+		asked := h.asked[effect.Upload]
+		delete(h.asked, effect.Upload)
+		if asked.transfer != nil && !asked.transfer.cancelled {
+			n.answered(asked.transfer, asked.fetch, effect.Result)
+		}
 	case SendMap:
 		n.swapMaps(h, n.byID[effect.Host], effect)
 	}
@@ -299,10 +315,9 @@
 		t.source.next++
 		t.upload = t.source.next
 		asked := UploadAsked{Stamp: n.stamp(), Upload: t.upload, Digest: n.versions[effect.Version].Manifest.Chunks[effect.Index]}
-		for _, answer := range t.source.actor.Step(asked) {
-			if answer, ok := answer.(AnswerUpload); ok {
-				n.answered(t, effect.Fetch, answer.Result)
-			}
+		t.source.asked[t.upload] = asking{transfer: t, fetch: effect.Fetch}
+		for _, effect := range t.source.actor.Step(asked) {
+			n.perform(t.source, effect)
 		}
 	})
 }
