--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -18,8 +18,9 @@
 const (
 	// delegateSlack is how much longer than the wait a delegate's answer may take: many round trips between regions.
 	delegateSlack = 400 * time.Millisecond
-	// delegateAge beyond the wait is the oldest read of the store that a follower takes from a delegate.
-	delegateAge = 1500 * time.Millisecond
+	// delegateAge beyond the wait is the oldest read of the store that a follower takes from a delegate. A delegate's
+	// read, its time-out and one more answer fit into the two seconds within which a configuration has to be in force.
+	delegateAge = 700 * time.Millisecond
 	// delegateRetry follows a delegate that did not answer, or whose own reads fail.
 	delegateRetry = 2 * time.Second
 )
@@ -101,7 +102,9 @@
 	if _, known := f.Age(); !known || !f.reads {
 		return readAnswer{}, fault.New(fault.NotReady, "this process reads no store for others, or has read nothing yet", "ask another delegate")
 	}
-	f.mirror.wait(ctx, request.Operator, request.Endpoints, request.Wait)
+	if !f.mirror.wait(ctx, request.Operator, request.Endpoints, request.Wait) {
+		return readAnswer{}, fault.New(fault.PlatformDown, "this process's own reads of the store fail", "ask another delegate or the store")
+	}
 	operator, configuration, sent := f.mirror.operatorSince(request.Operator, request.Bare)
 	return readAnswer{
 		Region:    f.delegates.Region,
--- a/internal/follow/delegate_test.go
+++ b/internal/follow/delegate_test.go
@@ -157,6 +157,24 @@
 	wait(t, "the next configuration", func() bool { return versionOf(follower) == 4 })
 }
 
+// TestADelegateThatIsTurnedAwayLetsItsFollowersGo holds the case of mt-flota's trouble-1: the store turned one delegate
+// away and served the others, and its followers kept a key for two seconds that had been taken away.
+func TestADelegateThatIsTurnedAwayLetsItsFollowersGo(t *testing.T) {
+	listener := listen(t)
+	address := listener.Addr().String()
+	store := &fakeStore{config: 1}
+	delegate := startFollower(t, store, Delegates{Self: address, Addresses: []string{address}}, listener)
+	wait(t, "the delegate", func() bool { return versionOf(delegate) == 1 })
+	store.change(func() { store.away = true })
+	wait(t, "the failed read", func() bool {
+		answer, err := delegate.answerFollower(context.Background(), readRequest{Operator: Cursor{Read: true, Version: 99}, Endpoints: Cursor{Read: true, Version: 99}, Wait: patience})
+		return err != nil && answer.Age == 0
+	})
+	own := &fakeStore{config: 2}
+	follower := startFollower(t, own, Delegates{Addresses: []string{address}}, nil)
+	wait(t, "the configuration that the delegate lacks", func() bool { return versionOf(follower) == 2 })
+}
+
 // TestADelegateThatLagsBringsNothingBack lets a follower go on from the store's cursor at a delegate that is behind.
 func TestADelegateThatLagsBringsNothingBack(t *testing.T) {
 	m := newMirror()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -129,6 +129,7 @@
 		sent := bootclock.Now()
 		changes, err := f.source.Operator(ctx, cursor, f.pace.OperatorWait)
 		dependency.observe(err)
+		f.mirror.observe(tableOperators, err)
 		if err != nil {
 			cursor = f.recover(ctx, cursor, err)
 			continue
@@ -148,6 +149,7 @@
 		sent := bootclock.Now()
 		changes, err := f.source.Endpoints(ctx, cursor)
 		dependency.observe(err)
+		f.mirror.observe(tableEndpoints, err)
 		if err != nil {
 			cursor = f.recover(ctx, cursor, err)
 			continue
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"reflect"
 	"sync"
 	"time"
@@ -29,9 +30,28 @@
 	wanted          map[core.Model]mirrored[int64]
 	listed          map[catalog.EndpointID]mirrored[*catalog.Endpoint] // nil for one that is gone
 	horizon         uint64                                             // removals up to it are forgotten
+	failing         map[string]bool                                    // tables whose last read failed
 	changed         chan struct{}
 }
 
+// The tables, as a mirror names them.
+const (
+	tableOperators = "operators"
+	tableEndpoints = "endpoints"
+)
+
+// observe takes note of a read of a table. Followers are not left waiting at a delegate whose own reads fail.
+func (m *mirror) observe(table string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	failed := err != nil && !errors.Is(err, ErrHistoryGone)
+	if m.failing[table] == failed {
+		return
+	}
+	m.failing[table] = failed
+	m.wake()
+}
+
 // mirrored is a value with the version of the read that brought it.
 type mirrored[T any] struct {
 	value T
@@ -44,6 +64,7 @@
 		evacuations: make(map[core.FailureDomain]mirrored[bool]),
 		wanted:      make(map[core.Model]mirrored[int64]),
 		listed:      make(map[catalog.EndpointID]mirrored[*catalog.Endpoint]),
+		failing:     make(map[string]bool),
 		changed:     make(chan struct{}),
 	}
 }
@@ -141,23 +162,24 @@
 	m.changed = make(chan struct{})
 }
 
-// wait returns when something is newer than the cursors, or after the time.
-func (m *mirror) wait(ctx context.Context, operator, endpoints Cursor, limit time.Duration) {
+// wait returns when something is newer than the cursors, or after the time. It returns false at once while reads fail.
+func (m *mirror) wait(ctx context.Context, operator, endpoints Cursor, limit time.Duration) bool {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
 		news := m.newer(operator, endpoints)
+		failing := m.failing[tableOperators] || m.failing[tableEndpoints]
 		changed := m.changed
 		m.mu.Unlock()
-		if news {
-			return
+		if failing || news {
+			return !failing
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return true
 		case <-timer.C:
-			return
+			return true
 		case <-changed:
 		}
 	}
