--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -102,7 +102,7 @@
 	if _, known := f.Age(); !known || !f.reads {
 		return readAnswer{}, fault.New(fault.NotReady, "this process reads no store for others, or has read nothing yet", "ask another delegate")
 	}
-	if !f.mirror.wait(ctx, request.Operator, request.Endpoints, request.Wait) {
+	if !f.mirror.wait(ctx, request.Operator, request.Endpoints, request.Wait) && request.Operator.Read {
 		return readAnswer{}, fault.New(fault.PlatformDown, "this process's own reads of the store fail", "ask another delegate or the store")
 	}
 	operator, configuration, sent := f.mirror.operatorSince(request.Operator, request.Bare)
@@ -134,7 +134,8 @@
 	}
 }
 
-// askDelegates returns the answer of the first delegate that has a fresh one.
+// askDelegates returns the answer of the first delegate that has a fresh one. A process that knows nothing yet takes an
+// old one, with its age: in an outage of the store that is what is to be had.
 func (f *Follower) askDelegates(ctx context.Context, delegates []*delegate, request readRequest) (readAnswer, error) {
 	err := error(fault.New(fault.Interrupted, "no delegate answers", "check the processes at the seeds' addresses; the store is read instead"))
 	for _, d := range order(delegates, f.delegates.Region, bootclock.Now()) {
@@ -145,7 +146,7 @@
 		if err == nil {
 			answer.Operator.Configuration, err = answer.Packed.unpack()
 		}
-		if err == nil && answer.Age <= request.Wait+delegateAge {
+		if err == nil && (answer.Age <= request.Wait+delegateAge || !request.Operator.Read) {
 			d.region = answer.Region
 			return answer, nil
 		}
--- a/internal/follow/delegate_test.go
+++ b/internal/follow/delegate_test.go
@@ -175,6 +175,23 @@
 	wait(t, "the configuration that the delegate lacks", func() bool { return versionOf(follower) == 2 })
 }
 
+// TestAProcessThatStartsInAnOutageTakesWhatADelegateHas restarts a gateway while the store is away, as in mt-flota's
+// incident.
+func TestAProcessThatStartsInAnOutageTakesWhatADelegateHas(t *testing.T) {
+	listener := listen(t)
+	address := listener.Addr().String()
+	store := &fakeStore{config: 1}
+	delegate := startFollower(t, store, Delegates{Self: address, Addresses: []string{address}}, listener)
+	wait(t, "the delegate", func() bool { return versionOf(delegate) == 1 })
+	store.change(func() { store.away = true })
+	wait(t, "the outage", func() bool { age, _ := delegate.Age(); return age > 50*time.Millisecond })
+	follower := startFollower(t, &fakeStore{away: true}, Delegates{Addresses: []string{address}}, nil)
+	wait(t, "the old configuration", func() bool { return versionOf(follower) == 1 })
+	if age, known := follower.Age(); !known || age < 50*time.Millisecond {
+		t.Errorf("the age of an old view is %v, %v", age, known)
+	}
+}
+
 // TestADelegateThatLagsBringsNothingBack lets a follower go on from the store's cursor at a delegate that is behind.
 func TestADelegateThatLagsBringsNothingBack(t *testing.T) {
 	m := newMirror()
