Silent plain endpoints are passed over; a stream that broke off gets more picks

TestASilentEndpointIsPassedOverByWhatMayBeRepeated failed before: a repeatable request waited for a silent endpoint until its route's time was over.

--- a/internal/gateway/flow.go
+++ b/internal/gateway/flow.go
@@ -16,6 +16,7 @@
 
 const (
 	maxPicks        = 4                // endpoints that one request is offered to, those that refuse it included
+	morePicks       = 3                // for a request that an endpoint broke off
 	defaultPatience = 30 * time.Second // of a caller that states none, on a route without a time-out
 	// lastMoment is kept of the caller's patience for the answer to get back to it.
 	lastMoment = 20 * time.Millisecond
@@ -74,7 +75,7 @@
 func (f *flow) run() {
 	defer f.end()
 	f.g.budget(f.service).Earn()
-	for range maxPicks {
+	for len(f.tried) < f.mostPicks() {
 		endpoint := f.pick()
 		if endpoint == nil {
 			break
@@ -91,6 +92,14 @@
 	f.giveUp()
 }
 
+// mostPicks is how many endpoints the call may be offered to. What has begun is worth more than what has not.
+func (f *flow) mostPicks() int {
+	if f.runs > 0 {
+		return maxPicks + morePicks
+	}
+	return maxPicks
+}
+
 // log writes the line of a request that got an endpoint's answer.
 func (f *flow) log(endpoint *catalog.Endpoint) {
 	telemetry.Answered(f.route.Name, "answered", f.untilAnswer())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -296,3 +296,28 @@
 		t.Errorf("%d, connection closed: %v while draining", got.status, got.closing)
 	}
 }
+
+// TestASilentEndpointIsPassedOverByWhatMayBeRepeated lets one of two endpoints take requests and answer nothing.
+func TestASilentEndpointIsPassedOverByWhatMayBeRepeated(t *testing.T) {
+	w := newWorld(t)
+	first, second := w.runner("r1", "e"), w.runner("r2", "e")
+	quick := routes()
+	for _, route := range quick {
+		route["target-latency-ms"] = 100
+	}
+	w.configure(quick, "key-1")
+	w.wait("the objective", func() bool {
+		return w.gateway.follower.View().Route("h.example", pathSafe).Objective > 0
+	})
+	release := make(chan struct{})
+	defer close(release)
+	first.SetAnswer(func(http.ResponseWriter, platformtest.Run) { <-release })
+	for range 6 {
+		if got := w.call(pathSafe, nil); got.status != http.StatusOK || got.header.Get("X-Server-Seal") != "seal-of-r2" {
+			t.Errorf("%d", got.status)
+		}
+	}
+	if len(second.Runs()) != 6 {
+		t.Errorf("%d answers came from the other endpoint", len(second.Runs()))
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -16,13 +16,20 @@
 	timer *time.Timer // nil when the attempt may take as long as its caller waits
 }
 
+// answerShare of a route's objective is waited for the answer of a plain service that may be asked twice: what takes
+// longer is late already, and another endpoint still answers before the route's time is over.
+const answerShare = 1.3
+
 // newWatch watches an attempt if another endpoint may still be tried instead.
 func (f *flow) newWatch(end context.CancelFunc) *watch {
-	repeatable := f.route.Resumable && f.route.Repeat == catalog.Idempotent
-	if !repeatable || f.runs+1 >= f.route.MaxAttempts {
+	if f.route.Repeat != catalog.Idempotent || f.runs+1 >= f.route.MaxAttempts {
 		return &watch{}
 	}
-	return &watch{timer: time.AfterFunc(stallLimit, end)}
+	limit := stallLimit
+	if !f.route.Streams && f.route.Objective > 0 {
+		limit = time.Duration(answerShare * float64(f.route.Objective))
+	}
+	return &watch{timer: time.AfterFunc(limit, end)}
 }
 
 // progress says that a part of the answer arrived.
