The version before is brought too while the newest is not to be had

Change: a sidecar has both for goals, loads the newest that is complete, and the older one only when the engine has to leave what it runs. TestTheVersionBeforeIsLoadedWhenTheNewestCannotBeHad failed before. TestTheGateHoldsTheEngineAtItsSlots failed once in three: it released the engine before the second admitted request had reached it; it waits for both.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -37,6 +37,14 @@
 	return n[len(n)-1].Version
 }
 
+// Before returns the version that was named before the newest one, 0 for none.
+func (n Namings) Before() int64 {
+	if len(n) < 2 {
+		return 0
+	}
+	return n[len(n)-2].Version
+}
+
 // Required returns the oldest version that may still run the model's requests when each has to be replaced within the
 // bound after a newer one was named; 0 for any.
 func (n Namings) Required(now, bound time.Duration) int64 {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -110,6 +110,7 @@
 	mu     sync.Mutex
 	pieces int
 	spoilt bool
+	lacks  int64 // a version whose pieces it does not give; 0 for none
 }
 
 func (o *fakeOrigin) Manifest(_ context.Context, _ string, _ core.Model, version int64) (weights.Manifest, error) {
@@ -123,6 +124,9 @@
 func (o *fakeOrigin) Piece(_ context.Context, _ string, _ core.Model, version int64, piece int) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if version == o.lacks {
+		return nil, fault.New(fault.Interrupted, "away", "wait")
+	}
 	o.pieces++
 	raw := pieceOf(version, piece)
 	if !o.spoilt {
@@ -224,6 +228,27 @@
 	}
 }
 
+// TestTheVersionBeforeIsLoadedWhenTheNewestCannotBeHad names two versions of which the origin gives the first: on the
+// days on which the origin crashed between them, all engines had to stop on the version before both.
+func TestTheVersionBeforeIsLoadedWhenTheNewestCannotBeHad(t *testing.T) {
+	engine := &fakeEngine{staged: make(map[int][]byte), spoil: -1}
+	origin := &fakeOrigin{lacks: 3}
+	source := &fakeSource{}
+	s := newSidecar(t, engine, origin, source, "127.0.0.1:9")
+	wait(t, "version 1", func() bool { return s.serving.Load() == 1 })
+	source.name(2)
+	wait(t, "the naming", func() bool { return s.follower.View().Wanted[model].Newest() == 2 })
+	source.name(3)
+	wait(t, "version 2", func() bool { version, _, _ := engine.holds(); return version == 2 })
+	origin.mu.Lock()
+	origin.lacks = 0
+	origin.mu.Unlock()
+	wait(t, "version 3", func() bool { return s.serving.Load() == 3 })
+	if _, loads, wrong := engine.holds(); loads != 3 || wrong != 0 {
+		t.Errorf("%d loads, %d wrong pieces", loads, wrong)
+	}
+}
+
 // TestStagedPiecesAreNotFetchedAgain starts beside an engine that runs the version.
 func TestStagedPiecesAreNotFetchedAgain(t *testing.T) {
 	engine := &fakeEngine{staged: make(map[int][]byte), spoil: -1, version: 1}
@@ -278,6 +303,11 @@
 		refused++
 		_ = answer.Body.Close()
 	}
+	wait(t, "both admitted requests to reach the engine", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return running == 2
+	})
 	close(release)
 	for range 2 {
 		answer := <-results
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -31,29 +32,39 @@
 	manifestDoubt = 3 * time.Second
 	// dueMargin before a version has to be left: a request that is let in then begins in time.
 	dueMargin = 500 * time.Millisecond
+	// manifestTimeout is short, since an origin that is away must not hold up what can be had from others.
+	manifestTimeout = 800 * time.Millisecond
+	manifestRetry   = 300 * time.Millisecond // long against a round trip to the origin
+	// supersededMargin before a version has to be left, the one after it is loaded if the newest cannot be had yet.
+	supersededMargin = 700 * time.Millisecond
+	// flowing weights had a chunk within this time: several chunks take as long on a machine's link.
+	flowing = 300 * time.Millisecond
 )
 
-// target is the model and the version that the engine should run.
-type target struct {
-	model   core.Model
-	version int64
-}
-
-// keeper brings the engine to the wanted version.
-type keeper struct {
-	sidecar  *Sidecar
-	target   target
-	named    time.Duration // when this process heard of the target, on the boot clock
+// goal is a version that the engine should run.
+type goal struct {
+	version  int64
+	named    time.Duration // when this process heard of it, on the boot clock
 	manifest *weights.Manifest
 	id       core.VersionID
-	begun    bool         // the distributor was told of the version
-	staged   map[int]bool // pieces of the target that lie staged, as far as known
-	hosts    []core.Host  // that the distributor was told of
-	listed   time.Duration
+	retryAt  time.Duration // when the manifest may be asked for again
 	have     int           // chunks at the last progress
 	advanced time.Duration // when the last chunk arrived
 }
 
+// keeper brings the engine to the newest version. While a newer one is named before the last is everywhere, it has both
+// for goals: the older one has to do if the newer one's weights cannot be had in time.
+type keeper struct {
+	sidecar *Sidecar
+	model   core.Model
+	goals   []*goal      // oldest first
+	told    int          // goals that the distributor was told of
+	staging int64        // version of which pieces were staged
+	staged  map[int]bool // its pieces that lie staged, as far as known
+	hosts   []core.Host  // that the distributor was told of
+	listed  time.Duration
+}
+
 // keepVersion brings the engine to the wanted version, again and again, until the context ends.
 func (s *Sidecar) keepVersion(ctx context.Context) {
 	k := &keeper{sidecar: s}
@@ -61,7 +72,7 @@
 	defer ticker.Stop()
 	for {
 		if err := k.check(ctx); err != nil && ctx.Err() == nil {
-			s.logger.Warn().Err(err).Str("model", string(k.target.model)).Int64("version", k.target.version).Msg("version not brought yet")
+			s.logger.Warn().Err(err).Str("model", string(k.model)).Msg("version not brought yet")
 		}
 		select {
 		case <-ctx.Done():
@@ -73,52 +84,73 @@
 	}
 }
 
-// check takes the next steps towards the wanted version. Weights are brought also while the engine cannot be reached.
+// check takes the next steps towards the newest version. Weights are brought also while the engine cannot be reached.
 func (k *keeper) check(ctx context.Context) error {
 	s := k.sidecar
 	view := s.follower.View()
 	if view.Index == nil {
 		return nil
 	}
-	wanted, ok := s.wanted(view)
+	model, ok := s.model(view)
 	if !ok {
 		return nil
 	}
-	if wanted != k.target {
-		k.aim(wanted)
-	}
 	report, unreachable := s.engine.Report(ctx)
 	s.reading.SetPace(report.Pace)
-	loaded := report.Loaded[wanted.model]
-	due, leaving := view.Wanted[wanted.model].Due(loaded, s.settings.VersionMs.Duration())
+	loaded := report.Loaded[model]
+	k.aim(model, view.Wanted[model], loaded)
+	due, leaving := view.Wanted[model].Due(loaded, s.settings.VersionMs.Duration())
 	late := leaving && bootclock.Now() > due-dueMargin
 	s.serve(loaded, unreachable != nil || report.Busy || late)
 	if unreachable != nil && !k.othersServe(view) {
 		return unreachable // it may come up with the weights
 	}
-	if err := k.bring(ctx, view); err != nil {
-		return err
-	}
-	if unreachable != nil || report.Busy || loaded == wanted.version || !k.begun {
+	missing := k.bring(ctx, view)
+	if unreachable != nil || report.Busy || loaded == k.newest().version || k.told == 0 {
 		s.leaving.Store(0)
-		return unreachable
+		return errors.Join(unreachable, missing)
 	}
-	if err := k.stageArrived(ctx); err != nil {
+	return errors.Join(missing, k.change(ctx, view, loaded, due))
+}
+
+// change stages the version that comes next and orders the engine to load it when its turn has come.
+func (k *keeper) change(ctx context.Context, view *catalog.View, loaded int64, due time.Duration) error {
+	next := k.next()
+	if err := k.stageArrived(ctx, next); err != nil {
 		return err
 	}
-	turn := k.turn(view, due)
-	complete := len(k.staged) == len(k.manifest.Chunks)
-	k.announceTurn(turn, complete)
+	turn := k.turn(view, next, due)
+	complete := len(k.staged) == len(next.manifest.Chunks)
+	k.announceTurn(turn, complete || bootclock.Now()-next.advanced < flowing)
 	if !complete || loaded > 0 && bootclock.Now() < turn {
 		return nil
 	}
-	return k.load(ctx)
+	return k.load(ctx, next)
+}
+
+// next returns the newest goal whose weights are complete, or else the newest with a manifest.
+func (k *keeper) next() *goal {
+	var newest *goal
+	for _, g := range slices.Backward(k.goals) {
+		if g.manifest == nil {
+			continue
+		}
+		if progress, known := k.sidecar.distributor.Progress(g.id); known && progress.Have == progress.Total {
+			return g
+		}
+		if newest == nil {
+			newest = g
+		}
+	}
+	return newest
 }
 
-// announceTurn lets the gate know when the engine has to be empty. Nothing is known while the turn has passed and
-// weights are missing.
-func (k *keeper) announceTurn(turn time.Duration, complete bool) {
-	if !complete && bootclock.Now() > turn {
+func (k *keeper) newest() *goal { return k.goals[len(k.goals)-1] }
+
+// announceTurn lets the gate know when the engine has to be empty. Nothing is known while the turn has passed, or while
+// the weights do not arrive.
+func (k *keeper) announceTurn(turn time.Duration, arriving bool) {
+	if !arriving {
 		turn = 0
 	}
 	k.sidecar.leaving.Store(int64(turn))
@@ -134,69 +166,95 @@
 	}
 }
 
-// wanted returns the version that the engine of this sidecar should run.
-func (s *Sidecar) wanted(view *catalog.View) (target, bool) {
+// model returns the model that the engine of this sidecar runs.
+func (s *Sidecar) model(view *catalog.View) (core.Model, bool) {
 	service := view.Service(s.settings.Service)
 	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
-		return target{}, false
+		return "", false
 	}
-	model := service.Engine.Models[0]
-	return target{model: model, version: max(firstVersion, view.Wanted[model].Newest())}, true
+	return service.Engine.Models[0], true
 }
 
-func (k *keeper) aim(wanted target) {
-	k.sidecar.logger.Info().Str("model", string(wanted.model)).Int64("version", wanted.version).Msg("version wanted")
-	*k = keeper{sidecar: k.sidecar, target: wanted, named: bootclock.Now(), staged: make(map[int]bool)}
-	k.advanced = k.named
+// aim sets the goals: the two newest versions that the engine has not reached. An engine without weights needs no older
+// one.
+func (k *keeper) aim(model core.Model, namings catalog.Namings, loaded int64) {
+	versions := []int64{max(firstVersion, namings.Newest())}
+	if before := namings.Before(); loaded > 0 && loaded < before {
+		versions = []int64{before, versions[0]}
+	}
+	known := func(g *goal) int64 { return g.version }
+	if k.model == model && slices.EqualFunc(k.goals, versions, func(g *goal, version int64) bool { return known(g) == version }) {
+		return
+	}
+	goals := make([]*goal, 0, len(versions))
+	for _, version := range versions {
+		i := slices.IndexFunc(k.goals, func(g *goal) bool { return k.model == model && known(g) == version })
+		if i >= 0 {
+			goals = append(goals, k.goals[i])
+			continue
+		}
+		now := bootclock.Now()
+		goals = append(goals, &goal{version: version, named: now, advanced: now})
+		k.sidecar.logger.Info().Str("model", string(model)).Int64("version", version).Msg("version wanted")
+	}
+	k.model, k.goals, k.told = model, goals, 0
 	k.sidecar.follower.ReadEndpointsNow()
 }
 
-// othersServe tells whether another engine serves the target, so that its sidecar has the weights.
+// othersServe tells whether another engine serves the newest version, so that its sidecar has the weights.
 func (k *keeper) othersServe(view *catalog.View) bool {
 	return slices.ContainsFunc(view.Listed(k.sidecar.settings.Service), func(endpoint *catalog.Endpoint) bool {
-		version, ok := endpoint.Serves(k.target.model)
-		return ok && version == k.target.version && endpoint.Address != k.sidecar.settings.EngineAddress
+		version, ok := endpoint.Serves(k.model)
+		return ok && version == k.newest().version && endpoint.Address != k.sidecar.settings.EngineAddress
 	})
 }
 
-// turn is when this engine may stop taking requests to load the wanted version.
-func (k *keeper) turn(view *catalog.View, due time.Duration) time.Duration {
+// turn is when this engine may stop taking requests to load the version. One that a newer version supersedes is loaded
+// only when the engine has to leave what it runs.
+func (k *keeper) turn(view *catalog.View, next *goal, due time.Duration) time.Duration {
+	if next != k.newest() {
+		return due - supersededMargin
+	}
 	neighbours, _ := k.sidecar.neighbours(view)
 	hosts := []core.HostID{core.HostID(k.sidecar.settings.Address)}
 	for _, host := range neighbours {
 		hosts = append(hosts, host.ID)
 	}
-	place := placeInTurn(hosts[0], hosts, k.target.version)
-	return turnAt(k.named, due, k.sidecar.settings.VersionMs.Duration(), place)
+	place := placeInTurn(hosts[0], hosts, next.version)
+	return turnAt(next.named, due, k.sidecar.settings.VersionMs.Duration(), place)
 }
 
-// bring keeps the distributor informed of what is wanted and of who else has to hold it.
+// bring keeps the distributor informed of what is wanted and of who else has to hold it. A goal without a manifest holds
+// up no other.
 func (k *keeper) bring(ctx context.Context, view *catalog.View) error {
 	hosts, listed := k.sidecar.neighbours(view)
 	now := bootclock.Now()
-	if !listed && !k.begun && now-k.named < listPatience && !k.othersServe(view) {
+	if !listed && k.told == 0 && now-k.newest().named < listPatience && !k.othersServe(view) {
 		k.sidecar.follower.ReadEndpointsNow()
 		return nil
 	}
-	if err := k.fetchManifest(ctx, view); err != nil {
-		return err
-	}
 	if !slices.Equal(hosts, k.hosts) {
 		k.hosts = hosts
 		k.sidecar.distributor.SetPeers(ctx, hosts)
 	}
-	if !k.begun {
-		k.begin(ctx, view)
+	var missing error
+	for _, g := range k.goals {
+		missing = errors.Join(missing, k.fetchManifest(ctx, view, g))
 	}
+	k.tell(ctx, view)
 	k.observeProgress(now)
-	return nil
+	return missing
 }
 
-func (k *keeper) fetchManifest(ctx context.Context, view *catalog.View) error {
-	if k.manifest != nil {
+func (k *keeper) fetchManifest(ctx context.Context, view *catalog.View, g *goal) error {
+	now := bootclock.Now()
+	if g.manifest != nil || now < g.retryAt {
 		return nil
 	}
-	manifest, err := k.sidecar.origin.Manifest(ctx, view.Origin().Address, k.target.model, k.target.version)
+	g.retryAt = now + manifestRetry
+	call, stop := context.WithTimeout(ctx, manifestTimeout)
+	defer stop()
+	manifest, err := k.sidecar.origin.Manifest(call, view.Origin().Address, k.model, g.version)
 	if err != nil {
 		return err
 	}
@@ -204,41 +262,57 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the manifest cannot be encoded", "report this")
 	}
-	k.manifest, k.id = &manifest, id
+	g.manifest, g.id = &manifest, id
 	return nil
 }
 
-func (k *keeper) begin(ctx context.Context, view *catalog.View) {
-	s := k.sidecar
-	k.begun = true
-	k.takeStaged(ctx)
+// tell hands the goals that have a manifest to the distributor when they have changed.
+func (k *keeper) tell(ctx context.Context, view *catalog.View) {
 	inRegion := 1
 	for _, host := range k.hosts {
-		if host.Region == s.settings.Region {
+		if host.Region == k.sidecar.settings.Region {
 			inRegion++
 		}
 	}
-	s.distributor.Want(ctx, []plan.Version{{ID: k.id, Manifest: *k.manifest, Hosts: inRegion, OriginGap: view.Origin().Time(k.manifest.ChunkBytes)}})
+	var wanted []plan.Version
+	for _, g := range k.goals {
+		if g.manifest != nil {
+			wanted = append(wanted, plan.Version{ID: g.id, Manifest: *g.manifest, Hosts: inRegion, OriginGap: view.Origin().Time(g.manifest.ChunkBytes)})
+		}
+	}
+	if len(wanted) == k.told {
+		return
+	}
+	k.told = len(wanted)
+	for _, g := range k.goals {
+		k.takeStaged(ctx, g)
+	}
+	k.sidecar.distributor.Want(ctx, wanted)
 }
 
-// observeProgress reads the registry now and then while chunks are missing, and doubts the manifest when none arrives.
+// observeProgress reads the registry now and then while chunks are missing, and doubts a manifest when none arrives.
 func (k *keeper) observeProgress(now time.Duration) {
-	progress, known := k.sidecar.distributor.Progress(k.id)
-	if known && progress.Have == progress.Total {
-		return
-	}
-	if progress.Have != k.have {
-		k.have, k.advanced = progress.Have, now
+	missing := false
+	for _, g := range k.goals {
+		progress, known := k.sidecar.distributor.Progress(g.id)
+		if g.manifest == nil || known && progress.Have == progress.Total {
+			continue
+		}
+		missing = true
+		if progress.Have != g.have {
+			g.have, g.advanced = progress.Have, now
+		}
+		if now-g.advanced > manifestDoubt {
+			k.sidecar.logger.Warn().Str("manifest", string(g.id)).Int64("version", g.version).Int("have", progress.Have).Msg("no chunk arrives; manifest is fetched again")
+			g.advanced = now
+			g.manifest = nil
+			k.told = 0
+		}
 	}
-	if now-k.listed > listInterval {
+	if missing && now-k.listed > listInterval {
 		k.listed = now
 		k.sidecar.follower.ReadEndpointsNow()
 	}
-	if now-k.advanced > manifestDoubt {
-		k.sidecar.logger.Warn().Str("manifest", string(k.id)).Int("have", progress.Have).Msg("no chunk arrives; manifest is fetched again")
-		k.advanced = now
-		k.manifest, k.begun = nil, false
-	}
 }
 
 // pieces fetches chunks from the origin for the distributor. The object's name is the version's number.
@@ -247,10 +321,10 @@
 // FetchRange implements platform.Origin. A chunk is a piece.
 func (p *pieces) FetchRange(ctx context.Context, object string, offset, length int64) ([]byte, error) {
 	view := p.sidecar.follower.View()
-	wanted, ok := p.sidecar.wanted(view)
+	model, ok := p.sidecar.model(view)
 	version, err := strconv.ParseInt(object, 10, 64)
 	if !ok || err != nil {
 		return nil, fault.New(fault.NotFound, "no version "+object+" is wanted", "wait for the configuration")
 	}
-	return p.sidecar.origin.Piece(ctx, view.Origin().Address, wanted.model, version, int(offset/length))
+	return p.sidecar.origin.Piece(ctx, view.Origin().Address, model, version, int(offset/length))
 }
