--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,17 +16,17 @@
 	w := newWorld(t)
 	r := w.runner("r1", "e")
 	got := w.call(pathOnce+"?x=%2F", func(request *http.Request) {
-		request.Header.Set("X-Tenant", "forged")
+		request.Header.Set(platformtest.HeaderWorkspace, "forged")
 		request.Header.Set("Accept", "text/plain")
 	})
-	if got.status != http.StatusOK || got.body != "ok" || got.header.Get("X-Server-Seal") != "seal-of-r1" || got.header.Get("X-Attempt-Id") != "attempt-1" {
+	if got.status != http.StatusOK || got.body != "ok" || got.header.Get(platformtest.HeaderSignature) != "seal-of-r1" || got.header.Get(platformtest.HeaderAttempt) != "attempt-1" {
 		t.Errorf("%+v", got)
 	}
 	run := r.Runs()[0]
 	if run.Target != pathOnce+"?x=%2F" || run.Body != "body" || run.Method != http.MethodPost || run.Instance != "r1" || run.Tenant != "space" {
 		t.Errorf("%+v ran", run)
 	}
-	if run.Header.Get("Authorization") != "" || run.Header.Get("Accept") != "text/plain" || run.Header.Get("User-Agent") != "Go-http-client/1.1" {
+	if run.Header.Get(platformtest.HeaderKey) != "" || run.Header.Get("Accept") != "text/plain" || run.Header.Get("User-Agent") != "Go-http-client/1.1" {
 		t.Errorf("header %v", run.Header)
 	}
 	if left, err := strconv.Atoi(run.Deadline); err != nil || left <= 0 || left > 4000 {
@@ -44,9 +44,9 @@
 	}{
 		{"no route", "/none/1", nil, http.StatusNotFound},
 		{"other host", pathOnce, func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
-		{"unknown key", pathOnce, func(r *http.Request) { r.Header.Set("Authorization", "Token other") }, http.StatusUnauthorized},
-		{"no key", pathOnce, func(r *http.Request) { r.Header.Del("Authorization") }, http.StatusUnauthorized},
-		{"bad deadline", pathOnce, func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "soon") }, http.StatusBadRequest},
+		{"unknown key", pathOnce, func(r *http.Request) { r.Header.Set(platformtest.HeaderKey, platformtest.KeyScheme+"other") }, http.StatusUnauthorized},
+		{"no key", pathOnce, func(r *http.Request) { r.Header.Del(platformtest.HeaderKey) }, http.StatusUnauthorized},
+		{"bad deadline", pathOnce, func(r *http.Request) { r.Header.Set(platformtest.HeaderDeadline, "soon") }, http.StatusBadRequest},
 		{"long body", pathOnce, func(r *http.Request) {
 			r.Body, r.ContentLength = http.NoBody, 0
 			r.Body = readCloser{strings.NewReader(strings.Repeat("x", 2000))}
@@ -73,7 +73,7 @@
 func TestAPublicRouteNeedsNoKey(t *testing.T) {
 	w := newWorld(t)
 	r := w.runner("r1", "e")
-	got := w.call(pathPublic, func(request *http.Request) { request.Header.Del("Authorization") })
+	got := w.call(pathPublic, func(request *http.Request) { request.Header.Del(platformtest.HeaderKey) })
 	if got.status != http.StatusOK || r.Runs()[0].Tenant != "" {
 		t.Errorf("%+v", got)
 	}
@@ -131,8 +131,8 @@
 	r := w.runner("r1", "e")
 	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
 		r.SetAnswer(func(rw http.ResponseWriter, run platformtest.Run) { r.Reply(rw, run, status, "no") })
-		if got := w.call(pathOnce, nil); got.status != http.StatusBadGateway || got.header.Get("X-Server-Seal") != "" {
-			t.Errorf("%d became %d, signed %q", status, got.status, got.header.Get("X-Server-Seal"))
+		if got := w.call(pathOnce, nil); got.status != http.StatusBadGateway || got.header.Get(platformtest.HeaderSignature) != "" {
+			t.Errorf("%d became %d, signed %q", status, got.status, got.header.Get(platformtest.HeaderSignature))
 		}
 	}
 	r.SetAnswer(func(rw http.ResponseWriter, run platformtest.Run) {
@@ -147,7 +147,7 @@
 	w := newWorld(t)
 	r := w.runner("r1", "e")
 	r.SetAnswer(func(rw http.ResponseWriter, run platformtest.Run) {
-		rw.Header().Set("X-Attempt-Id", run.ID)
+		rw.Header().Set(platformtest.HeaderAttempt, run.ID)
 		_, _ = rw.Write([]byte("unsigned"))
 	})
 	if got := w.call(pathOnce, nil); got.status != http.StatusBadGateway {
@@ -190,8 +190,8 @@
 	}
 	w.runner("r2", "w")
 	for range 5 {
-		if got := w.call(pathHome, nil); got.header.Get("X-Server-Seal") != "seal-of-r2" {
-			t.Errorf("answered by %s", got.header.Get("X-Server-Seal"))
+		if got := w.call(pathHome, nil); got.header.Get(platformtest.HeaderSignature) != "seal-of-r2" {
+			t.Errorf("answered by %s", got.header.Get(platformtest.HeaderSignature))
 		}
 	}
 	if len(east.Runs()) != 0 {
@@ -313,7 +313,7 @@
 	defer close(release)
 	first.SetAnswer(func(http.ResponseWriter, platformtest.Run) { <-release })
 	for range 6 {
-		if got := w.call(pathSafe, nil); got.status != http.StatusOK || got.header.Get("X-Server-Seal") != "seal-of-r2" {
+		if got := w.call(pathSafe, nil); got.status != http.StatusOK || got.header.Get(platformtest.HeaderSignature) != "seal-of-r2" {
 			t.Errorf("%d", got.status)
 		}
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -99,7 +99,7 @@
 	w := newWorld(t)
 	r := w.runner("r1", "e")
 	r.SetAnswer(func(rw http.ResponseWriter, run platformtest.Run) { r.Events(rw, run, 5) })
-	got := w.call(pathStream, func(request *http.Request) { request.Header.Set("Last-Event-Id", "3") })
+	got := w.call(pathStream, func(request *http.Request) { request.Header.Set(platformtest.HeaderResume, "3") })
 	if got.body != strings.TrimPrefix(events(5), events(3)) {
 		t.Errorf("%q", got.body)
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -144,9 +144,9 @@
 		w.t.Fatal(err)
 	}
 	request.Host = "h.example"
-	request.Header.Set("X-Attempt-Id", "attempt-1")
-	request.Header.Set("X-Deadline-Ms", "4000")
-	request.Header.Set("Authorization", "Token key-1")
+	request.Header.Set(platformtest.HeaderAttempt, "attempt-1")
+	request.Header.Set(platformtest.HeaderDeadline, "4000")
+	request.Header.Set(platformtest.HeaderKey, platformtest.KeyScheme+"key-1")
 	if change != nil {
 		change(request)
 	}
