--- a/internal/weights/distribution/distributor.go
+++ b/internal/weights/distribution/distributor.go
@@ -153,12 +153,14 @@
 	clear(d.progress)
 	clear(d.maps)
 	d.manifests = manifests
-	d.wanted = wanted
 	d.mu.Unlock()
 	d.options.Store.Retain(kept)
 	for i := range wanted {
 		wanted[i].Held = d.heldOf(wanted[i].Manifest)
 	}
+	d.mu.Lock()
+	d.wanted = wanted // read by the ticker from here on
+	d.mu.Unlock()
 	d.loop.Post(ctx, plan.VersionsWanted{Stamp: d.stamp(), Versions: wanted})
 }
 
