The time since a version was named is counted once

Traced (run with the keeper's inputs logged): a follower placed a delegate's read at the time its own request was sent less the delegate's age, so the time that the delegate let it wait was counted twice. A version that was named at 20.0 s counted as named at 17.0 s, its predecessor had to be left 3 s early, and the turns of all engines began 1 to 3 s early.

Ruled out: a busy engine after the load (its reports said idle), a blocked keeper, a bound that differs from the site's.

Change: a delegate's answer says how long the read waited, and how long ago the reads that brought the wanted versions were sent; the follower counts from there. A process that asks late learns how long the version has been named instead of counting from its first read.

--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -36,9 +36,11 @@
 // readAnswer is what a delegate knows.
 type readAnswer struct {
 	Region    core.Region
-	Age       time.Duration   // for which the operators' table may have changed unseen by the delegate
-	Operator  OperatorChanges // without the configuration
-	Packed    packed          // configuration, empty when it did not change
+	Waited    time.Duration                // that the delegate let the read wait
+	Age       time.Duration                // for which the operators' table may have changed unseen by the delegate
+	Operator  OperatorChanges              // without the configuration
+	Named     map[core.Model]time.Duration // age of the read that brought the wanted version
+	Packed    packed                       // configuration, empty when it did not change
 	Endpoints EndpointChanges
 }
 
@@ -99,6 +101,7 @@
 }
 
 func (f *Follower) answerFollower(ctx context.Context, request readRequest) (readAnswer, error) {
+	arrived := bootclock.Now()
 	if _, known := f.Age(); !known || !f.reads {
 		return readAnswer{}, fault.New(fault.NotReady, "this process reads no store for others, or has read nothing yet", "ask another delegate")
 	}
@@ -106,10 +109,13 @@
 		return readAnswer{}, fault.New(fault.PlatformDown, "this process's own reads of the store fail", "ask another delegate or the store")
 	}
 	operator, configuration, sent := f.mirror.operatorSince(request.Operator, request.Bare)
+	now := bootclock.Now()
 	return readAnswer{
 		Region:    f.delegates.Region,
-		Age:       bootclock.Now() - sent,
+		Waited:    now - arrived,
+		Age:       now - sent,
 		Operator:  operator,
+		Named:     f.mirror.namedAges(operator.Wanted, now),
 		Packed:    configuration,
 		Endpoints: f.mirror.endpointsSince(request.Endpoints),
 	}, nil
@@ -131,11 +137,22 @@
 		}
 		outage.observe(nil, bootclock.Now())
 		operator, endpoints = answer.Operator.Cursor, answer.Endpoints.Cursor
-		f.loop.Post(ctx, operatorRead{sent: sent - answer.Age, changes: answer.Operator})
+		f.loop.Post(ctx, answer.operatorRead(sent))
 		f.loop.Post(ctx, endpointsRead{sent: sent, now: bootclock.Now(), changes: answer.Endpoints})
 	}
 }
 
+// operatorRead places the delegate's reads on this process's clock. The answer left the delegate no earlier than the
+// time that it waited after the request was sent; how long it was under way is not known.
+func (a readAnswer) operatorRead(sent time.Duration) operatorRead {
+	left := sent + a.Waited
+	read := operatorRead{sent: left - a.Age, named: make(map[core.Model]time.Duration, len(a.Named)), changes: a.Operator}
+	for model, age := range a.Named {
+		read.named[model] = left - age
+	}
+	return read
+}
+
 // askDelegates returns the answer of the first delegate that has a fresh one. A process that knows nothing yet takes an
 // old one, with its age: in an outage of the store that is what is to be had.
 func (f *Follower) askDelegates(ctx context.Context, delegates []*delegate, request readRequest) (readAnswer, error) {
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -56,8 +56,8 @@
 type mirrored[T any] struct {
 	value  T
 	at     uint64
-	seen   time.Duration
-	lapsed bool // gone after an outage of the store
+	seen   time.Duration // the read, on the boot clock
+	lapsed bool          // gone after an outage of the store
 }
 
 func newMirror() *mirror {
@@ -88,7 +88,9 @@
 		m.evacuations[domain] = mirrored[bool]{value: out, at: at}
 	}
 	for model, version := range changes.Wanted {
-		m.wanted[model] = mirrored[int64]{value: version, at: at}
+		if version > m.wanted[model].value {
+			m.wanted[model] = mirrored[int64]{value: version, at: at, seen: sent}
+		}
 	}
 	m.operator, m.sent = changes.Cursor, sent
 	if news {
@@ -240,6 +242,18 @@
 	return changes, configuration, m.sent
 }
 
+// namedAges returns for how long at most the wanted versions have been named: since the reads that brought them were
+// sent.
+func (m *mirror) namedAges(wanted map[core.Model]int64, now time.Duration) map[core.Model]time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ages := make(map[core.Model]time.Duration, len(wanted))
+	for model := range wanted {
+		ages[model] = now - m.wanted[model].seen
+	}
+	return ages
+}
+
 // endpointsSince returns the changes since the cursor.
 func (m *mirror) endpointsSince(since Cursor) EndpointChanges {
 	m.mu.Lock()
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -21,10 +21,19 @@
 
 type operatorRead struct {
 	reduce.IsEvent
-	sent    time.Duration // when the read was sent, on the boot clock
+	sent    time.Duration                // when the read was sent, on the boot clock
+	named   map[core.Model]time.Duration // when the reads were sent that brought the wanted versions; without: sent
 	changes OperatorChanges
 }
 
+// namedAt returns the earliest time at which the wanted version may have been named.
+func (r operatorRead) namedAt(model core.Model) time.Duration {
+	if named, ok := r.named[model]; ok {
+		return named
+	}
+	return r.sent
+}
+
 type endpointsRead struct {
 	reduce.IsEvent
 	sent    time.Duration
@@ -113,7 +122,7 @@
 		if version <= s.wanted[model].Newest() {
 			continue
 		}
-		s.wanted[model] = s.wanted[model].With(catalog.Naming{Version: version, Seen: event.sent})
+		s.wanted[model] = s.wanted[model].With(catalog.Naming{Version: version, Seen: event.namedAt(model)})
 		s.emit(report{change: "model version wanted", name: string(model), version: version})
 		changed = true
 	}
