A version between is loaded in turns while the origin is away

Version 2 lay complete beside every engine from 21 s on, but was loaded by all of them together at 25 s, just before version 1 was due; and it was left again up to a second early, as a naming counted from the time at which the long poll that brought it was sent.

Ruled out: the newest version in time (the origin is back at 27 s, weights take 3 s).

Change: after one second without a chunk of the newest version its predecessor takes its ordinary turns. A naming is placed by the store's steady clock (follow/clock.go): a read that waited is answered when the change comes, so the change is about as old as the answer. A jump of the store's clock cannot move a naming out of its read.

--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -39,7 +39,7 @@
 	Waited    time.Duration                // that the delegate let the read wait
 	Age       time.Duration                // for which the operators' table may have changed unseen by the delegate
 	Operator  OperatorChanges              // without the configuration
-	Named     map[core.Model]time.Duration // age of the read that brought the wanted version
+	Named     map[core.Model]time.Duration // for how long at most the wanted versions have been named
 	Packed    packed                       // configuration, empty when it did not change
 	Endpoints EndpointChanges
 }
--- a/internal/follow/delegate_test.go
+++ b/internal/follow/delegate_test.go
@@ -237,7 +237,7 @@
 func TestEvacuationsThatEndedUnseenEndAtFollowers(t *testing.T) {
 	m := newMirror()
 	first := OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 1}, Evacuations: map[core.FailureDomain]bool{"x": true}}
-	if err := errors.Join(m.addOperator(0, first), m.addOperator(0, OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 5}})); err != nil {
+	if err := errors.Join(m.addOperator(operatorRead{changes: first}), m.addOperator(operatorRead{changes: OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 5}}})); err != nil {
 		t.Fatal(err)
 	}
 	got, _, _ := m.operatorSince(Cursor{Read: true, Version: 1}, false)
@@ -263,7 +263,7 @@
 		configuration.Routes = append(configuration.Routes, catalog.Route{Name: "r-" + host, Host: host + ".example", Prefix: "/" + host + "/", Timeout: time.Second, Backends: []catalog.Backend{{Service: "s", Weight: 1}}})
 	}
 	m := newMirror()
-	if err := m.addOperator(0, OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 1}, Configuration: configuration}); err != nil {
+	if err := m.addOperator(operatorRead{changes: OperatorChanges{Whole: true, Cursor: Cursor{Read: true, Version: 1}, Configuration: configuration}}); err != nil {
 		t.Fatal(err)
 	}
 	_, whole, _ := m.operatorSince(Cursor{}, false)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -34,6 +34,7 @@
 	Configuration *catalog.Configuration      // nil when it did not change
 	Evacuations   map[core.FailureDomain]bool // false for one that was taken back
 	Wanted        map[core.Model]int64        // versions that were named
+	StoreTime     time.Duration               // of the answer, on the store's own steady clock; 0 if it does not tell
 }
 
 // EndpointChanges is what the service registry lists.
@@ -128,6 +129,7 @@
 
 func (f *Follower) readOperator(ctx context.Context) {
 	dependency := dependency{name: "operators' table of the store", logger: f.logger}
+	var clock storeClock
 	var cursor Cursor
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
@@ -139,10 +141,11 @@
 			continue
 		}
 		cursor = changes.Cursor
-		if err := f.mirror.addOperator(sent, changes); err != nil {
+		read := operatorRead{sent: sent, named: clock.named(sent, bootclock.Now(), changes), changes: changes}
+		if err := f.mirror.addOperator(read); err != nil {
 			f.logger.Error().Err(err).Msg("configuration not offered to followers")
 		}
-		f.loop.Post(ctx, operatorRead{sent: sent, changes: changes})
+		f.loop.Post(ctx, read)
 	}
 }
 
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -56,7 +56,7 @@
 type mirrored[T any] struct {
 	value  T
 	at     uint64
-	seen   time.Duration // the read, on the boot clock
+	seen   time.Duration // when it was read, or of a wanted version named at the earliest, on the boot clock
 	lapsed bool          // gone after an outage of the store
 }
 
@@ -71,9 +71,10 @@
 }
 
 // addOperator takes over a read of the operators' table.
-func (m *mirror) addOperator(sent time.Duration, changes OperatorChanges) error {
+func (m *mirror) addOperator(read operatorRead) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	changes := read.changes
 	at := changes.Cursor.Version
 	news := changes.Configuration != nil || len(changes.Evacuations) > 0 || len(changes.Wanted) > 0
 	if err := m.setConfiguration(changes.Configuration, at); err != nil {
@@ -89,10 +90,10 @@
 	}
 	for model, version := range changes.Wanted {
 		if version > m.wanted[model].value {
-			m.wanted[model] = mirrored[int64]{value: version, at: at, seen: sent}
+			m.wanted[model] = mirrored[int64]{value: version, at: at, seen: read.namedAt(model)}
 		}
 	}
-	m.operator, m.sent = changes.Cursor, sent
+	m.operator, m.sent = changes.Cursor, read.sent
 	if news {
 		m.wake()
 	}
@@ -242,8 +243,7 @@
 	return changes, configuration, m.sent
 }
 
-// namedAges returns for how long at most the wanted versions have been named: since the reads that brought them were
-// sent.
+// namedAges returns for how long at most the wanted versions have been named.
 func (m *mirror) namedAges(wanted map[core.Model]int64, now time.Duration) map[core.Model]time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -22,7 +22,7 @@
 type operatorRead struct {
 	reduce.IsEvent
 	sent    time.Duration                // when the read was sent, on the boot clock
-	named   map[core.Model]time.Duration // when the reads were sent that brought the wanted versions; without: sent
+	named   map[core.Model]time.Duration // when the wanted versions were named at the earliest; without: sent
 	changes OperatorChanges
 }
 
--- a/internal/sidecar/turn_test.go
+++ b/internal/sidecar/turn_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/core"
 )
 
@@ -40,3 +41,24 @@
 		t.Errorf("the turn at %v lies after the older version is due at %v", turn, due)
 	}
 }
+
+// While the origin is away the newest version cannot be had before the old one is due: the version between them is
+// loaded in turns as if it were the newest, so that not all engines change at the last moment.
+func TestAVersionBetweenTakesItsTurnsWhileTheOriginIsAway(t *testing.T) {
+	engine := &fakeEngine{staged: make(map[int][]byte), spoil: -1}
+	s := newSidecar(t, engine, &fakeOrigin{}, &fakeSource{}, "127.0.0.1:9")
+	wait(t, "a view", func() bool { return s.follower.View().Index != nil })
+	bound := s.settings.VersionMs.Duration()
+	now := bootclock.Now()
+	due := now + bound
+	between := &goal{version: 2, named: now}
+	newest := &goal{version: 3, named: now, advanced: now}
+	k := &keeper{sidecar: s, model: model, goals: []*goal{between, newest}}
+	if turn := k.turn(s.follower.View(), between, due); turn != due-supersededMargin {
+		t.Errorf("while the newest version arrives the turn is %v before it is due, want %v", due-turn, supersededMargin)
+	}
+	newest.advanced = now - 2*originPatience
+	if turn, want := k.turn(s.follower.View(), between, due), turnAt(now, due, bound, 0); turn != want {
+		t.Errorf("while the origin is away the turn is %v after the naming, want %v", turn-now, want-now)
+	}
+}
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -39,6 +39,9 @@
 	supersededMargin = 700 * time.Millisecond
 	// flowing weights had a chunk within this time: several chunks take as long on a machine's link.
 	flowing = 300 * time.Millisecond
+	// originPatience without a chunk of the newest version, its origin counts as away. It is long against the round trips
+	// of a manifest and a first chunk, and short against the time in which a version has to run.
+	originPatience = time.Second
 )
 
 // goal is a version that the engine should run.
@@ -50,6 +53,7 @@
 	retryAt  time.Duration // when the manifest may be asked for again
 	have     int           // chunks at the last progress
 	advanced time.Duration // when the last chunk arrived
+	doubted  time.Duration // when the manifest was last taken for wrong
 }
 
 // keeper brings the engine to the newest version. While a newer one is named before the last is everywhere, it has both
@@ -209,10 +213,11 @@
 	})
 }
 
-// turn is when this engine may stop taking requests to load the version. One that a newer version supersedes is loaded
-// only when the engine has to leave what it runs.
+// turn is when this engine may stop taking requests to load the version. While the weights of the newest version
+// arrive, the one before it is loaded only when the engine has to leave what it runs.
 func (k *keeper) turn(view *catalog.View, next *goal, due time.Duration) time.Duration {
-	if next != k.newest() {
+	newest := k.newest()
+	if next != newest && bootclock.Now()-newest.advanced < originPatience {
 		return due - supersededMargin
 	}
 	neighbours, _ := k.sidecar.neighbours(view)
@@ -302,9 +307,9 @@
 		if progress.Have != g.have {
 			g.have, g.advanced = progress.Have, now
 		}
-		if now-g.advanced > manifestDoubt {
+		if now-max(g.advanced, g.doubted) > manifestDoubt {
 			k.sidecar.logger.Warn().Str("manifest", string(g.id)).Int64("version", g.version).Int("have", progress.Have).Msg("no chunk arrives; manifest is fetched again")
-			g.advanced = now
+			g.doubted = now
 			g.manifest = nil
 			k.told = 0
 		}
