A cold engine gets no more requests a second than it bears

Cause: the configuration's cold rate was decoded and used nowhere.

Change: entries' cold starts are placed on the reader's clock; the sidecar counts what it sends in any second and refuses what is above the cold rate (admission.ColdRate); a cold engine whose sidecar is away gets nothing from gateways. Plain services with a cold rate are not bounded yet: none of the deployments has one.

--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -19,9 +19,13 @@
 	Slots         int // requests that it runs at once
 	Draining      bool
 	ColdFor       time.Duration // left of its cold start when the entry was written
+	ColdUntil     time.Duration // on the boot clock of the process that read the entry; 0 for one that was not cold
 	Loaded        []Loaded
 }
 
+// Cold tells whether the endpoint is cold at the moment on the boot clock.
+func (e *Endpoint) Cold(now time.Duration) bool { return now < e.ColdUntil }
+
 // Loaded is a model version that an endpoint serves.
 type Loaded struct {
 	Model   core.Model
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -176,7 +176,7 @@
 		if !changes.Whole && (before == nil || before.Draining != endpoint.Draining) {
 			s.emit(believed{endpoint: endpoint.ID, state: stateOf(endpoint)})
 		}
-		s.endpoints[endpoint.ID] = endpoint
+		s.endpoints[endpoint.ID] = placed(endpoint, event.now)
 		delete(s.lapsed, endpoint.ID)
 	}
 	lapsed := changes.Lapsed
@@ -210,6 +210,17 @@
 	delete(s.lapsed, id)
 }
 
+// placed returns the endpoint with its cold start placed on this process's clock. The entry may be older than the read,
+// so that it is taken for cold a little too long.
+func placed(endpoint *catalog.Endpoint, now time.Duration) *catalog.Endpoint {
+	if endpoint.ColdFor <= 0 {
+		return endpoint
+	}
+	copied := *endpoint
+	copied.ColdUntil = now + endpoint.ColdFor
+	return &copied
+}
+
 func stateOf(endpoint *catalog.Endpoint) string {
 	if endpoint.Draining {
 		return "draining"
--- a/internal/follow/state_test.go
+++ b/internal/follow/state_test.go
@@ -138,3 +138,16 @@
 		t.Errorf("%s take new work", ids(view))
 	}
 }
+
+func TestAColdStartIsPlacedOnTheReadersClock(t *testing.T) {
+	s := newState()
+	entry := &catalog.Endpoint{ID: "a", ColdFor: 3 * time.Second}
+	s.step(endpointsRead{now: 10 * time.Second, changes: EndpointChanges{Present: []*catalog.Endpoint{entry}}})
+	if !s.endpoints["a"].Cold(12*time.Second) || s.endpoints["a"].Cold(13*time.Second) {
+		t.Errorf("cold until %v, want 13s", s.endpoints["a"].ColdUntil)
+	}
+	s.step(endpointsRead{now: 11 * time.Second, changes: EndpointChanges{Present: []*catalog.Endpoint{{ID: "a"}}}})
+	if s.endpoints["a"].Cold(12 * time.Second) {
+		t.Error("an entry that is no longer cold counts as cold")
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -68,8 +68,12 @@
 	header.Set(wire.HeaderFirstEvent, strconv.FormatInt(bound.Milliseconds(), 10))
 }
 
-// direct sends the call straight to an engine whose sidecar is away.
+// direct sends the call straight to an engine whose sidecar is away. A cold engine bears few requests a second, and only
+// its sidecar knows what all gateways send.
 func (f *flow) direct(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Answer, call.Reply, error) {
+	if endpoint.Cold(bootclock.Now()) {
+		return nil, call.Reply{}, &refusalError{reason: "its sidecar is away and it is cold"}
+	}
 	if !f.g.sidecars.enterDirect(endpoint.ID) {
 		return nil, call.Reply{}, &refusalError{reason: "its sidecar is away and this gateway's share of it is in use"}
 	}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -22,6 +22,7 @@
 	refusedLoading     = "weights are loading"
 	refusedFull        = "no room"
 	refusedSlow        = "first event later than the bound"
+	refusedCold        = "engine is cold and has got what it bears this second"
 	refusedLeaving     = "it would run into a change of weights"
 	refusedUnreachable = "engine cannot be reached"
 )
@@ -65,6 +66,11 @@
 		return
 	}
 	defer prompt.End()
+	if !s.cold.Admit(bootclock.Now()) {
+		s.gate.Return()
+		s.refuse(w, c, refusedCold, nil)
+		return
+	}
 	held := false
 	defer func() { s.gate.Leave(held) }()
 	held = s.relay(w, r, &admitted{call: c, arrived: arrived, prompt: prompt, estimate: estimate})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -52,6 +52,7 @@
 	logger      *log.Logger
 	gate        *admission.Gate
 	reading     admission.Reading
+	cold        admission.ColdRate
 	pool        *dispatch.Pool
 	peers       *rpc.Client
 	store       *weights.Store
@@ -109,6 +110,7 @@
 			slots := service.Engine.Slots
 			s.gate.SetBounds(admission.Bounds{Cold: slots, Max: slots})
 			s.reading.SetModel(modelOf(service.Engine))
+			s.cold.SetCold(s.coldUntil(view), service.ColdPerSecond)
 		}
 	}
 	select {
@@ -117,6 +119,17 @@
 	}
 }
 
+// coldUntil returns until when this sidecar's engine is cold, on the boot clock.
+func (s *Sidecar) coldUntil(view *catalog.View) time.Duration {
+	var until time.Duration
+	for _, endpoint := range view.Listed(s.settings.Service) {
+		if endpoint.Address == s.settings.EngineAddress {
+			until = max(until, endpoint.ColdUntil)
+		}
+	}
+	return until
+}
+
 func modelOf(engine *catalog.Engine) admission.EngineModel {
 	return admission.EngineModel{Step: engine.Step, PerStream: engine.PerStream, Stride: engine.Stride, ReadPerSecond: engine.ReadPerS}
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -141,6 +141,7 @@
 	mu      sync.Mutex
 	address string
 	version int64
+	coldFor time.Duration
 }
 
 func (s *fakeSource) Operator(ctx context.Context, _ follow.Cursor, _ time.Duration) (follow.OperatorChanges, error) {
@@ -148,7 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	engine := &catalog.Engine{Slots: 2, Chunks: pieceCount, ChunkBytes: pieceBytes, Models: []core.Model{model}}
-	configuration := &catalog.Configuration{Version: 1, Services: []catalog.Service{{Name: "s", Engine: engine}, {Name: "o", Origin: &catalog.Origin{Address: "origin"}}}}
+	configuration := &catalog.Configuration{Version: 1, Services: []catalog.Service{{Name: "s", Engine: engine, ColdPerSecond: 1}, {Name: "o", Origin: &catalog.Origin{Address: "origin"}}}}
 	wanted := map[core.Model]int64{}
 	if s.version > 0 {
 		wanted[model] = s.version
@@ -157,7 +158,9 @@
 }
 
 func (s *fakeSource) Endpoints(context.Context, follow.Cursor) (follow.EndpointChanges, error) {
-	endpoint := &catalog.Endpoint{ID: "i-1", Service: "s", Address: s.address, FailureDomain: "x", Region: "east"}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	endpoint := &catalog.Endpoint{ID: "i-1", Service: "s", Address: s.address, FailureDomain: "x", Region: "east", ColdFor: s.coldFor}
 	return follow.EndpointChanges{Whole: true, Cursor: follow.Cursor{Read: true}, Present: []*catalog.Endpoint{endpoint}}, nil
 }
 
@@ -385,3 +388,14 @@
 		t.Error("the requests that end before a change are not told from those that don't")
 	}
 }
+
+func TestAColdEngineIsSentWhatItBears(t *testing.T) {
+	source := &fakeSource{coldFor: time.Hour}
+	s := newSidecar(t, &fakeEngine{staged: make(map[int][]byte), spoil: -1}, &fakeOrigin{}, source, "127.0.0.1:9")
+	wait(t, "the engine's entry", func() bool { return s.coldUntil(s.follower.View()) > bootclock.Now() })
+	wait(t, "the configuration", func() bool { return s.follower.View().Index != nil })
+	now := bootclock.Now()
+	if !s.cold.Admit(now) || s.cold.Admit(now) {
+		t.Error("an engine that bears one request a second when cold was sent none or two")
+	}
+}
