Entries of engines that ended, or that lag behind, no longer use up picks

Each engine was back under a new id while its old entry stood for three heartbeats, and the old entries took all four picks; new entries show the loaded version only with their next heartbeat; and a sidecar that started before the gateways waited a second for delegates that had no power.

Ruled out: the load of the weights (0.35 s), the readiness of gateways (they were up after 0.3 s).

Change: an entry whose address belongs to an endpoint that started later names nothing to use; entries that do not show the required version are picked last, past the sidecar they are refused, and a sidecar refuses what needs a newer version than its engine runs; a process that starts asks one delegate for 250 ms, then the store.

Tests: TestAnAddressBelongsToWhatStartedLast and TestAnOlderVersionTakesNothingThatNeedsANewerOne fail with their mechanism off; TestAnEntryThatDoesNotShowTheVersionComesLast.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -112,3 +113,24 @@
 		t.Errorf("%d namings are kept, the newest %d", len(namings), namings.Newest())
 	}
 }
+
+// An engine that crashed is back under another id at once, while its old entry stands for three heartbeats.
+func TestAnAddressBelongsToWhatStartedLast(t *testing.T) {
+	index := NewIndex(&Configuration{Services: []Service{{Name: "s"}, {Name: "other"}}})
+	at := func(id EndpointID, service core.Service, address string, born int64) *Endpoint {
+		return &Endpoint{ID: id, Service: service, Address: address, Born: born}
+	}
+	view := NewView(index, nil, nil, []*Endpoint{
+		at("a-old", "s", "h1:1", 100), at("a-new", "s", "h1:1", 200),
+		at("b", "s", "h2:1", 150), at("b-unnamed", "unnamed", "h2:1", 900),
+		at("c", "s", "h3:1", 150), at("c-reused", "other", "h3:1", 300),
+		at("d-untold", "s", "h4:1", 0), at("d", "s", "h4:1", 400),
+	})
+	var got []EndpointID
+	for _, endpoint := range view.Endpoints("s") {
+		got = append(got, endpoint.ID)
+	}
+	if want := []EndpointID{"a-new", "b", "d", "d-untold"}; !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -18,6 +18,7 @@
 	Region        core.Region
 	Slots         int // requests that it runs at once
 	Draining      bool
+	Born          int64         // when it started, in milliseconds of its own time of day; 0 for unknown
 	ColdFor       time.Duration // left of its cold start when the entry was written
 	ColdUntil     time.Duration // on the boot clock of the process that read the entry; 0 for one that was not cold
 	Loaded        []Loaded
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -146,7 +146,7 @@
 // NewView joins the parts. Draining endpoints and those of evacuated failure domains take no new work.
 func NewView(index *Index, evacuated map[core.FailureDomain]bool, wanted map[core.Model]Namings, endpoints []*Endpoint) *View {
 	v := &View{Index: index, Evacuated: evacuated, Wanted: wanted, endpoints: make(map[core.Service][]*Endpoint), listed: make(map[core.Service][]*Endpoint)}
-	for _, endpoint := range endpoints {
+	for _, endpoint := range withoutPredecessors(index, endpoints) {
 		v.listed[endpoint.Service] = append(v.listed[endpoint.Service], endpoint)
 		if endpoint.Draining || evacuated[endpoint.FailureDomain] {
 			continue
@@ -159,6 +159,24 @@
 	return v
 }
 
+// withoutPredecessors leaves out endpoints whose address belongs to one that started later: they have ended, though their
+// entries may stand for some seconds. Entries of services that the configuration does not name show nothing.
+func withoutPredecessors(index *Index, endpoints []*Endpoint) []*Endpoint {
+	latest := make(map[string]int64, len(endpoints))
+	for _, endpoint := range endpoints {
+		if index != nil && index.Service(endpoint.Service) != nil {
+			latest[endpoint.Address] = max(latest[endpoint.Address], endpoint.Born)
+		}
+	}
+	alive := make([]*Endpoint, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		if endpoint.Born == 0 || endpoint.Born >= latest[endpoint.Address] {
+			alive = append(alive, endpoint)
+		}
+	}
+	return alive
+}
+
 // Endpoints returns the endpoints of the service that take new work, in order of their ids.
 func (v *View) Endpoints(service core.Service) []*Endpoint { return v.endpoints[service] }
 
--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -21,6 +21,9 @@
 	// delegateAge beyond the wait is the oldest read of the store that a follower takes from a delegate. A delegate's
 	// read, its time-out and one more answer fit into the two seconds within which a configuration has to be in force.
 	delegateAge = 700 * time.Millisecond
+	// startPatience is for the first answer of the one delegate that a process asks at its start, which may have lost
+	// power together with this process: many round trips between regions.
+	startPatience = 250 * time.Millisecond
 	// delegateRetry follows a delegate that did not answer, or whose own reads fail.
 	delegateRetry = 2 * time.Second
 )
@@ -157,9 +160,13 @@
 // old one, with its age: in an outage of the store that is what is to be had.
 func (f *Follower) askDelegates(ctx context.Context, delegates []*delegate, request readRequest) (readAnswer, error) {
 	err := error(fault.New(fault.Interrupted, "no delegate answers", "check the processes at the seeds' addresses; the store is read instead"))
-	for _, d := range order(delegates, f.delegates.Region, bootclock.Now()) {
+	able, patience := order(delegates, f.delegates.Region, bootclock.Now()), request.Wait+delegateSlack
+	if !request.Operator.Read {
+		able, patience = able[:min(1, len(able))], startPatience
+	}
+	for _, d := range able {
 		var answer readAnswer
-		call, stop := context.WithTimeout(ctx, request.Wait+delegateSlack)
+		call, stop := context.WithTimeout(ctx, patience)
 		err = f.delegates.Peers.Call(call, d.address, methodFollow, request, &answer)
 		stop()
 		if err == nil {
--- a/internal/gateway/flow.go
+++ b/internal/gateway/flow.go
@@ -38,10 +38,11 @@
 	sure     bool // no endpoint runs it or will
 	stream   *streamState
 	held     *held
-	watch    *watch   // of the attempt under way
-	last     error    // why the last endpoint gave no answer
-	refusals []string // why sidecars did not let it through
-	leave    func()   // ends what the attempt under way holds of an endpoint; nil for nothing
+	query    placement.Query // of the last pick
+	watch    *watch          // of the attempt under way
+	last     error           // why the last endpoint gave no answer
+	refusals []string        // why sidecars did not let it through
+	leave    func()          // ends what the attempt under way holds of an endpoint; nil for nothing
 }
 
 func (g *Gateway) newFlow(w http.ResponseWriter, r *http.Request, a *accepted, arrived time.Time) *flow {
@@ -123,17 +124,17 @@
 
 func (f *flow) pick() *catalog.Endpoint {
 	view := f.g.follower.View() // the newest one: an endpoint may have left since the call was accepted
-	query := placement.Query{
+	f.query = placement.Query{
 		Regions: f.regions,
 		Home:    f.g.settings.Region,
 		Exclude: f.tried,
 		Now:     f.g.now(),
 	}
 	if f.route.Generates {
-		query.Model = f.call.Model
-		query.Version = f.requiredVersion(view)
+		f.query.Model = f.call.Model
+		f.query.Version = f.requiredVersion(view)
 	}
-	return f.g.placer.Pick(view.Endpoints(f.service), query)
+	return f.g.placer.Pick(view.Endpoints(f.service), f.query)
 }
 
 // mayGoOn tells whether another endpoint may be tried after the last one gave no answer.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -109,13 +109,13 @@
 func TestARejectionIsTriedElsewhere(t *testing.T) {
 	w := newWorld(t)
 	first, second := w.runner("r1", "e"), w.runner("r2", "e")
-	first.SetAnswer(func(rw http.ResponseWriter, _ platformtest.Run) { first.Reject(rw) })
+	first.SetAnswer(func(rw http.ResponseWriter, run platformtest.Run) { first.Reject(rw, run) })
 	for range 6 {
 		if got := w.call(pathOnce, nil); got.status != http.StatusOK {
 			t.Fatalf("%d, want the second endpoint's answer", got.status)
 		}
 	}
-	second.SetAnswer(func(rw http.ResponseWriter, _ platformtest.Run) { second.Reject(rw) })
+	second.SetAnswer(func(rw http.ResponseWriter, run platformtest.Run) { second.Reject(rw, run) })
 	got := w.call(pathOnce, nil)
 	if got.status != http.StatusServiceUnavailable {
 		t.Fatalf("%d, want 503: it has not run", got.status)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,6 +13,7 @@
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
+	"github.com/lovageglade/lovageglade/internal/placement"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -39,6 +40,7 @@
 	if f.g.sidecars.reachable(endpoint.ID, now) {
 		request.Address = f.g.relayAddress(endpoint)
 		f.boundFirstEvent(request.Header)
+		f.requireVersion(request.Header)
 		answer, reply, err := f.exchange(ctx, request)
 		if err == nil {
 			return f.fromSidecar(endpoint, answer, reply)
@@ -51,6 +53,7 @@
 		f.g.logger.Warn().Str("endpoint", string(endpoint.ID)).Err(err).Msg("sidecar cannot be reached")
 	}
 	request.Header.Del(wire.HeaderFirstEvent)
+	request.Header.Del(wire.HeaderLeastVersion)
 	return f.direct(ctx, endpoint, request)
 }
 
@@ -68,9 +71,19 @@
 	header.Set(wire.HeaderFirstEvent, strconv.FormatInt(bound.Milliseconds(), 10))
 }
 
+// requireVersion asks the sidecar to refuse the call if its engine runs an older version than may run it.
+func (f *flow) requireVersion(header http.Header) {
+	if f.query.Version > 0 {
+		header.Set(wire.HeaderLeastVersion, strconv.FormatInt(f.query.Version, 10))
+	}
+}
+
 // direct sends the call straight to an engine whose sidecar is away. A cold engine bears few requests a second, and only
 // its sidecar knows what all gateways send.
 func (f *flow) direct(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Answer, call.Reply, error) {
+	if !placement.Holds(endpoint, f.query) {
+		return nil, call.Reply{}, &refusalError{reason: "its sidecar is away and its entry does not show the version"}
+	}
 	if endpoint.Cold(bootclock.Now()) {
 		return nil, call.Reply{}, &refusalError{reason: "its sidecar is away and it is cold"}
 	}
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -6,20 +6,23 @@
 	"github.com/lovageglade/lovageglade/internal/catalog"
 )
 
-// filter returns the endpoints that may run the request.
-func filter(endpoints []*catalog.Endpoint, query Query) []*catalog.Endpoint {
-	able := make([]*catalog.Endpoint, 0, len(endpoints))
+// filter returns the endpoints that may run the request, and those that may soon: their entries do not show the version,
+// but are some seconds behind their engines, which change weights or start.
+func filter(endpoints []*catalog.Endpoint, query Query) (able, changing []*catalog.Endpoint) {
 	for _, endpoint := range endpoints {
-		if query.Exclude[endpoint.ID] || !query.Regions.Allow(endpoint.Region) || !holds(endpoint, query) {
-			continue
+		switch {
+		case query.Exclude[endpoint.ID] || !query.Regions.Allow(endpoint.Region):
+		case Holds(endpoint, query):
+			able = append(able, endpoint)
+		default:
+			changing = append(changing, endpoint)
 		}
-		able = append(able, endpoint)
 	}
-	return able
+	return able, changing
 }
 
-// holds tells whether the endpoint's engine serves the model, as far as the registry tells.
-func holds(endpoint *catalog.Endpoint, query Query) bool {
+// Holds tells whether the endpoint's engine serves the model, as far as the registry tells.
+func Holds(endpoint *catalog.Endpoint, query Query) bool {
 	if query.Model == "" {
 		return true
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,9 +43,13 @@
 // Failed says that the endpoint could not be reached or broke off.
 func (p *Placer) Failed(id catalog.EndpointID, now time.Duration) { p.health.failed(id, now) }
 
-// Pick chooses an endpoint, or returns nil when none may run the request.
+// Pick chooses an endpoint, or returns nil when none may run the request. One whose entry does not show the version comes
+// last; only its sidecar knows whether it serves it by now.
 func (p *Placer) Pick(endpoints []*catalog.Endpoint, query Query) *catalog.Endpoint {
-	able := filter(endpoints, query)
+	able, changing := filter(endpoints, query)
+	if len(able) == 0 {
+		able = changing
+	}
 	sound := p.withoutFailing(able, query.Now)
 	if len(sound) > 0 {
 		able = sound
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -24,27 +24,33 @@
 	return ""
 }
 
+func names(endpoints []*catalog.Endpoint) string {
+	var text string
+	for _, endpoint := range endpoints {
+		text += string(endpoint.ID)
+	}
+	return text
+}
+
 func TestFilter(t *testing.T) {
 	endpoints := []*catalog.Endpoint{at("a", "east", 1), at("b", "east", 2), at("c", "west", 3), at("d", "east", 0)}
 	west := catalog.RegionsOf(&catalog.Route{Regions: []core.Region{"west"}}, nil)
 	for _, test := range []struct {
-		name  string
-		query Query
-		want  string
+		name     string
+		query    Query
+		able     string
+		changing string
 	}{
-		{"plain service", Query{}, "abcd"},
-		{"model", Query{Model: "m"}, "abc"},
-		{"another model", Query{Model: "n"}, ""},
-		{"required version", Query{Model: "m", Version: 2}, "bc"},
-		{"region", Query{Regions: west}, "c"},
-		{"excluded", Query{Exclude: map[catalog.EndpointID]bool{"a": true, "c": true}}, "bd"},
+		{"plain service", Query{}, "abcd", ""},
+		{"model", Query{Model: "m"}, "abc", "d"},
+		{"another model", Query{Model: "n"}, "", "abcd"},
+		{"required version", Query{Model: "m", Version: 2}, "bc", "ad"},
+		{"region", Query{Regions: west}, "c", ""},
+		{"excluded", Query{Exclude: map[catalog.EndpointID]bool{"a": true, "c": true}}, "bd", ""},
 	} {
-		got := ""
-		for _, endpoint := range filter(endpoints, test.query) {
-			got += string(endpoint.ID)
-		}
-		if got != test.want {
-			t.Errorf("%s: %q, want %q", test.name, got, test.want)
+		able, changing := filter(endpoints, test.query)
+		if names(able) != test.able || names(changing) != test.changing {
+			t.Errorf("%s: %q and %q, want %q and %q", test.name, names(able), names(changing), test.able, test.changing)
 		}
 	}
 }
@@ -121,3 +127,18 @@
 		t.Error("a failure of long ago is remembered")
 	}
 }
+
+// An engine that has just loaded the version serves it before its entry says so.
+func TestAnEntryThatDoesNotShowTheVersionComesLast(t *testing.T) {
+	p := NewPlacer()
+	endpoints := []*catalog.Endpoint{at("old", "east", 1), at("new", "east", 2)}
+	query := Query{Home: "east", Model: "m", Version: 2, Exclude: map[catalog.EndpointID]bool{}}
+	p.Load("new").Add(4)
+	if got := pick(p, endpoints, query); got != "new" {
+		t.Errorf("%q is chosen before the one that shows the version", got)
+	}
+	query.Exclude["new"] = true
+	if got := pick(p, endpoints, query); got != "old" {
+		t.Errorf("%q is chosen when no entry shows the version", got)
+	}
+}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -44,7 +44,7 @@
 		s.refuse(w, c, refusedBad, err)
 		return
 	}
-	if s.serving.Load() == 0 {
+	if serving := s.serving.Load(); serving == 0 || serving < leastVersion(r) {
 		s.refuse(w, c, refusedLoading, nil)
 		return
 	}
@@ -59,6 +59,7 @@
 	}
 	bound := firstEventBound(r)
 	c.Forward.Del(wire.HeaderFirstEvent)
+	c.Forward.Del(wire.HeaderLeastVersion)
 	prompt, estimate := s.reading.Enter(c.PromptTokens, bound)
 	if prompt == nil {
 		s.gate.Return()
@@ -102,6 +103,15 @@
 	begun    bool          // a part of its answer has come
 }
 
+// leastVersion returns the oldest version that the gateway lets run the request, 0 for any.
+func leastVersion(r *http.Request) int64 {
+	version, err := strconv.ParseInt(r.Header.Get(wire.HeaderLeastVersion), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return version
+}
+
 // firstEventBound returns the bound that the gateway set, 0 for none.
 func firstEventBound(r *http.Request) time.Duration {
 	ms, err := strconv.Atoi(r.Header.Get(wire.HeaderFirstEvent))
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -399,3 +399,26 @@
 		t.Error("an engine that bears one request a second when cold was sent none or two")
 	}
 }
+
+// Gateways send requests also to engines whose entries are behind; an engine that runs an older version takes none that
+// must not run there.
+func TestAnOlderVersionTakesNothingThatNeedsANewerOne(t *testing.T) {
+	s := newSidecar(t, &fakeEngine{staged: make(map[int][]byte), spoil: -1, version: 1}, &fakeOrigin{}, &fakeSource{}, "127.0.0.1:9")
+	wait(t, "the gate to open", func() bool { return s.serving.Load() == 1 && s.gate.Load().Limit == 2 })
+	address := serve(t, s.serveRelay)
+	for version, want := range map[string]string{"1": refusedUnreachable, "2": refusedLoading} {
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(wire.HeaderLeastVersion, version)
+		answer, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		if got := answer.Header.Get(wire.HeaderRefused); got != want {
+			t.Errorf("a request that needs version %s is answered %q, want %q", version, got, want)
+		}
+	}
+}
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -9,4 +9,7 @@
 	// HeaderFirstEvent bounds the time until the first event of a stream, in milliseconds: a sidecar that expects it
 	// later refuses the request, so that another endpoint can be asked.
 	HeaderFirstEvent = "Lovage-First-Event-Ms"
+	// HeaderLeastVersion is the oldest version of the weights that may run the request. A sidecar whose engine serves an
+	// older one refuses.
+	HeaderLeastVersion = "Lovage-Least-Version"
 )
