A delegate that is quiet is not taken for one that fails

Just before a waiting read ends the one before it was sent two waits ago, above the 1.7 s that are allowed.

Change: a delegate also says for how long it has heard nothing from the store: a read that waited holds all changes until its answer, by the store's clock, which reads of the registry keep close. Keys are judged by the age as before: it counts from when the read was sent, also if the store's feeds are behind.

Test: TestAQuietDelegateIsNotTakenForOneThatFails fails with the clock off, as does TestAChangeThatEndsAWaitIsAsOldAsTheAnswer.

--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -18,9 +18,9 @@
 const (
 	// delegateSlack is how much longer than the wait a delegate's answer may take: many round trips between regions.
 	delegateSlack = 400 * time.Millisecond
-	// delegateAge beyond the wait is the oldest read of the store that a follower takes from a delegate. A delegate's
-	// read, its time-out and one more answer fit into the two seconds within which a configuration has to be in force.
-	delegateAge = 700 * time.Millisecond
+	// delegateSilence beyond the wait is for how long a delegate may have heard nothing from the store. A delegate's read,
+	// its time-out and one more answer fit into the two seconds within which a configuration has to be in force.
+	delegateSilence = 700 * time.Millisecond
 	// startPatience is for the first answer of the one delegate that a process asks at its start, which may have lost
 	// power together with this process: many round trips between regions.
 	startPatience = 250 * time.Millisecond
@@ -41,6 +41,7 @@
 	Region    core.Region
 	Waited    time.Duration                // that the delegate let the read wait
 	Age       time.Duration                // for which the operators' table may have changed unseen by the delegate
+	Silence   time.Duration                // for which the delegate has heard nothing from the store
 	Operator  OperatorChanges              // without the configuration
 	Named     map[core.Model]time.Duration // for how long at most the wanted versions have been named
 	Packed    packed                       // configuration, empty when it did not change
@@ -111,12 +112,14 @@
 	if !f.mirror.wait(ctx, request.Operator, request.Endpoints, request.Wait) && request.Operator.Read {
 		return readAnswer{}, fault.New(fault.PlatformDown, "this process's own reads of the store fail", "ask another delegate or the store")
 	}
-	operator, configuration, sent := f.mirror.operatorSince(request.Operator, request.Bare)
+	operator, configuration := f.mirror.operatorSince(request.Operator, request.Bare)
 	now := bootclock.Now()
+	age, silence := f.mirror.ages(now)
 	return readAnswer{
 		Region:    f.delegates.Region,
 		Waited:    now - arrived,
-		Age:       now - sent,
+		Age:       age,
+		Silence:   silence,
 		Operator:  operator,
 		Named:     f.mirror.namedAges(operator.Wanted, now),
 		Packed:    configuration,
@@ -149,7 +152,7 @@
 // time that it waited after the request was sent; how long it was under way is not known.
 func (a readAnswer) operatorRead(sent time.Duration) operatorRead {
 	left := sent + a.Waited
-	read := operatorRead{sent: left - a.Age, named: make(map[core.Model]time.Duration, len(a.Named)), changes: a.Operator}
+	read := operatorRead{sent: left - a.Age, asOf: left - a.Silence, named: make(map[core.Model]time.Duration, len(a.Named)), changes: a.Operator}
 	for model, age := range a.Named {
 		read.named[model] = left - age
 	}
@@ -172,7 +175,7 @@
 		if err == nil {
 			answer.Operator.Configuration, err = answer.Packed.unpack()
 		}
-		if err == nil && (answer.Age <= request.Wait+delegateAge || !request.Operator.Read) {
+		if err == nil && (answer.Silence <= request.Wait+delegateSilence || !request.Operator.Read) {
 			d.region = answer.Region
 			return answer, nil
 		}
@@ -192,7 +195,7 @@
 		outage.observe(err, bootclock.Now())
 		return f.recover(ctx, operator, err), endpoints
 	}
-	f.loop.Post(ctx, operatorRead{sent: sent, changes: changes})
+	f.loop.Post(ctx, operatorRead{sent: sent, asOf: sent, changes: changes})
 	sent = bootclock.Now()
 	listed, err := f.source.Endpoints(ctx, endpoints)
 	outage.observe(err, bootclock.Now())
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,11 +39,12 @@
 
 // EndpointChanges is what the service registry lists.
 type EndpointChanges struct {
-	Whole   bool
-	Cursor  Cursor
-	Present []*catalog.Endpoint
-	Gone    []catalog.EndpointID
-	Lapsed  []catalog.EndpointID // gone at the end of an outage of the store: they may only have lapsed meanwhile
+	Whole     bool
+	Cursor    Cursor
+	Present   []*catalog.Endpoint
+	Gone      []catalog.EndpointID
+	StoreTime time.Duration        // of the answer, on the store's own steady clock; 0 if it does not tell
+	Lapsed    []catalog.EndpointID // gone at the end of an outage of the store: they may only have lapsed meanwhile
 
 	// AfterOutage says that this is the first read after an outage: what is gone may only have lapsed.
 	AfterOutage bool
@@ -78,6 +79,7 @@
 	// Changed is called on the control thread after each new view. It must not wait.
 	Changed func(*catalog.View)
 	wake    chan struct{}
+	clock   storeClock
 
 	delegates Delegates
 	mirror    *mirror
@@ -129,7 +131,6 @@
 
 func (f *Follower) readOperator(ctx context.Context) {
 	dependency := dependency{name: "operators' table of the store", logger: f.logger}
-	var clock storeClock
 	var cursor Cursor
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
@@ -141,7 +142,7 @@
 			continue
 		}
 		cursor = changes.Cursor
-		read := operatorRead{sent: sent, named: clock.named(sent, bootclock.Now(), changes), changes: changes}
+		read := operatorRead{sent: sent, asOf: f.clock.asOf(sent, bootclock.Now(), changes.StoreTime), changes: changes}
 		if err := f.mirror.addOperator(read); err != nil {
 			f.logger.Error().Err(err).Msg("configuration not offered to followers")
 		}
@@ -164,6 +165,7 @@
 			continue
 		}
 		cursor = changes.Cursor
+		f.clock.observe(sent, changes.StoreTime)
 		changes.AfterOutage = outage.over
 		f.mirror.addEndpoints(bootclock.Now(), changes)
 		f.loop.Post(ctx, endpointsRead{sent: sent, now: bootclock.Now(), changes: changes})
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -20,7 +20,8 @@
 	mu        sync.Mutex
 	operator  Cursor
 	endpoints Cursor
-	sent      time.Duration // when the last read of the operators' table was sent, on the boot clock
+	sent      time.Duration // of the last read of the operators' table, on the boot clock, as in operatorRead
+	asOf      time.Duration
 
 	configuration   *catalog.Configuration
 	whole           packed // the configuration
@@ -93,7 +94,7 @@
 			m.wanted[model] = mirrored[int64]{value: version, at: at, seen: read.namedAt(model)}
 		}
 	}
-	m.operator, m.sent = changes.Cursor, read.sent
+	m.operator, m.sent, m.asOf = changes.Cursor, read.sent, read.asOf
 	if news {
 		m.wake()
 	}
@@ -212,9 +213,9 @@
 	return false
 }
 
-// operatorSince returns the changes since the cursor and when they were last known to be all. The configuration is
-// packed; bare leaves out its routes and workspaces.
-func (m *mirror) operatorSince(since Cursor, bare bool) (OperatorChanges, packed, time.Duration) {
+// operatorSince returns the changes since the cursor. The configuration is packed; bare leaves out its routes and
+// workspaces.
+func (m *mirror) operatorSince(since Cursor, bare bool) (OperatorChanges, packed) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changes := OperatorChanges{
@@ -240,7 +241,14 @@
 			changes.Wanted[model] = entry.value
 		}
 	}
-	return changes, configuration, m.sent
+	return changes, configuration
+}
+
+// ages returns for how long the operators' table may have changed unseen, and for how long nothing was heard of it.
+func (m *mirror) ages(now time.Duration) (age, silence time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now - m.sent, now - m.asOf
 }
 
 // namedAges returns for how long at most the wanted versions have been named.
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -21,8 +21,9 @@
 
 type operatorRead struct {
 	reduce.IsEvent
-	sent    time.Duration                // when the read was sent, on the boot clock
-	named   map[core.Model]time.Duration // when the wanted versions were named at the earliest; without: sent
+	sent    time.Duration                // when the read was sent, on the boot clock: it holds all changes until then
+	asOf    time.Duration                // it holds all changes until then as well while the store serves its waiting reads
+	named   map[core.Model]time.Duration // when the wanted versions were named at the earliest; without: asOf
 	changes OperatorChanges
 }
 
@@ -31,7 +32,7 @@
 	if named, ok := r.named[model]; ok {
 		return named
 	}
-	return r.sent
+	return r.asOf
 }
 
 type endpointsRead struct {
