Logs say what each decision rested on, and lovagectl explain tells a request's story

Cause: a sidecar's refusals and the load by which an endpoint was picked were not in the logs at the usual level, and an on-call engineer had to put the lines of many processes in order by hand.

Change: the gateway's line of a request holds the load, slots and report's age of its pick, each failed pick with the same and its reason, the configuration's version and age, and Retry-After; sidecars write a line for each request that they let in or not, with what that rested on; endpoints avoided and used again, and readiness, have lines. Each line has the process's steady time (up_ms). lovagectl explain REQUEST FOLDER orders the lines of all processes by it, adds what the processes concerned went through, and says what the lines point to.

What a change announced now ends with it, and the gate closes by time when a version has to be left, not with the keeper's next look.

--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -26,6 +26,10 @@
   lovagectl config apply FOLDER --note "why"
   lovagectl config wait
 
+The logs of gateways and sidecars tell what became of a request:
+
+  lovagectl explain REQUEST FOLDER
+
 Exit codes: 0 done, 1 failed, 3 wrong configuration or settings, 4 another operator's change won, 5 not confirmed in time,
 6 a burn rate above the threshold, 7 the platform gave no answer, 8 not found, 80 wrong command line.`
 
@@ -37,6 +41,7 @@
 	Domain   domainCmd  `cmd:"" help:"Take a failure domain out of service and bring it back."`
 	Status   statusCmd  `cmd:"" help:"Show every host, its configuration and its versions."`
 	Burn     burnCmd    `cmd:"" help:"Show how fast each service-level objective's budget is spent."`
+	Explain  explainCmd `cmd:"" help:"Tell from logs what became of a request."`
 	Wait     waitCmd    `cmd:"" help:"Wait until the configuration is in force and its versions are served everywhere."`
 }
 
@@ -85,7 +90,7 @@
 	if file != "" {
 		return settings.LoadPlatform(file)
 	}
-	if strings.HasPrefix(command, "config check") {
+	if strings.HasPrefix(command, "config check") || strings.HasPrefix(command, "explain") {
 		return settings.Platform{}, nil
 	}
 	return settings.Platform{}, fault.New(fault.BadSettings, "the platform's addresses are not known", "name their JSON file with --platform or in LOVAGE_PLATFORM")
--- /dev/null
+++ b/internal/gateway/decision_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/phuslu/log"
+
+	"github.com/lovageglade/lovageglade/platform/platformtest"
+)
+
+// logged returns the fields of the lines with the message.
+func logged(t *testing.T, lines *bytes.Buffer, message string) []map[string]any {
+	t.Helper()
+	var found []map[string]any
+	for _, raw := range bytes.Split(bytes.TrimSpace(lines.Bytes()), []byte("\n")) {
+		var fields map[string]any
+		if err := json.Unmarshal(raw, &fields); err != nil {
+			t.Fatalf("%s: %v", raw, err)
+		}
+		if fields["message"] == message {
+			found = append(found, fields)
+		}
+	}
+	return found
+}
+
+func requireFields(t *testing.T, lines []map[string]any, names ...string) {
+	t.Helper()
+	if len(lines) == 0 {
+		t.Error("the line is missing")
+	}
+	for _, line := range lines {
+		for _, name := range names {
+			if _, ok := line[name]; !ok {
+				t.Errorf("%q lacks %s: %v", line["message"], name, line)
+			}
+		}
+	}
+}
+
+// Each line about a request names it, what it was decided by with its age or version, and the outcome.
+func TestEachDecisionsLineHasItsInputs(t *testing.T) {
+	w := newWorld(t)
+	var lines bytes.Buffer
+	w.gateway.logger = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &lines}}
+	first, second := w.runner("i-1", "e"), w.runner("i-2", "e")
+	answers := []int{http.StatusOK, http.StatusServiceUnavailable}
+	for _, want := range answers {
+		if answer := w.call(pathSafe, nil); answer.status != want {
+			t.Errorf("%d, want %d", answer.status, want)
+		}
+		for _, r := range []*platformtest.Runner{first, second} {
+			r.SetAnswer(func(rw http.ResponseWriter, run platformtest.Run) { r.Reject(rw, run) })
+		}
+	}
+	w.call("/nowhere/1", nil)
+	requireFields(t, logged(t, &lines, "request answered"), "request", "route", "endpoint", "load", "slots", "report_age", "picks", "runs", "took", "configuration")
+	refused := logged(t, &lines, "request refused")
+	requireFields(t, refused, "request", "outcome", "status", "cause", "configuration", "configuration_age")
+	requireFields(t, refused[:1], "route", "failed_picks", "retry_after", "runs", "took")
+}
--- a/internal/gateway/flow.go
+++ b/internal/gateway/flow.go
@@ -32,17 +32,17 @@
 	end     context.CancelFunc
 	regions catalog.Regions
 
-	tried    map[catalog.EndpointID]bool
-	runs     int  // endpoints that may have run it
-	sends    int  // endpoints that it reached
-	sure     bool // no endpoint runs it or will
-	stream   *streamState
-	held     *held
-	query    placement.Query // of the last pick
-	watch    *watch          // of the attempt under way
-	last     error           // why the last endpoint gave no answer
-	refusals []string        // why sidecars did not let it through
-	leave    func()          // ends what the attempt under way holds of an endpoint; nil for nothing
+	tried     map[catalog.EndpointID]bool
+	runs      int  // endpoints that may have run it
+	sends     int  // endpoints that it reached
+	sure      bool // no endpoint runs it or will
+	stream    *streamState
+	held      *held
+	query     placement.Query // of the last pick
+	watch     *watch          // of the attempt under way
+	last      error           // why the last endpoint gave no answer
+	decisions []decision
+	leave     func() // ends what the attempt under way holds of an endpoint; nil for nothing
 }
 
 func (g *Gateway) newFlow(w http.ResponseWriter, r *http.Request, a *accepted, arrived time.Time) *flow {
@@ -82,6 +82,7 @@
 			break
 		}
 		f.tried[endpoint.ID] = true
+		f.decide(endpoint)
 		if f.attempt(endpoint) {
 			f.log(endpoint)
 			return
@@ -108,10 +109,7 @@
 	if f.stream != nil {
 		entry.Dur("first_event", f.stream.first).Dur("longest_pause", f.stream.pause).Str("last_event", f.stream.last)
 	}
-	if len(f.refusals) > 0 {
-		entry.Strs("refusals", f.refusals)
-	}
-	entry.Int64("configuration", f.view.Configuration.Version).Msg("request answered")
+	f.addDecisions(entry).Int64("configuration", f.view.Configuration.Version).Msg("request answered")
 }
 
 // untilAnswer is the time until the answer, or the first event of a stream.
@@ -165,6 +163,7 @@
 	if reply.NotRun {
 		discard(answer)
 		f.last = fault.New(fault.Overloaded, "the endpoint "+string(endpoint.ID)+" refused the request", "come back later")
+		f.conclude(f.last)
 		f.sends++
 		return false
 	}
@@ -194,12 +193,12 @@
 // failed takes note of an endpoint that gave no answer.
 func (f *flow) failed(endpoint *catalog.Endpoint, err error) {
 	f.last = err
+	f.conclude(err)
 	if isRefusal(err) {
-		f.refusals = append(f.refusals, err.Error())
 		return
 	}
 	if f.ctx.Err() == nil {
-		f.g.placer.Failed(endpoint.ID, f.g.now())
+		f.g.avoid(endpoint)
 	}
 	f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Bool("not_sent", dispatch.NotSent(err)).Err(err).Msg("endpoint gave no answer")
 	if dispatch.NotSent(err) {
@@ -214,14 +213,15 @@
 func (f *flow) giveUp() {
 	if f.stream != nil && f.stream.begun {
 		telemetry.Answered(f.route.Name, "broken_off", f.untilAnswer())
-		f.g.logger.Info().Str("request", string(f.call.ID)).Str("last_event", f.stream.last).Msg("stream broken off")
+		entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("last_event", f.stream.last).Dur("took", time.Since(f.arrived))
+		f.addDecisions(entry).Msg("stream broken off")
 		panic(http.ErrAbortHandler) // ends the connection, so that the stream does not look complete
 	}
 	if f.held != nil {
 		f.write(f.held.answer, f.held.body)
 		return
 	}
-	f.g.refuse(f.w, f.accepted, f.outcome())
+	f.g.refuse(f.w, f.accepted, f.outcome(), f)
 }
 
 // outcome is the error that says what is known of the call.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,15 +28,16 @@
 
 // Gateway is one gateway process.
 type Gateway struct {
-	settings settings.Gateway
-	codec    call.Codec
-	follower *follow.Follower
-	logger   *log.Logger
-	pool     *dispatch.Pool
-	placer   *placement.Placer
-	sidecars *sidecars
-	start    time.Time
-	draining atomic.Bool
+	settings  settings.Gateway
+	codec     call.Codec
+	follower  *follow.Follower
+	logger    *log.Logger
+	pool      *dispatch.Pool
+	placer    *placement.Placer
+	sidecars  *sidecars
+	start     time.Time
+	draining  atomic.Bool
+	toldReady atomic.Bool // what the balancer was told last
 
 	mu      sync.Mutex
 	budgets map[core.Service]*retry.Budget
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/phuslu/log"
 
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
@@ -36,8 +37,9 @@
 	returnSpread = 1000 * time.Millisecond // over which callers that were refused together come back
 )
 
-// refuse answers with the error. Those that state that the request has not run say when to come back.
-func (g *Gateway) refuse(w http.ResponseWriter, a *accepted, err error) {
+// refuse answers with the error. Those that state that the request has not run say when to come back. The flow is nil for
+// a request that was not offered to endpoints.
+func (g *Gateway) refuse(w http.ResponseWriter, a *accepted, err error, f *flow) {
 	status, known := http.StatusInternalServerError, false
 	for kind, mapped := range statusOf {
 		if fault.Is(err, kind) {
@@ -47,17 +49,18 @@
 	if !known {
 		g.logger.Error().Err(err).Msg("request ended with an error of no known kind")
 	}
+	entry := g.logger.Info().Str("outcome", fault.Kind(err)).Int("status", status).Str("cause", err.Error())
 	if status == http.StatusServiceUnavailable {
 		after := leastReturn + time.Duration(rand.Int64N(int64(returnSpread)))
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+		entry.Dur("retry_after", after)
 	}
-	entry := g.logger.Info().Str("outcome", fault.Kind(err)).Int("status", status).Str("cause", err.Error())
-	if a != nil && a.call != nil {
-		entry.Str("request", string(a.call.ID))
-	}
-	if a != nil && a.route != nil {
+	if a.route != nil {
 		telemetry.Answered(a.route.Name, fault.Kind(err), 0)
-		entry.Str("route", a.route.Name)
+	}
+	g.addAccepted(entry, a)
+	if f != nil {
+		f.addDecisions(entry).Int("runs", f.runs).Dur("took", time.Since(f.arrived))
 	}
 	entry.Msg("request refused")
 	w.Header().Set("Content-Type", "application/json")
@@ -70,3 +73,19 @@
 		g.logger.Debug().Err(err).Msg("caller gone before its refusal was sent")
 	}
 }
+
+// addAccepted writes what a request was judged by, as far as that is known.
+func (g *Gateway) addAccepted(entry *log.Entry, a *accepted) {
+	if a.call != nil {
+		entry.Str("request", string(a.call.ID))
+	}
+	if a.route != nil {
+		entry.Str("route", a.route.Name)
+	}
+	if a.view.Index != nil {
+		entry.Int64("configuration", a.view.Configuration.Version)
+	}
+	if age, known := g.follower.Age(); known {
+		entry.Dur("configuration_age", age)
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -32,7 +32,12 @@
 
 // serveReady tells the balancer whether to send new connections here.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !g.ready() {
+	ready := g.ready()
+	if g.toldReady.Swap(ready) != ready {
+		age, _ := g.follower.Age()
+		g.logger.Info().Bool("ready", ready).Dur("configuration_age", age).Bool("draining", g.draining.Load()).Msg("readiness changed")
+	}
+	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -78,7 +78,7 @@
 		f.broken(endpoint, err)
 		return false
 	}
-	f.g.placer.Succeeded(endpoint.ID)
+	f.g.sound(endpoint)
 	f.begin(answer)
 	_, _ = f.w.Write(rest) // fails only if the caller has gone
 	return true
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -42,13 +42,15 @@
 		f.broken(endpoint, fault.New(fault.EndpointFault, "the answer bears no signature", "look into the endpoint"))
 		return false
 	}
-	f.g.placer.Succeeded(endpoint.ID)
+	f.g.sound(endpoint)
 	if slices.Contains(promises, answer.Status) && f.route.Repeat != catalog.Idempotent {
 		f.last = fault.New(fault.EndpointFault, "the endpoint answered "+strconv.Itoa(answer.Status)+" without stating that the request has not run", "look into the endpoint")
+		f.conclude(f.last)
 		return false
 	}
 	if answer.Status >= http.StatusInternalServerError && f.route.Repeat == catalog.Idempotent && len(body) < wholeBytes {
 		f.held = &held{answer: answer, body: body}
+		f.conclude(fault.New(fault.EndpointFault, "the endpoint answered "+strconv.Itoa(answer.Status), "look into the endpoint"))
 		return false
 	}
 	f.write(answer, body)
@@ -58,8 +60,9 @@
 // broken takes note of an endpoint whose answer broke off or is not its own.
 func (f *flow) broken(endpoint *catalog.Endpoint, err error) {
 	f.last = err
+	f.conclude(err)
 	if f.ctx.Err() == nil {
-		f.g.placer.Failed(endpoint.ID, f.g.now())
+		f.g.avoid(endpoint)
 	}
 	f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Err(err).Msg("answer broken off")
 }
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -28,13 +28,15 @@
 
 func newHealth() *health { return &health{known: make(map[catalog.EndpointID]*record)} }
 
-func (h *health) succeeded(id catalog.EndpointID) {
+func (h *health) succeeded(id catalog.EndpointID) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	known := h.known[id] != nil
 	delete(h.known, id)
+	return known
 }
 
-func (h *health) failed(id catalog.EndpointID, now time.Duration) {
+func (h *health) failed(id catalog.EndpointID, now time.Duration) (until time.Duration, changed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.forget(now)
@@ -44,10 +46,11 @@
 		h.known[id] = r
 	}
 	if now < r.until {
-		return // one of several requests that were under way together
+		return r.until, false // one of several requests that were under way together
 	}
 	r.until = now + min(longestAvoidance, firstAvoidance<<min(r.inRow, 8))
 	r.inRow++
+	return r.until, true
 }
 
 func (h *health) forget(now time.Duration) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -37,11 +37,14 @@
 // Load returns the meter of the endpoint's load.
 func (p *Placer) Load(id catalog.EndpointID) *routing.Meter { return p.loads.Of(core.HostID(id)) }
 
-// Succeeded says that the endpoint answered.
-func (p *Placer) Succeeded(id catalog.EndpointID) { p.health.succeeded(id) }
+// Succeeded says that the endpoint answered. It returns true for one that had failed lately.
+func (p *Placer) Succeeded(id catalog.EndpointID) bool { return p.health.succeeded(id) }
 
-// Failed says that the endpoint could not be reached or broke off.
-func (p *Placer) Failed(id catalog.EndpointID, now time.Duration) { p.health.failed(id, now) }
+// Failed says that the endpoint could not be reached or broke off. It returns until when it is avoided, and true if it was
+// not avoided yet.
+func (p *Placer) Failed(id catalog.EndpointID, now time.Duration) (until time.Duration, changed bool) {
+	return p.health.failed(id, now)
+}
 
 // Pick chooses an endpoint, or returns nil when none may run the request. One whose entry does not show the version comes
 // last; only its sidecar knows whether it serves it by now.
--- a/internal/routing/meter.go
+++ b/internal/routing/meter.go
@@ -64,6 +64,15 @@
 	return wholeFresh >> min(halvings, freshBits)
 }
 
+// ReportAge returns how old the last report is; false when there is none.
+func (m *Meter) ReportAge(now time.Duration) (time.Duration, bool) {
+	latest := m.latest.Load()
+	if latest == nil {
+		return 0, false
+	}
+	return now - latest.at, true
+}
+
 // Limit returns the reported limit, or the cold one when none is reported or the report is too old.
 func (m *Meter) Limit(now time.Duration, cold int64) int64 {
 	latest := m.latest.Load()
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -11,7 +11,6 @@
 	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
-	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
@@ -44,7 +43,7 @@
 		s.refuse(w, c, refusedBad, err)
 		return
 	}
-	if serving := s.serving.Load(); serving == 0 || serving < leastVersion(r) {
+	if !s.serves(leastVersion(r)) {
 		s.refuse(w, c, refusedLoading, nil)
 		return
 	}
@@ -74,7 +73,9 @@
 	}
 	held := false
 	defer func() { s.gate.Leave(held) }()
-	held = s.relay(w, r, &admitted{call: c, arrived: arrived, prompt: prompt, estimate: estimate})
+	a := &admitted{call: c, arrived: arrived, prompt: prompt, estimate: estimate, running: s.gate.Load().Running, version: s.serving.Load()}
+	defer s.logAdmitted(a)
+	held = s.relay(w, r, a)
 }
 
 // changeSlack is how far a request may be expected to run into a change of weights. Each engine that changes takes
@@ -101,6 +102,9 @@
 	prompt   *admission.Prompt
 	estimate time.Duration // of its first event
 	begun    bool          // a part of its answer has come
+	first    time.Duration // until that part
+	running  int           // requests at the engine when it was let in, this one included
+	version  int64         // of the weights
 }
 
 // leastVersion returns the oldest version that the gateway lets run the request, 0 for any.
@@ -112,6 +116,19 @@
 	return version
 }
 
+// logAdmitted writes the line of a request that was let in, with what it was let in by.
+func (s *Sidecar) logAdmitted(a *admitted) {
+	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.first).Dur("took", time.Since(a.arrived)).Msg("request let in")
+}
+
+// serves tells whether the engine may be sent a request that needs at least the version. The time is judged here, since
+// the keeper may be waiting for the origin when it comes.
+func (s *Sidecar) serves(least int64) bool {
+	serving := s.serving.Load()
+	closes := s.closes.Load()
+	return serving > 0 && serving >= least && (closes == 0 || int64(bootclock.Now()) < closes)
+}
+
 // firstEventBound returns the bound that the gateway set, 0 for none.
 func firstEventBound(r *http.Request) time.Duration {
 	ms, err := strconv.Atoi(r.Header.Get(wire.HeaderFirstEvent))
@@ -198,7 +215,7 @@
 	}
 	a.begun = true
 	a.prompt.Begin()
-	s.logger.Debug().Str("request", string(a.call.ID)).Dur("estimated", a.estimate).Dur("took", time.Since(a.arrived)).Int("tokens", a.call.PromptTokens).Msg("first event")
+	a.first = time.Since(a.arrived)
 }
 
 func (s *Sidecar) setLoad(header http.Header) {
@@ -209,11 +226,15 @@
 // refuse states that the request has not run and will not run here.
 func (s *Sidecar) refuse(w http.ResponseWriter, c *call.Call, reason string, cause error) {
 	telemetry.TurnedAway(reason)
-	entry := s.logger.Debug().Str("reason", reason).Str("kind", fault.Kind(cause))
+	load := s.gate.Load()
+	entry := s.logger.Info().Str("reason", reason).Int64("version", s.serving.Load()).Int("running", load.Running).Int("limit", load.Limit)
 	if c != nil {
-		entry.Str("request", string(c.ID))
+		entry.Str("request", string(c.ID)).Int("tokens", c.PromptTokens)
+	}
+	if cause != nil {
+		entry.Err(cause)
 	}
-	entry.Msg("request refused")
+	entry.Msg("request not let in")
 	w.Header().Set(wire.HeaderRefused, reason)
 	s.setLoad(w.Header())
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -59,6 +59,7 @@
 	distributor *distribution.Distributor
 	serving     atomic.Int64 // version that the engine runs requests with; 0 while it must not run any
 	leaving     atomic.Int64 // boot clock in nanoseconds at which the engine stops taking requests to load; 0 for none
+	closes      atomic.Int64 // boot clock in nanoseconds at which the version must be left; 0 for none
 	changed     chan struct{}
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -186,12 +187,16 @@
 
 // newSidecar returns a sidecar beside the engine, at ports that are free.
 func newSidecar(t *testing.T, engine Engine, origin Origin, source *fakeSource, engineAddress string) *Sidecar {
+	t.Helper()
+	return newLoggedSidecar(t, engine, origin, source, engineAddress, &log.Logger{Level: log.PanicLevel})
+}
+
+func newLoggedSidecar(t *testing.T, engine Engine, origin Origin, source *fakeSource, engineAddress string, logger *log.Logger) *Sidecar {
 	t.Helper()
 	source.address = engineAddress
 	config := settings.Sidecar{EngineAddress: engineAddress, Service: "s", VersionMs: 300, GraceMs: 1000}
 	config.Address, config.Region, config.FailureDomain = "127.0.0.1", "east", "x"
 	config.Ports = []int{1, 3}
-	logger := &log.Logger{Level: log.PanicLevel}
 	follower := follow.New(source, follow.Pace{EndpointsInterval: 20 * time.Millisecond}, follow.Delegates{}, logger)
 	s := New(config, plainCodec{}, follower, engine, origin, logger)
 	ctx, stop := context.WithCancel(context.Background())
@@ -422,3 +427,53 @@
 		}
 	}
 }
+
+func TestTheLinesOfASidecarHaveTheirInputs(t *testing.T) {
+	engine := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	var mu sync.Mutex
+	var lines []string
+	logger := &log.Logger{Level: log.InfoLevel, Writer: log.WriterFunc(func(entry *log.Entry) (int, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		lines = append(lines, string(entry.Value()))
+		return 0, nil
+	})}
+	s := newLoggedSidecar(t, &fakeEngine{staged: make(map[int][]byte), spoil: -1, version: 1}, &fakeOrigin{}, &fakeSource{}, engine, logger)
+	wait(t, "the gate to open", func() bool { return s.serving.Load() == 1 && s.gate.Load().Limit == 2 })
+	address := serve(t, s.serveRelay)
+	has := func(text string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.ContainsFunc(lines, func(line string) bool { return strings.Contains(line, text) })
+	}
+	for _, least := range []string{"1", "2"} {
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(wire.HeaderLeastVersion, least)
+		answer, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+	}
+	wait(t, "both lines", func() bool { return has("request let in") && has("request not let in") })
+	mu.Lock()
+	defer mu.Unlock()
+	for line, fields := range map[string][]string{
+		"request let in":     {"request", "tokens", "version", "running", "estimated", "first_event", "took"},
+		"request not let in": {"request", "reason", "version", "running", "limit"},
+	} {
+		i := slices.IndexFunc(lines, func(text string) bool { return strings.Contains(text, `"`+line+`"`) })
+		if i < 0 {
+			t.Errorf("%q is missing: %v", line, lines)
+			continue
+		}
+		for _, field := range fields {
+			if !strings.Contains(lines[i], `"`+field+`":`) {
+				t.Errorf("%q lacks %s: %s", line, field, lines[i])
+			}
+		}
+	}
+}
--- a/internal/sidecar/turn_test.go
+++ b/internal/sidecar/turn_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/core"
 )
@@ -62,3 +64,32 @@
 		t.Errorf("while the origin is away the turn is %v after the naming, want %v", turn-now, want-now)
 	}
 }
+
+// The keeper may wait for the origin when the version has to be left.
+func TestTheGateClosesWithoutTheKeeper(t *testing.T) {
+	s := &Sidecar{}
+	s.serving.Store(1)
+	now := bootclock.Now()
+	s.closes.Store(closingTime(now+time.Hour, true))
+	if !s.serves(1) || s.serves(2) {
+		t.Error("the version that runs is not served, or one that does not run is")
+	}
+	s.closes.Store(closingTime(now, true))
+	if s.serves(1) {
+		t.Error("a version that has to be left is served")
+	}
+	s.closes.Store(closingTime(0, false))
+	if !s.serves(1) {
+		t.Error("a version that need not be left is not served")
+	}
+}
+
+// What a change to one version announced says nothing of requests that run with that version.
+func TestANewVersionIsNotLeftForItsOwnChange(t *testing.T) {
+	s := &Sidecar{logger: &log.Logger{Level: log.PanicLevel}}
+	s.leaving.Store(int64(bootclock.Now()))
+	s.serve(2, false)
+	if s.leaving.Load() != 0 {
+		t.Error("requests are refused for a change that is done")
+	}
+}
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -105,6 +105,7 @@
 	k.aim(model, view.Wanted[model], loaded)
 	due, leaving := view.Wanted[model].Due(loaded, s.settings.VersionMs.Duration())
 	late := leaving && bootclock.Now() > due-dueMargin
+	s.closes.Store(closingTime(due, leaving))
 	s.serve(loaded, unreachable != nil || report.Busy || late)
 	if unreachable != nil && !k.othersServe(view) {
 		return unreachable // it may come up with the weights
@@ -117,6 +118,14 @@
 	return errors.Join(missing, k.change(ctx, view, loaded, due))
 }
 
+// closingTime is when the engine must be sent nothing more, on the boot clock in nanoseconds; 0 for never.
+func closingTime(due time.Duration, leaving bool) int64 {
+	if !leaving {
+		return 0
+	}
+	return int64(due - dueMargin)
+}
+
 // change stages the version that comes next and orders the engine to load it when its turn has come.
 func (k *keeper) change(ctx context.Context, view *catalog.View, loaded int64, due time.Duration) error {
 	next := k.next()
@@ -166,6 +175,7 @@
 		version = 0
 	}
 	if before := s.serving.Swap(version); before != version {
+		s.leaving.Store(0) // it was of the version before
 		s.logger.Info().Int64("before", before).Int64("version", version).Msg("version served changed")
 	}
 }
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -1,8 +1,10 @@
 package telemetry
 
 import (
+	"bytes"
 	"io"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -32,6 +34,7 @@
 	at      time.Time
 	dropped int
 	told    time.Time
+	start   time.Time
 }
 
 // NewBoundedLogger returns a logger of JSON lines with the host's name on standard output. Lines beyond the bound are
@@ -44,7 +47,7 @@
 
 func newBoundedWriter(out io.Writer) *boundedWriter {
 	now := time.Now()
-	w := &boundedWriter{lines: make(chan []byte, logQueue), budget: logBytesPerS, at: now, told: now}
+	w := &boundedWriter{lines: make(chan []byte, logQueue), budget: logBytesPerS, at: now, told: now, start: now}
 	go func() {
 		for line := range w.lines {
 			_, _ = out.Write(line) // nobody is left to be told that the output is gone
@@ -55,10 +58,10 @@
 
 // WriteEntry implements log.Writer.
 func (w *boundedWriter) WriteEntry(entry *log.Entry) (int, error) {
-	line := append([]byte(nil), entry.Value()...) // the entry is reused after the call
+	now := time.Now()
+	line := w.stamped(entry.Value(), now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := time.Now()
 	if !w.admit(entry.Level, len(line), now) || !w.enqueue(line) {
 		w.dropped++
 	}
@@ -66,6 +69,23 @@
 	return len(line), nil
 }
 
+// UptimeField holds the milliseconds since the process's start on its steady clock: the order of a process's lines, also
+// when the time of day steps.
+const UptimeField = "up_ms"
+
+// stamped returns a copy of the line with the time since the start. The entry that holds the line is reused.
+func (w *boundedWriter) stamped(line []byte, now time.Time) []byte {
+	end := bytes.LastIndexByte(line, '}')
+	if end < 0 {
+		return bytes.Clone(line)
+	}
+	stamped := make([]byte, 0, len(line)+len(UptimeField)+20)
+	stamped = append(stamped, line[:end]...)
+	stamped = append(stamped, `,"`+UptimeField+`":`...)
+	stamped = strconv.AppendInt(stamped, now.Sub(w.start).Milliseconds(), 10)
+	return append(stamped, line[end:]...)
+}
+
 // admit charges the line to the budget.
 func (w *boundedWriter) admit(level log.Level, bytes int, now time.Time) bool {
 	w.budget = min(logBytesPerS, w.budget+logBytesPerS*now.Sub(w.at).Seconds())
