--- /dev/null
+++ b/scripts/soak-mutants.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Shows that the fault soak finds faults: breaks one promise after the other in a copy of the sources, plays some seeds,
+# and expects the check that is named. Arguments: names of mutants, all of them without any.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seeds=${SEEDS:-4}
+length=${LENGTH:-12s}
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+
+# name | check that has to find it | file | what sed changes
+mutants='
+repeats-lost-outcomes|at most once:|internal/gateway/flow.go|s/if f.runs > 0 \&\& f.route.Repeat != catalog.Idempotent \{/if false {/
+refuses-what-ran|true refusals:|internal/gateway/flow.go|s/^\tcase f.sure:$/\tcase true:/
+delivers-halves|whole answers:|internal/gateway/whole.go|s/^\tbody, err := io.ReadAll\(io.LimitReader\(answer, wholeBytes\)\)$/\tbody, err := io.ReadAll(io.LimitReader(answer, wholeBytes)); err = nil/
+resumes-from-the-start|streams:|internal/gateway/send.go|s/send.ResumeAfter = f.stream.last/send.ResumeAfter = ""/
+loads-unread|verified weights:|internal/sidecar/staging.go|s/weights.Sum\(raw\) != digest/false \&\& weights.Sum(raw) != digest/
+trusts-old-keys|revoked keys:|internal/gateway/handler.go|s/if !g.fresh\(\) \{/if false {/
+ignores-draining|drained back ends:|internal/catalog/view.go|s/if endpoint.Draining \|\| /if /
+ignores-evacuations|evacuated failure domains:|internal/catalog/view.go|s/ \|\| evacuated\[endpoint.FailureDomain\]//
+keeps-first-configuration|configuration in force:|internal/follow/state.go|s/s.index != nil \&\& next.Version <= s.index.Configuration.Version/s.index != nil/
+passes-keys-on|unasked:|platform/headers.go|s/headerPriority, headerKey, headerDeadline/headerPriority, headerDeadline/
+'
+
+status=0
+while IFS='|' read -r name check file change; do
+  [ -n "$name" ] || continue
+  if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
+  copy="$folder/$name"
+  mkdir "$copy"
+  tar cf - --exclude=.git --exclude=journal --exclude=target --exclude=bin . | tar xf - -C "$copy"
+  sed -i -E "$change" "$copy/$file"
+  if cmp -s "$file" "$copy/$file"; then
+    echo "$name: the change does not fit $file any more"
+    status=1
+    continue
+  fi
+  output=$(cd "$copy" && go test ./systemtest/soak -run TestFreshSeeds -count=1 -parallel 4 -timeout 10m -args -seeds "$seeds" -first 1 -length "$length" 2>&1) || true
+  found=$(grep -c "$check" <<<"$output" || true)
+  echo "$name: $found reports of \"${check%:}\""
+  if [ "$found" -eq 0 ]; then
+    status=1
+    tail -5 <<<"$output"
+  fi
+  rm -rf "$copy"
+done <<<"$mutants"
+exit $status
--- /dev/null
+++ b/systemtest/soak/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package soak
+
+const raceFlag = "-race=false"
