--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -17,6 +17,10 @@
 	StoreAddress  string                             `json:"store_address" validate:"required,ip_port"`
 	LogLevel      string                             `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
 
+	// CollectorPercent is by how much the heap may grow between two collections, in percent; 0 for the runtime's own 100.
+	// Where memory costs more than processor time it is lower (docs/operations/platform.md has the measurement).
+	CollectorPercent int `json:"collector_percent" validate:"gte=0,lte=1000"`
+
 	// Delegates are the control addresses of gateways that read the store for the others. Those that are down are passed
 	// over; without any, each process reads for itself.
 	Delegates []string `json:"delegates" validate:"dive,ip_port"`
--- a/internal/sidecar/staging.go
+++ b/internal/sidecar/staging.go
@@ -68,6 +68,7 @@
 	}
 	s.serve(0, true) // the engine takes nothing new from here until it has loaded
 	outcome, err := s.engine.Start(ctx, k.model, g.version)
+	k.loading = err == nil && outcome == OrderBegun
 	s.logger.Info().Str("model", string(k.model)).Int64("version", g.version).Int("outcome", int(outcome)).Err(err).Msg("engine ordered to load")
 	return err
 }
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -21,6 +21,9 @@
 	// checkInterval is between two looks at the engine: short against the seconds in which a version has to run, and
 	// the report of an engine is free on its own machine.
 	checkInterval = 200 * time.Millisecond
+	// loadInterval is between two looks at an engine that loads: it serves nothing until it is seen to be done, and a load
+	// takes some tenths of a second.
+	loadInterval = 40 * time.Millisecond
 	// listPatience is how long a sidecar waits until its own engine stands in the registry: a heartbeat and the lag of
 	// the list.
 	listPatience = 1500 * time.Millisecond
@@ -67,25 +70,36 @@
 	staged  map[int]bool // its pieces that lie staged, as far as known
 	hosts   []core.Host  // that the distributor was told of
 	listed  time.Duration
+	loading bool // the engine was ordered to load and has not been seen to be done
 }
 
 // keepVersion brings the engine to the wanted version, again and again, until the context ends.
 func (s *Sidecar) keepVersion(ctx context.Context) {
 	k := &keeper{sidecar: s}
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
 	for {
 		if err := k.check(ctx); err != nil && ctx.Err() == nil {
 			s.logger.Warn().Err(err).Str("model", string(k.model)).Msg("version not brought yet")
 		}
+		timer := time.NewTimer(k.interval())
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-s.changed:
 		case <-s.distributor.Changed():
 		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// interval is the time until the next look at the engine.
+func (k *keeper) interval() time.Duration {
+	if k.loading {
+		return loadInterval
 	}
+	return checkInterval
 }
 
 // check takes the next steps towards the newest version. Weights are brought also while the engine cannot be reached.
@@ -101,6 +115,7 @@
 	}
 	report, unreachable := s.engine.Report(ctx)
 	s.reading.SetPace(report.Pace)
+	k.loading = report.Busy
 	loaded := report.Loaded[model]
 	k.aim(model, view.Wanted[model], loaded)
 	due, leaving := view.Wanted[model].Due(loaded, s.settings.VersionMs.Duration())
