One client of the platform's store

Cause: internal/platform held an HTTP client for a protocol of the first stand-in, beside the client of the users' platform; two clients, and the demo and the system tests ran over a protocol that no platform speaks.

Change: platform/services.go implements Tables, Objects and Hosts over the published protocol (conditional writes are one transaction, sent again without those that lost their race); the hosts are rows of a table. internal/platform keeps the interfaces. One stand-in of the store: platformtest.Rows, with transactions, objects and pages; the first stand-in of the platform serves it and keeps its faults and the origin. make demo, the system tests and the operators' client run over it.

Left: the first origin's ranges of weights (the published origin serves pieces by number) and the first model engine.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,6 +24,7 @@
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/weights"
 	"github.com/lovageglade/lovageglade/internal/wire"
+	clients "github.com/lovageglade/lovageglade/platform"
 )
 
 // Agent is one agent process.
@@ -49,12 +50,7 @@
 
 // New returns an agent that has not started.
 func New(config settings.Agent) *Agent {
-	services := platform.NewClient(platform.Addresses{
-		Tables:  config.Platform.TablesAddress,
-		Objects: config.Platform.ObjectsAddress,
-		Hosts:   config.Platform.HostsAddress,
-		Origin:  config.Platform.OriginAddress,
-	})
+	services := clients.NewServices(config.Platform)
 	a := &Agent{
 		settings:    config,
 		incarnation: core.NewIncarnation(),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,12 +13,12 @@
 
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/node"
-	"github.com/lovageglade/lovageglade/internal/platform"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
 	"github.com/lovageglade/lovageglade/internal/stream"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/wire"
+	"github.com/lovageglade/lovageglade/platform"
 )
 
 const (
@@ -42,12 +42,7 @@
 
 // New returns an entry that has not started.
 func New(config settings.Entry) *Entry {
-	services := platform.NewClient(platform.Addresses{
-		Tables:  config.Platform.TablesAddress,
-		Objects: config.Platform.ObjectsAddress,
-		Hosts:   config.Platform.HostsAddress,
-		Origin:  config.Platform.OriginAddress,
-	})
+	services := platform.NewServices(config.Platform)
 	e := &Entry{
 		settings: config,
 		logger:   telemetry.NewLogger(config.LogLevel, config.Host.ID),
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -5,9 +5,9 @@
 	"io"
 	"time"
 
-	"github.com/lovageglade/lovageglade/internal/platform"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
+	"github.com/lovageglade/lovageglade/platform"
 )
 
 const pollInterval = 200 * time.Millisecond
@@ -15,7 +15,7 @@
 // Operator carries out operators' commands.
 type Operator struct {
 	Addresses settings.Platform
-	Platform  *platform.Client
+	Platform  *platform.Services
 	Peers     *rpc.Client
 	Out       io.Writer
 	By        string   // who publishes, for the history; "" for nobody named
@@ -28,11 +28,6 @@
 		Addresses: addresses,
 		Out:       out,
 		Peers:     rpc.NewClient(),
-		Platform: platform.NewClient(platform.Addresses{
-			Tables:  addresses.TablesAddress,
-			Objects: addresses.ObjectsAddress,
-			Hosts:   addresses.HostsAddress,
-			Origin:  addresses.OriginAddress,
-		}),
+		Platform:  platform.NewServices(addresses),
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,5 +1,5 @@
-// Package platform names what the system asks of the platform, one small interface for each of its systems, and holds
-// the HTTP clients that speak to them. Nothing of the platform's own protocols is visible outside this package.
+// Package platform names what the system asks of the platform, one small interface for each of its systems. The folder
+// platform at the root of the repository implements them; nothing of the platform's protocols is visible outside it.
 package platform
 
 import (
