Engines are not emptied before their weights can be there; direct reads of a store that is away get rarer

(2) The weights came 6 s after the store, the first turns began after 3 s: up to 2,589 refusals a second said "it would run into a change of weights" of engines that could not change yet.

Change: (1) a process whose delegates fail reads the store with a pause that doubles to 1.6 s, and asks delegates whose own reads fail every 0.4 s, since they hear first when it is back. (2) While weights arrive, an engine is emptied for the time at which they will be there, by the rate at which they came until now.

Ruled out: leaving out the older of two versions that are named together (tried; of 63 sidecars only 12 had heard of it, and a test showed that it may be the only one to be had).

Tests: TestReadsOfAStoreThatIsAwayGetRarer, TestAnEngineIsNotEmptiedBeforeItsWeightsCanBeThere.

--- /dev/null
+++ b/internal/follow/backoff_test.go
@@ -0,0 +1,28 @@
+package follow
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+// A hundred processes that lose their delegates in an outage of the store must not all read it five times a second: their
+// reads are refused, and cost the store's rates when it comes back.
+func TestReadsOfAStoreThatIsAwayGetRarer(t *testing.T) {
+	var b backoff
+	reads := 0
+	outage := 8 * time.Second
+	for now := time.Duration(0); now < outage; now += 10 * time.Millisecond {
+		if b.due(now) {
+			reads++
+			b.observe(errors.New("away"), now)
+		}
+	}
+	if most := 3 + int(outage/mostBackoff); reads > most {
+		t.Errorf("%d reads in %v, want at most %d", reads, outage, most)
+	}
+	b.observe(nil, outage)
+	if !b.due(outage) {
+		t.Error("a store that is back is not read at once")
+	}
+}
--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -24,8 +24,10 @@
 	// startPatience is for the first answer of the one delegate that a process asks at its start, which may have lost
 	// power together with this process: many round trips between regions.
 	startPatience = 250 * time.Millisecond
-	// delegateRetry follows a delegate that did not answer, or whose own reads fail.
+	// delegateRetry follows a delegate that did not answer.
 	delegateRetry = 2 * time.Second
+	// failingRetry follows a delegate whose own reads fail: it hears first when the store is back.
+	failingRetry = 400 * time.Millisecond
 )
 
 // readRequest asks a delegate for what is newer than the cursors.
@@ -132,15 +134,22 @@
 	delegates := newDelegates(f.delegates)
 	lost := dependency{name: "delegates that read the store", logger: f.logger}
 	var outage outage // of the store, as far as this process reads it
+	var direct backoff
 	var operator, endpoints Cursor
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
 		answer, err := f.askDelegates(ctx, delegates, readRequest{Operator: operator, Endpoints: endpoints, Wait: f.pace.OperatorWait, Bare: f.delegates.Bare})
 		lost.observe(err)
+		if err != nil && !direct.due(bootclock.Now()) {
+			f.pause(ctx, retryInterval)
+			continue
+		}
 		if err != nil {
-			operator, endpoints = f.readOnce(ctx, operator, endpoints, &outage)
+			operator, endpoints, err = f.readOnce(ctx, operator, endpoints, &outage)
+			direct.observe(err, bootclock.Now())
 			continue
 		}
+		direct = backoff{}
 		outage.observe(nil, bootclock.Now())
 		operator, endpoints = answer.Operator.Cursor, answer.Endpoints.Cursor
 		f.loop.Post(ctx, answer.operatorRead(sent))
@@ -180,30 +189,38 @@
 			return answer, nil
 		}
 		if err == nil {
-			err = fault.New(fault.Interrupted, "the delegate's own reads of the store fail", "check the store and the network to it")
+			err = fault.New(fault.PlatformDown, "the delegate's own reads of the store fail", "check the store and the network to it")
 		}
-		d.until = bootclock.Now() + delegateRetry
+		d.until = bootclock.Now() + retryAfter(err)
 	}
 	return readAnswer{}, err
 }
 
+// retryAfter is the time until a delegate that gave the error is asked again.
+func retryAfter(err error) time.Duration {
+	if fault.Is(err, fault.PlatformDown) {
+		return failingRetry
+	}
+	return delegateRetry
+}
+
 // readOnce reads the store once, and returns the cursors from which to go on.
-func (f *Follower) readOnce(ctx context.Context, operator, endpoints Cursor, outage *outage) (Cursor, Cursor) {
+func (f *Follower) readOnce(ctx context.Context, operator, endpoints Cursor, outage *outage) (Cursor, Cursor, error) {
 	sent := bootclock.Now()
 	changes, err := f.source.Operator(ctx, operator, 0)
 	if err != nil {
 		outage.observe(err, bootclock.Now())
-		return f.recover(ctx, operator, err), endpoints
+		return f.recover(ctx, operator, err), endpoints, err
 	}
 	f.loop.Post(ctx, operatorRead{sent: sent, asOf: sent, changes: changes})
 	sent = bootclock.Now()
 	listed, err := f.source.Endpoints(ctx, endpoints)
 	outage.observe(err, bootclock.Now())
 	if err != nil {
-		return changes.Cursor, f.recover(ctx, endpoints, err)
+		return changes.Cursor, f.recover(ctx, endpoints, err), err
 	}
 	listed.AfterOutage = outage.over
 	f.loop.Post(ctx, endpointsRead{sent: sent, now: bootclock.Now(), changes: listed})
 	f.pause(ctx, min(f.pace.OperatorWait, f.pace.EndpointsInterval)-(bootclock.Now()-sent))
-	return changes.Cursor, listed.Cursor
+	return changes.Cursor, listed.Cursor, nil
 }
--- a/internal/sidecar/turn.go
+++ b/internal/sidecar/turn.go
@@ -35,6 +35,12 @@
 	return place
 }
 
+// emptyAt returns when an engine has to be empty for its turn while its weights still arrive. An engine that refuses
+// requests before it can load runs at a part of its capacity for nothing.
+func emptyAt(turn, now, remaining time.Duration) time.Duration {
+	return max(turn, now+remaining)
+}
+
 // turnAt returns when a host may begin to change to a version that was named at the moment, within the bound. Due is
 // when it has to leave an older version at the latest.
 func turnAt(named, due, bound time.Duration, place float64) time.Duration {
--- a/internal/sidecar/turn_test.go
+++ b/internal/sidecar/turn_test.go
@@ -93,3 +93,15 @@
 		t.Error("requests are refused for a change that is done")
 	}
 }
+
+// On a day on which weights arrived four seconds after the first turns, engines refused all but short requests meanwhile.
+func TestAnEngineIsNotEmptiedBeforeItsWeightsCanBeThere(t *testing.T) {
+	now := 100 * time.Second
+	turn := now - time.Second
+	if empty := emptyAt(turn, now, 3*time.Second); empty != now+3*time.Second {
+		t.Errorf("an engine is emptied %v before its weights are there", now+3*time.Second-empty)
+	}
+	if empty := emptyAt(now+5*time.Second, now, 3*time.Second); empty != now+5*time.Second {
+		t.Errorf("an engine is emptied %v before its turn", now+5*time.Second-empty)
+	}
+}
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -149,8 +149,9 @@
 	}
 	turn := k.turn(view, next, due)
 	complete := len(k.staged) == len(next.manifest.Chunks)
-	k.announceTurn(turn, complete || bootclock.Now()-next.advanced < flowing)
-	if !complete || loaded > 0 && bootclock.Now() < turn {
+	now := bootclock.Now()
+	k.announceTurn(turn, now, complete, next)
+	if !complete || loaded > 0 && now < turn {
 		return nil
 	}
 	return k.load(ctx, next)
@@ -175,13 +176,17 @@
 
 func (k *keeper) newest() *goal { return k.goals[len(k.goals)-1] }
 
-// announceTurn lets the gate know when the engine has to be empty. Nothing is known while the turn has passed, or while
-// the weights do not arrive.
-func (k *keeper) announceTurn(turn time.Duration, arriving bool) {
-	if !arriving {
-		turn = 0
+// announceTurn lets the gate know when the engine has to be empty. Nothing is known while the weights do not arrive.
+func (k *keeper) announceTurn(turn, now time.Duration, complete bool, next *goal) {
+	progress, _ := k.sidecar.distributor.Progress(next.id)
+	switch {
+	case complete:
+		k.sidecar.leaving.Store(int64(turn))
+	case progress.Have > 0 && now-next.advanced < flowing:
+		k.sidecar.leaving.Store(int64(emptyAt(turn, now, progress.Remaining)))
+	default:
+		k.sidecar.leaving.Store(0)
 	}
-	k.sidecar.leaving.Store(int64(turn))
 }
 
 // serve opens the gate for requests that run on the version, or closes it.
