A start waits for delegates, and manifests come from the sidecars that asked the origin

(1) 160 processes started together and found no delegate; each read the whole configuration of 1,640 routes from the store, most over the 32 Mbit/s between regions: 13 of 45 gateways knew it after 5 s. (2) 99 sidecars asked the origin for the manifest, which takes 48 connections: most were refused until 48 s, 4 s after they knew the version.

Ruled out: lost staged pieces (they were there; a sidecar with the manifest had its weights complete in 50 ms).

Change: (1) a process that starts asks the delegates every 100 ms, with 250 ms for an answer, and reads the store itself after 1.5 s. (2) Six sidecars a version ask the origin for its manifest, the others ask these, and the origin every 1.5 s if they have none; a manifest in doubt is withdrawn and fetched from the origin.

--- a/internal/follow/backoff_test.go
+++ b/internal/follow/backoff_test.go
@@ -26,3 +26,15 @@
 		t.Error("a store that is back is not read at once")
 	}
 }
+
+// Delegates that start together with the process have to read the store first; it need not be read by all.
+func TestAStartLeavesTimeForDelegates(t *testing.T) {
+	now := time.Minute
+	b := backoff{until: now + startWait}
+	if b.due(now + startWait - time.Millisecond) {
+		t.Error("the store is read before delegates had their time")
+	}
+	if !b.due(now + startWait) {
+		t.Error("the store is not read although no delegate answers")
+	}
+}
--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -21,9 +21,15 @@
 	// delegateSilence beyond the wait is for how long a delegate may have heard nothing from the store. A delegate's read,
 	// its time-out and one more answer fit into the two seconds within which a configuration has to be in force.
 	delegateSilence = 700 * time.Millisecond
-	// startPatience is for the first answer of the one delegate that a process asks at its start, which may have lost
-	// power together with this process: many round trips between regions.
+	// startPatience is for a delegate's first answer, which does not wait: many round trips between regions. The delegate
+	// may have lost power together with this process.
 	startPatience = 250 * time.Millisecond
+	// startRetry is between two rounds of questions at the start: delegates that start as well need about as long to read
+	// the store.
+	startRetry = 100 * time.Millisecond
+	// startWait is how long a process that starts waits for delegates before it reads the store itself. After a loss of
+	// all power a hundred processes would fetch the whole configuration over the links between regions.
+	startWait = 1500 * time.Millisecond
 	// delegateRetry follows a delegate that did not answer.
 	delegateRetry = 2 * time.Second
 	// failingRetry follows a delegate whose own reads fail: it hears first when the store is back.
@@ -134,14 +140,14 @@
 	delegates := newDelegates(f.delegates)
 	lost := dependency{name: "delegates that read the store", logger: f.logger}
 	var outage outage // of the store, as far as this process reads it
-	var direct backoff
+	direct := backoff{until: bootclock.Now() + startWait}
 	var operator, endpoints Cursor
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
 		answer, err := f.askDelegates(ctx, delegates, readRequest{Operator: operator, Endpoints: endpoints, Wait: f.pace.OperatorWait, Bare: f.delegates.Bare})
 		lost.observe(err)
 		if err != nil && !direct.due(bootclock.Now()) {
-			f.pause(ctx, retryInterval)
+			f.pause(ctx, startRetry)
 			continue
 		}
 		if err != nil {
@@ -174,7 +180,7 @@
 	err := error(fault.New(fault.Interrupted, "no delegate answers", "check the processes at the seeds' addresses; the store is read instead"))
 	able, patience := order(delegates, f.delegates.Region, bootclock.Now()), request.Wait+delegateSlack
 	if !request.Operator.Read {
-		able, patience = able[:min(1, len(able))], startPatience
+		patience = startPatience
 	}
 	for _, d := range able {
 		var answer readAnswer
@@ -191,17 +197,21 @@
 		if err == nil {
 			err = fault.New(fault.PlatformDown, "the delegate's own reads of the store fail", "check the store and the network to it")
 		}
-		d.until = bootclock.Now() + retryAfter(err)
+		d.until = bootclock.Now() + retryAfter(err, request.Operator.Read)
 	}
 	return readAnswer{}, err
 }
 
 // retryAfter is the time until a delegate that gave the error is asked again.
-func retryAfter(err error) time.Duration {
-	if fault.Is(err, fault.PlatformDown) {
+func retryAfter(err error, started bool) time.Duration {
+	switch {
+	case !started:
+		return startRetry
+	case fault.Is(err, fault.PlatformDown):
 		return failingRetry
+	default:
+		return delegateRetry
 	}
-	return delegateRetry
 }
 
 // readOnce reads the store once, and returns the cursors from which to go on.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,22 +62,26 @@
 	leaving     atomic.Int64 // boot clock in nanoseconds at which the engine stops taking requests to load; 0 for none
 	closes      atomic.Int64 // boot clock in nanoseconds at which the version must be left; 0 for none
 	changed     chan struct{}
+
+	manifestsMu sync.Mutex
+	manifests   map[manifestRequest]weights.Manifest // from the origin, for peers
 }
 
 // New returns a sidecar that has not started.
 func New(config settings.Sidecar, codec call.Codec, follower *follow.Follower, engine Engine, origin Origin, logger *log.Logger) *Sidecar {
 	s := &Sidecar{
-		settings: config,
-		codec:    codec,
-		follower: follower,
-		engine:   engine,
-		origin:   origin,
-		logger:   logger,
-		gate:     admission.NewGate(),
-		pool:     dispatch.NewPool(),
-		peers:    rpc.NewClient(),
-		store:    weights.NewStore(weightsBytes),
-		changed:  make(chan struct{}, 1),
+		settings:  config,
+		codec:     codec,
+		follower:  follower,
+		engine:    engine,
+		origin:    origin,
+		logger:    logger,
+		gate:      admission.NewGate(),
+		pool:      dispatch.NewPool(),
+		peers:     rpc.NewClient(),
+		store:     weights.NewStore(weightsBytes),
+		changed:   make(chan struct{}, 1),
+		manifests: make(map[manifestRequest]weights.Manifest),
 	}
 	s.distributor = distribution.New(distribution.Options{
 		Self:          s.hostOf(config.Address, config.FailureDomain, config.Region),
@@ -149,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	methods := rpc.Serve(control, s.distributor.Methods())
+	methods := rpc.Serve(control, s.methods())
 	defer methods.Close()
 	app := fiber.New()
 	app.Get(wire.PathChunks+":digest", s.distributor.HandleChunk)
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -57,6 +57,8 @@
 	have     int           // chunks at the last progress
 	advanced time.Duration // when the last chunk arrived
 	doubted  time.Duration // when the manifest was last taken for wrong
+
+	askedOrigin time.Duration // for the manifest that others should have had
 }
 
 // keeper brings the engine to the newest version. While a newer one is named before the last is everywhere, it has both
@@ -289,7 +291,7 @@
 	g.retryAt = now + manifestRetry
 	call, stop := context.WithTimeout(ctx, manifestTimeout)
 	defer stop()
-	manifest, err := k.sidecar.origin.Manifest(call, view.Origin().Address, k.model, g.version)
+	manifest, err := k.manifest(call, view, g)
 	if err != nil {
 		return err
 	}
@@ -340,6 +342,7 @@
 		if now-max(g.advanced, g.doubted) > manifestDoubt {
 			k.sidecar.logger.Warn().Str("manifest", string(g.id)).Int64("version", g.version).Int("have", progress.Have).Msg("no chunk arrives; manifest is fetched again")
 			g.doubted = now
+			k.sidecar.keepManifest(manifestRequest{Model: k.model, Version: g.version}, nil)
 			g.manifest = nil
 			k.told = 0
 		}
