Of versions that are named together the newer is brought

Ruled out: the manifests (97 sidecars had both within a second).

Change: two versions that are named within an eighth of the bound are brought as one.

TestTheVersionBeforeIsLoadedWhenTheNewestCannotBeHad names its versions a quarter of the bound apart now: it had named them some milliseconds apart, which is the case that this commit changes; what it checks is the same. Test: TestOfVersionsNamedTogetherTheNewerIsBrought.

Tried and left out: sidecars keeping the last 15 % of slots for requests that can still be in time, where a caller who came back was told by its shorter patience.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -45,6 +45,14 @@
 	return n[len(n)-2].Version
 }
 
+// Gap returns the time between the two newest namings, 0 for fewer than two.
+func (n Namings) Gap() time.Duration {
+	if len(n) < 2 {
+		return 0
+	}
+	return n[len(n)-1].Seen - n[len(n)-2].Seen
+}
+
 // Required returns the oldest version that may still run the model's requests when each has to be replaced within the
 // bound after a newer one was named; 0 for any.
 func (n Namings) Required(now, bound time.Duration) int64 {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -246,6 +246,7 @@
 	wait(t, "version 1", func() bool { return s.serving.Load() == 1 })
 	source.name(2)
 	wait(t, "the naming", func() bool { return s.follower.View().Wanted[model].Newest() == 2 })
+	time.Sleep(s.settings.VersionMs.Duration() / 4) // versions that are named together are brought as one
 	source.name(3)
 	wait(t, "version 2", func() bool { version, _, _ := engine.holds(); return version == 2 })
 	origin.mu.Lock()
--- a/internal/sidecar/turn_test.go
+++ b/internal/sidecar/turn_test.go
@@ -1,12 +1,14 @@
 package sidecar
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/lovageglade/lovageglade/internal/bootclock"
+	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
 )
 
@@ -105,3 +107,27 @@
 		t.Errorf("an engine is emptied %v before its turn", now+5*time.Second-empty)
 	}
 }
+
+// After an outage of the store two versions stood named a tenth of a second apart; a hundred hosts fetched both at once, and
+// had the newer one six seconds later than without the older.
+func TestOfVersionsNamedTogetherTheNewerIsBrought(t *testing.T) {
+	k := &keeper{sidecar: newSidecar(t, &fakeEngine{staged: make(map[int][]byte), spoil: -1}, &fakeOrigin{}, &fakeSource{}, "127.0.0.1:9")}
+	paired := k.paired()
+	for _, test := range []struct {
+		apart time.Duration
+		want  []int64
+	}{
+		{0, []int64{3}},
+		{paired / 2, []int64{3}},
+		{2 * paired, []int64{2, 3}},
+	} {
+		k.aim(model, catalog.Namings{{Version: 2, Seen: time.Minute}, {Version: 3, Seen: time.Minute + test.apart}}, 1)
+		var got []int64
+		for _, g := range k.goals {
+			got = append(got, g.version)
+		}
+		if !slices.Equal(got, test.want) {
+			t.Errorf("versions %v are brought when named %v apart, want %v", got, test.apart, test.want)
+		}
+	}
+}
--- a/internal/sidecar/version.go
+++ b/internal/sidecar/version.go
@@ -40,6 +40,9 @@
 	manifestRetry   = 300 * time.Millisecond // long against a round trip to the origin
 	// supersededMargin before a version has to be left, the one after it is loaded if the newest cannot be had yet.
 	supersededMargin = 700 * time.Millisecond
+	// pairedShare of the bound: versions that are named more closely after each other than that are brought as one, the
+	// newer. The older would run for that long at most, and its weights hold up those of the newer on every link.
+	pairedShare = 0.125
 	// flowing weights had a chunk within this time: several chunks take as long on a machine's link.
 	flowing = 300 * time.Millisecond
 	// originPatience without a chunk of the newest version, its origin counts as away. It is long against the round trips
@@ -215,7 +218,7 @@
 // one.
 func (k *keeper) aim(model core.Model, namings catalog.Namings, loaded int64) {
 	versions := []int64{max(firstVersion, namings.Newest())}
-	if before := namings.Before(); loaded > 0 && loaded < before {
+	if before := namings.Before(); loaded > 0 && loaded < before && namings.Gap() > k.paired() {
 		versions = []int64{before, versions[0]}
 	}
 	known := func(g *goal) int64 { return g.version }
@@ -237,6 +240,11 @@
 	k.sidecar.follower.ReadEndpointsNow()
 }
 
+// paired is the longest time between two namings of which only the newer is brought.
+func (k *keeper) paired() time.Duration {
+	return time.Duration(pairedShare * float64(k.sidecar.settings.VersionMs.Duration()))
+}
+
 // othersServe tells whether another engine serves the newest version, so that its sidecar has the weights.
 func (k *keeper) othersServe(view *catalog.View) bool {
 	return slices.ContainsFunc(view.Listed(k.sidecar.settings.Service), func(endpoint *catalog.Endpoint) bool {
