Tests of programs share how they build them

Cause: the fault soak repeated the system tests' build and their choice of the race detector. Change: systemtest/programs. No check changes.

--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -26,6 +26,7 @@
 	"github.com/lovageglade/lovageglade/internal/standin"
 	"github.com/lovageglade/lovageglade/internal/weights"
 	"github.com/lovageglade/lovageglade/internal/wire"
+	"github.com/lovageglade/lovageglade/systemtest/programs"
 )
 
 const (
@@ -42,27 +43,7 @@
 )
 
 func TestMain(m *testing.M) {
-	code, err := buildAndRun(m)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		code = 1
-	}
-	os.Exit(code)
-}
-
-func buildAndRun(m *testing.M) (int, error) {
-	folder, err := os.MkdirTemp("", "lovage-bin")
-	if err != nil {
-		return 1, err
-	}
-	defer os.RemoveAll(folder)
-	binaries = folder
-	build := exec.Command("go", "build", raceFlag, "-o", folder+"/", "../cmd/lovage-entry", "../cmd/lovage-agent")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		return 1, err
-	}
-	return m.Run(), nil
+	programs.RunTests(m, func(folder string) { binaries = folder }, "lovage-entry", "lovage-agent")
 }
 
 // cluster is a running system. Each of its hosts has an IP number of its own.
--- /dev/null
+++ b/systemtest/programs/programs.go
@@ -0,0 +1,39 @@
+// Package programs builds the system's programs for tests that run them as processes.
+package programs
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+)
+
+// RunTests builds the commands, with the race detector if the tests have it, runs the tests and exits. Folder is called
+// with the folder that holds the programs before the tests run.
+func RunTests(m *testing.M, folder func(string), commands ...string) {
+	code, err := buildAndRun(m, folder, commands)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+func buildAndRun(m *testing.M, use func(string), commands []string) (int, error) {
+	folder, err := os.MkdirTemp("", "lovage-bin")
+	if err != nil {
+		return 1, err
+	}
+	defer os.RemoveAll(folder)
+	use(folder)
+	arguments := []string{"build", raceFlag, "-o", folder + "/"}
+	for _, command := range commands {
+		arguments = append(arguments, "github.com/lovageglade/lovageglade/cmd/"+command)
+	}
+	build := exec.Command("go", arguments...)
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return 1, err
+	}
+	return m.Run(), nil
+}
--- a/systemtest/soak/race_off_test.go
+++ b/systemtest/programs/race_off.go
@@ -1,5 +1,5 @@
 //go:build !race
 
-package soak
+package programs
 
 const raceFlag = "-race=false"
--- a/systemtest/race_off_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package systemtest
-
-const raceFlag = "-race=false"
--- a/systemtest/soak/soak_test.go
+++ b/systemtest/soak/soak_test.go
@@ -8,11 +8,11 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
-	"os/exec"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/lovageglade/lovageglade/systemtest/programs"
 )
 
 var (
@@ -38,27 +38,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	code, err := buildAndRun(m)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		code = 1
-	}
-	os.Exit(code)
-}
-
-func buildAndRun(m *testing.M) (int, error) {
-	folder, err := os.MkdirTemp("", "lovage-bin")
-	if err != nil {
-		return 1, err
-	}
-	defer os.RemoveAll(folder)
-	binaries = folder
-	build := exec.Command("go", "build", raceFlag, "-o", folder+"/", "../../cmd/lovage-gateway", "../../cmd/lovage-sidecar")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		return 1, err
-	}
-	return m.Run(), nil
+	programs.RunTests(m, func(folder string) { binaries = folder }, "lovage-gateway", "lovage-sidecar")
 }
 
 func TestShortSeeds(t *testing.T) {
