--- a/systemtest/soak/faults_test.go
+++ b/systemtest/soak/faults_test.go
@@ -103,7 +103,9 @@
 	nodes := slices.Concat(w.gateways, w.sidecars)
 	n := nodes[pick%len(nodes)]
 	defer w.calm.begin(n.name)()
-	n.store.set(mode(1 + pick/len(nodes)%int(modes-1)))
+	drawn := mode(1 + pick/len(nodes)%int(modes-1))
+	w.t.Logf("%6.2f s: %s's way to the store: %s", time.Since(w.started).Seconds(), n.name, modeNames[drawn])
+	n.store.set(drawn)
 	time.Sleep(lasts)
 	n.store.set(pass)
 }
@@ -112,7 +114,9 @@
 // true refusals hold whatever the network does.
 func (w *world) disturbBackend(backends []*backend, pick int, lasts time.Duration) {
 	b := backends[pick%len(backends)]
-	b.proxy.set(mode(1 + pick/len(backends)%int(modes-1)))
+	drawn := mode(1 + pick/len(backends)%int(modes-1))
+	w.t.Logf("%6.2f s: the way to %s: %s", time.Since(w.started).Seconds(), b.ID, modeNames[drawn])
+	b.proxy.set(drawn)
 	time.Sleep(lasts)
 	b.proxy.set(pass)
 }
