A follower that changes its delegate takes all endpoints anew

A delegate that reads before and after two changes which undo each other sees none, and tells its followers nothing; a follower that has just come from a delegate which read between them holds the state between, for good. A delegate that starts anew, too, does not know what was removed before.

Change: from a delegate whose list it does not hold a follower asks for all endpoints; one that is behind answers nothing until it has caught up. A whole list keeps the grace of entries that lapsed in an outage. A delegate's first list is its horizon.

Tests, each run with its mechanism off and failing then: TestAFollowerThatChangesItsDelegateHearsWhatTheOtherNeverSaw, TestADelegateThatIsBehindAnswersARequestForAllWithNothing, TestADelegateThatStartedAnewListsAllToThoseWhoReadBefore, TestAllEndpointsAreAskedForOnceFromEachDelegate; TestAWholeListKeepsTheGraceOfLapsedEntries.

--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -42,6 +42,7 @@
 	Endpoints Cursor
 	Wait      time.Duration
 	Bare      bool // without routes and workspaces
+	Resync    bool // with all endpoints: the cursor comes from another reader, which may have seen other states of an entry
 }
 
 // readAnswer is what a delegate knows.
@@ -117,7 +118,7 @@
 	if _, known := f.Age(); !known || !f.reads {
 		return readAnswer{}, fault.New(fault.NotReady, "this process reads no store for others, or has read nothing yet", "ask another delegate")
 	}
-	if !f.mirror.wait(ctx, request.Operator, request.Endpoints, request.Wait) && request.Operator.Read {
+	if !f.mirror.wait(ctx, request) && request.Operator.Read {
 		return readAnswer{}, fault.New(fault.PlatformDown, "this process's own reads of the store fail", "ask another delegate or the store")
 	}
 	operator, configuration := f.mirror.operatorSince(request.Operator, request.Bare)
@@ -131,7 +132,7 @@
 		Operator:  operator,
 		Named:     f.mirror.namedAges(operator.Wanted, now),
 		Packed:    configuration,
-		Endpoints: f.mirror.endpointsSince(request.Endpoints),
+		Endpoints: f.mirror.endpointsSince(request.Endpoints, request.Resync, now),
 	}, nil
 }
 
@@ -141,21 +142,29 @@
 	lost := dependency{name: "delegates that read the store", logger: f.logger}
 	var outage outage // of the store, as far as this process reads it
 	direct := backoff{until: bootclock.Now() + startWait}
+	var synced *delegate // whose list of endpoints this process holds; nil for none's
 	var operator, endpoints Cursor
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
-		answer, err := f.askDelegates(ctx, delegates, readRequest{Operator: operator, Endpoints: endpoints, Wait: f.pace.OperatorWait, Bare: f.delegates.Bare})
+		answer, answering, err := f.askDelegates(ctx, delegates, synced, readRequest{Operator: operator, Endpoints: endpoints, Wait: f.pace.OperatorWait, Bare: f.delegates.Bare})
 		lost.observe(err)
 		if err != nil && !direct.due(bootclock.Now()) {
 			f.pause(ctx, startRetry)
 			continue
 		}
 		if err != nil {
+			synced = nil
 			operator, endpoints, err = f.readOnce(ctx, operator, endpoints, &outage)
 			direct.observe(err, bootclock.Now())
 			continue
 		}
 		direct = backoff{}
+		if answering != synced {
+			synced = nil
+		}
+		if answer.Endpoints.Whole {
+			synced = answering
+		}
 		outage.observe(nil, bootclock.Now())
 		operator, endpoints = answer.Operator.Cursor, answer.Endpoints.Cursor
 		f.loop.Post(ctx, answer.operatorRead(sent))
@@ -176,7 +185,7 @@
 
 // askDelegates returns the answer of the first delegate that has a fresh one. A process that knows nothing yet takes an
 // old one, with its age: in an outage of the store that is what is to be had.
-func (f *Follower) askDelegates(ctx context.Context, delegates []*delegate, request readRequest) (readAnswer, error) {
+func (f *Follower) askDelegates(ctx context.Context, delegates []*delegate, synced *delegate, request readRequest) (readAnswer, *delegate, error) {
 	err := error(fault.New(fault.Interrupted, "no delegate answers", "check the processes at the seeds' addresses; the store is read instead"))
 	able, patience := order(delegates, f.delegates.Region, bootclock.Now()), request.Wait+delegateSlack
 	if !request.Operator.Read {
@@ -184,6 +193,7 @@
 	}
 	for _, d := range able {
 		var answer readAnswer
+		request.Resync = d != synced
 		call, stop := context.WithTimeout(ctx, patience)
 		err = f.delegates.Peers.Call(call, d.address, methodFollow, request, &answer)
 		stop()
@@ -192,14 +202,15 @@
 		}
 		if err == nil && (answer.Silence <= request.Wait+delegateSilence || !request.Operator.Read) {
 			d.region = answer.Region
-			return answer, nil
+			return answer, d, nil
 		}
 		if err == nil {
 			err = fault.New(fault.PlatformDown, "the delegate's own reads of the store fail", "check the store and the network to it")
 		}
+		synced = nil // it may be another process by the time that it answers again
 		d.until = bootclock.Now() + retryAfter(err, request.Operator.Read)
 	}
-	return readAnswer{}, err
+	return readAnswer{}, nil, err
 }
 
 // retryAfter is the time until a delegate that gave the error is asked again.
--- a/internal/follow/delegate_test.go
+++ b/internal/follow/delegate_test.go
@@ -198,12 +198,12 @@
 	ready := &catalog.Endpoint{ID: "a", Service: "s"}
 	m.addEndpoints(0, EndpointChanges{Whole: true, Cursor: Cursor{Read: true, Version: 10}, Present: []*catalog.Endpoint{ready}})
 	ahead := Cursor{Read: true, Version: 20}
-	got := m.endpointsSince(ahead)
+	got := m.endpointsSince(ahead, false, 0)
 	if got.Whole || len(got.Present) != 0 || got.Cursor != ahead {
 		t.Errorf("%+v", got)
 	}
 	m.addEndpoints(0, EndpointChanges{Cursor: Cursor{Read: true, Version: 15}, Present: []*catalog.Endpoint{{ID: "a", Service: "s", Slots: 3}}})
-	if got := m.endpointsSince(ahead); len(got.Present) != 0 {
+	if got := m.endpointsSince(ahead, false, 0); len(got.Present) != 0 {
 		t.Errorf("%+v", got)
 	}
 }
@@ -213,14 +213,14 @@
 	at := func(version uint64) Cursor { return Cursor{Read: true, Version: version} }
 	m.addEndpoints(0, EndpointChanges{Whole: true, Cursor: at(1), Present: []*catalog.Endpoint{{ID: "a"}, {ID: "b"}}})
 	m.addEndpoints(0, EndpointChanges{Cursor: at(2), Gone: []catalog.EndpointID{"a"}})
-	if got := m.endpointsSince(at(1)); len(got.Gone) != 1 || got.Gone[0] != "a" {
+	if got := m.endpointsSince(at(1), false, 0); len(got.Gone) != 1 || got.Gone[0] != "a" {
 		t.Errorf("%+v", got)
 	}
-	if got := m.endpointsSince(at(2)); len(got.Gone)+len(got.Present) != 0 {
+	if got := m.endpointsSince(at(2), false, 0); len(got.Gone)+len(got.Present) != 0 {
 		t.Errorf("%+v", got)
 	}
 	m.addEndpoints(2*goneKept, EndpointChanges{Cursor: at(3)})
-	if got := m.endpointsSince(at(1)); !got.Whole || len(got.Present) != 1 {
+	if got := m.endpointsSince(at(1), false, 0); !got.Whole || len(got.Present) != 1 {
 		t.Errorf("after the removal was forgotten: %+v", got)
 	}
 }
@@ -229,7 +229,7 @@
 	m := newMirror()
 	m.addEndpoints(0, EndpointChanges{Whole: true, Cursor: Cursor{Read: true, Version: 1}, Present: []*catalog.Endpoint{{ID: "a"}}})
 	m.addEndpoints(0, EndpointChanges{Cursor: Cursor{Read: true, Version: 9}, Present: []*catalog.Endpoint{{ID: "a"}}})
-	if got := m.endpointsSince(Cursor{Read: true, Version: 1}); len(got.Present) != 0 || got.Cursor.Version != 9 {
+	if got := m.endpointsSince(Cursor{Read: true, Version: 1}, false, 0); len(got.Present) != 0 || got.Cursor.Version != 9 {
 		t.Errorf("%+v", got)
 	}
 }
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -122,6 +122,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	at := changes.Cursor.Version
+	if !m.endpoints.Read {
+		m.horizon = at // what was removed before is not known here
+	}
 	gone := changes.Gone
 	present := make(map[catalog.EndpointID]bool, len(changes.Present))
 	news := false
@@ -167,13 +170,14 @@
 	m.changed = make(chan struct{})
 }
 
-// wait returns when something is newer than the cursors, or after the time. It returns false at once while reads fail.
-func (m *mirror) wait(ctx context.Context, operator, endpoints Cursor, limit time.Duration) bool {
-	timer := time.NewTimer(limit)
+// wait returns when something is newer than the request's cursors, or after its time. It returns false at once while reads
+// fail.
+func (m *mirror) wait(ctx context.Context, request readRequest) bool {
+	timer := time.NewTimer(request.Wait)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
-		news := m.newer(operator, endpoints)
+		news := m.newer(request.Operator, request.Endpoints) || request.Resync && !m.behind(request.Endpoints)
 		failing := m.failing[tableOperators] || m.failing[tableEndpoints]
 		changed := m.changed
 		m.mu.Unlock()
@@ -262,17 +266,24 @@
 	return ages
 }
 
-// endpointsSince returns the changes since the cursor.
-func (m *mirror) endpointsSince(since Cursor) EndpointChanges {
+// behind tells whether a follower has read further than this process. The lock is held.
+func (m *mirror) behind(since Cursor) bool { return since.Read && m.endpoints.Version < since.Version }
+
+// endpointsSince returns the changes since the cursor, or with resync all endpoints. A follower that has read further gets
+// nothing until this process has caught up.
+func (m *mirror) endpointsSince(since Cursor, resync bool, now time.Duration) EndpointChanges {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	whole := !since.Read || since.Version < m.horizon
+	if resync && m.behind(since) {
+		return EndpointChanges{Cursor: since}
+	}
+	whole := !since.Read || since.Version < m.horizon || resync
 	changes := EndpointChanges{Whole: whole, Cursor: later(since, m.endpoints)}
 	for id, entry := range m.listed {
 		switch {
 		case entry.value != nil && (whole || entry.at > since.Version):
 			changes.Present = append(changes.Present, entry.value)
-		case entry.value == nil && !whole && entry.at > since.Version && entry.lapsed:
+		case entry.value == nil && entry.lapsed && (whole && now-entry.seen < lapseGrace || !whole && entry.at > since.Version):
 			changes.Lapsed = append(changes.Lapsed, id)
 		case entry.value == nil && !whole && entry.at > since.Version:
 			changes.Gone = append(changes.Gone, id)
--- /dev/null
+++ b/internal/follow/resync_test.go
@@ -0,0 +1,115 @@
+package follow
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/catalog"
+	"github.com/lovageglade/lovageglade/internal/rpc"
+)
+
+func cursorAt(version uint64) Cursor { return Cursor{Read: true, Version: version} }
+
+// An endpoint goes, comes back and goes within seconds. One delegate reads between the two last changes, the other before
+// and after them, and sees none. A follower that changes from the first to the second has to hear that it is gone.
+func TestAFollowerThatChangesItsDelegateHearsWhatTheOtherNeverSaw(t *testing.T) {
+	flapping := []*catalog.Endpoint{{ID: "a", Service: "s"}}
+	second := newMirror()
+	second.addEndpoints(0, EndpointChanges{Whole: true, Cursor: cursorAt(1), Present: flapping})
+	second.addEndpoints(0, EndpointChanges{Cursor: cursorAt(5), Gone: []catalog.EndpointID{"a"}})
+	second.addEndpoints(0, EndpointChanges{Cursor: cursorAt(9), Gone: []catalog.EndpointID{"a"}})
+	follower := newState() // the first delegate showed it present, as of 7
+	follower.step(endpointsRead{changes: EndpointChanges{Whole: true, Cursor: cursorAt(7), Present: flapping}})
+	follower.step(endpointsRead{changes: second.endpointsSince(cursorAt(7), true, time.Minute)})
+	if follower.endpoints["a"] != nil {
+		t.Error("the follower keeps an endpoint that is gone")
+	}
+}
+
+func TestADelegateThatIsBehindAnswersARequestForAllWithNothing(t *testing.T) {
+	m := newMirror()
+	m.addEndpoints(0, EndpointChanges{Whole: true, Cursor: cursorAt(5), Present: []*catalog.Endpoint{{ID: "a"}}})
+	if got := m.endpointsSince(cursorAt(7), true, 0); got.Whole || len(got.Present) > 0 || got.Cursor != cursorAt(7) {
+		t.Errorf("%+v", got)
+	}
+	m.addEndpoints(0, EndpointChanges{Cursor: cursorAt(8)})
+	if got := m.endpointsSince(cursorAt(7), true, 0); !got.Whole || len(got.Present) != 1 || got.Cursor != cursorAt(8) {
+		t.Errorf("%+v", got)
+	}
+}
+
+// A delegate that started anew does not know what was removed before.
+func TestADelegateThatStartedAnewListsAllToThoseWhoReadBefore(t *testing.T) {
+	m := newMirror()
+	m.addEndpoints(0, EndpointChanges{Whole: true, Cursor: cursorAt(9), Present: []*catalog.Endpoint{{ID: "b"}}})
+	if got := m.endpointsSince(cursorAt(4), false, 0); !got.Whole {
+		t.Errorf("%+v", got)
+	}
+}
+
+// After an outage a whole list does not cut the grace of entries that lapsed short.
+func TestAWholeListKeepsTheGraceOfLapsedEntries(t *testing.T) {
+	m := newMirror()
+	m.addEndpoints(0, EndpointChanges{Whole: true, Cursor: cursorAt(1), Present: []*catalog.Endpoint{{ID: "a"}}})
+	m.addEndpoints(time.Minute, EndpointChanges{Cursor: cursorAt(2), Gone: []catalog.EndpointID{"a"}, AfterOutage: true})
+	s := newState()
+	s.step(endpointsRead{now: time.Minute, changes: EndpointChanges{Whole: true, Present: []*catalog.Endpoint{{ID: "a"}}}})
+	s.step(endpointsRead{now: time.Minute, changes: m.endpointsSince(cursorAt(1), true, time.Minute+time.Second)})
+	if s.endpoints["a"] == nil {
+		t.Error("an entry that lapsed a second ago is gone")
+	}
+	s.step(endpointsRead{now: time.Minute + lapseGrace, changes: m.endpointsSince(cursorAt(2), true, time.Minute+lapseGrace)})
+	if s.endpoints["a"] != nil {
+		t.Error("an entry that lapsed is kept beyond the grace")
+	}
+}
+
+// recorder is a delegate that records what it is asked.
+type recorder struct {
+	mu      sync.Mutex
+	resyncs []bool
+	answer  readAnswer
+}
+
+func (r *recorder) read(_ context.Context, request readRequest) (readAnswer, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resyncs = append(r.resyncs, request.Resync)
+	return r.answer, nil
+}
+
+func (r *recorder) asked() []bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]bool(nil), r.resyncs...)
+}
+
+func (r *recorder) serve(listener net.Listener) *rpc.Server {
+	return rpc.Serve(listener, map[string]rpc.Method{methodFollow: rpc.Handle(r.read)})
+}
+
+func TestAllEndpointsAreAskedForOnceFromEachDelegate(t *testing.T) {
+	listener := listen(t)
+	r := &recorder{answer: readAnswer{Operator: OperatorChanges{Cursor: cursorAt(3)}, Endpoints: EndpointChanges{Whole: true, Cursor: cursorAt(3)}}}
+	server := r.serve(listener)
+	startFollower(t, &fakeStore{away: true}, Delegates{Addresses: []string{listener.Addr().String()}}, nil)
+	wait(t, "some answers", func() bool { return len(r.asked()) >= 3 })
+	server.Close()
+	asked := r.asked()
+	if !asked[0] || asked[1] || asked[2] {
+		t.Errorf("all endpoints were asked for: %v, want the first time only", asked[:3])
+	}
+	again, err := net.Listen("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := &recorder{answer: r.answer}
+	t.Cleanup(fresh.serve(again).Close)
+	wait(t, "the delegate that started anew", func() bool { return len(fresh.asked()) >= 1 })
+	if !fresh.asked()[0] {
+		t.Error("all endpoints were not asked for from a delegate that started anew")
+	}
+}
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/catalog"
@@ -170,7 +171,7 @@
 	gone := changes.Gone
 	if changes.Whole {
 		s.emit(believed{state: "listed", count: len(changes.Present)})
-		gone = s.missing(changes.Present)
+		gone = slices.DeleteFunc(s.missing(changes.Present), func(id catalog.EndpointID) bool { return slices.Contains(changes.Lapsed, id) })
 	}
 	for _, endpoint := range changes.Present {
 		before := s.endpoints[endpoint.ID]
