A known red: an evacuation that ends while a delegate restarts stays at its followers

Cause: the first list of a delegate that started anew does not hold evacuations that ended before; a follower that read of one from the life before asks from its cursor and is told no end.

No request goes where it must not: a failure domain gets less work than it may.

To mend: a horizon for the operators' table as for the endpoints.

--- a/internal/follow/resync_test.go
+++ b/internal/follow/resync_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/catalog"
+	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 )
 
@@ -113,3 +114,19 @@
 		t.Error("all endpoints were not asked for from a delegate that started anew")
 	}
 }
+
+// An evacuation that ended while the delegate was restarting is not in the delegate's first list. A follower that read of
+// the evacuation before has to hear that it ended.
+func TestADelegateThatStartedAnewEndsEvacuationsForThoseWhoReadBefore(t *testing.T) {
+	follower := newState()
+	follower.step(operatorRead{changes: OperatorChanges{Whole: true, Cursor: cursorAt(4), Evacuations: map[core.FailureDomain]bool{"x": true}}})
+	m := newMirror()
+	if err := m.addOperator(operatorRead{changes: OperatorChanges{Whole: true, Cursor: cursorAt(9)}}); err != nil {
+		t.Fatal(err)
+	}
+	changes, _ := m.operatorSince(cursorAt(4), false)
+	follower.step(operatorRead{changes: changes})
+	if follower.evacuated["x"] {
+		t.Error("the failure domain stays out for the follower")
+	}
+}
