A refusal says 'not run' only where that is known

Cause: the entry refused every request that it could not parse as 'not run', repeats with a used Idempotency-Key included, which may have run; an agent did the same for an attempt whose incarnation or mark it cannot vouch for.

Change: early refusals of requests with a usable key, and of requests whose header cannot be read, have an unknown outcome. An agent reports an unknown outcome for a wrong incarnation or mark; the entry, which sends an attempt once, concludes that it did not run, so it still dispatches another.

A malformed key still is 'not run': no request with it is ever dispatched.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -37,11 +37,21 @@
 	record, err := a.startAttempt(dispatch)
 	if err != nil {
 		a.logger.Info().Str("request", string(dispatch.Request)).Str("attempt", string(dispatch.Attempt)).Err(err).Msg("attempt refused")
-		return a.sendRefusal(c, dispatch.Attempt, err, fault.NotRun)
+		return a.sendRefusal(c, dispatch.Attempt, err, outcomeOfRefusal(err))
 	}
 	return a.streamFrames(c, record, attempt.Cursor{})
 }
 
+// outcomeOfRefusal returns what this incarnation knows of an attempt that it refuses to start. It cannot know of an attempt
+// that was meant for another incarnation, or whose record may have been evicted. The entry, which sends each attempt only
+// once, knows that it did not run.
+func outcomeOfRefusal(err error) fault.Outcome {
+	if fault.Is(err, fault.WrongIncarnation) {
+		return fault.Unknown
+	}
+	return fault.NotRun
+}
+
 func (a *Agent) handleAttach(c fiber.Ctx) error {
 	id := core.AttemptID(c.Params("id"))
 	record := a.attemptTable.Find(id, time.Now())
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -64,3 +64,16 @@
 		t.Error("a second suspect request got a slot at the same time")
 	}
 }
+
+// An agent that refuses an attempt because of its incarnation or mark does not know whether an earlier copy ran.
+func TestOutcomeOfRefusedDispatch(t *testing.T) {
+	table := attempt.NewTable(time.Unix(0, 0))
+	a := &Agent{incarnation: 2, attemptTable: table}
+	_, err := a.startAttempt(wire.Dispatch{Attempt: "x", Incarnation: 1})
+	if got := outcomeOfRefusal(err); got != fault.Unknown {
+		t.Errorf("an attempt for another incarnation is refused as %q", got)
+	}
+	if got := outcomeOfRefusal(fault.New(fault.Draining, "the agent is shutting down", "send it elsewhere")); got != fault.NotRun {
+		t.Errorf("an attempt that this agent never started is refused as %q", got)
+	}
+}
--- a/internal/entry/http_errors.go
+++ b/internal/entry/http_errors.go
@@ -25,7 +25,15 @@
 	if errors.As(err, &fiberErr) && (fiberErr.Code == fiber.StatusRequestEntityTooLarge || fiberErr.Code == fiber.StatusRequestHeaderFieldsTooLarge) {
 		discardUnread(c.RequestCtx().Conn())
 	}
-	return sendRefusal(c, errorFromHTTP(err), fault.NotRun)
+	return sendRefusal(c, errorFromHTTP(err), outcomeOfHTTPError(c, err))
+}
+
+// outcomeOfHTTPError returns the outcome to report for a request that the HTTP library rejected. A request with an
+// Idempotency-Key may have run before, and the key is unknown if the header could not be read.
+func outcomeOfHTTPError(c fiber.Ctx, err error) fault.Outcome {
+	var fiberErr *fiber.Error
+	bodyRejected := errors.As(err, &fiberErr) && (fiberErr.Code == fiber.StatusRequestEntityTooLarge || fiberErr.Code == fiber.StatusNotFound)
+	return earlyRefusalOutcome(!bodyRejected || hasUsableKey(c))
 }
 
 // discardUnread reads and drops what the caller is still sending. Closing a connection with unread bytes resets it,
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -31,12 +31,12 @@
 	snapshot := e.node.View().Snapshot
 	if snapshot == nil {
 		err := fault.New(fault.NotReady, "this entry has no configuration yet", "retry after the time in Retry-After")
-		return sendRefusal(c, fault.WithRetryAfter(err, 1), earlyRefusalOutcome(c.Get(headerIdempotencyKey) != ""))
+		return sendRefusal(c, fault.WithRetryAfter(err, 1), earlyRefusalOutcome(hasUsableKey(c)))
 	}
 	parsed, err := parseRequest(c, snapshot, time.Now())
 	if err != nil {
 		telemetry.RequestRefused(fault.Kind(err))
-		return sendRefusal(c, err, fault.NotRun)
+		return sendRefusal(c, err, earlyRefusalOutcome(hasUsableKey(c)))
 	}
 	answer := newAnswer()
 	go newForwarder(e, parsed, e.observer.newObservation(parsed, answer)).run()
@@ -48,6 +48,13 @@
 	return answer.sendBody(c)
 }
 
+// hasUsableKey reports whether an earlier request with the same Idempotency-Key can have run. No request with a malformed key
+// is dispatched.
+func hasUsableKey(c fiber.Ctx) bool {
+	key := c.Get(headerIdempotencyKey)
+	return key != "" && checkIdempotencyKey(key) == nil
+}
+
 func sendRefusal(c fiber.Ctx, err error, outcome fault.Outcome) error {
 	refusal := fault.RefusalOf(err, outcome)
 	if refusal.RetryAfterS > 0 {
--- a/internal/outcome/attempt_events.go
+++ b/internal/outcome/attempt_events.go
@@ -83,7 +83,8 @@
 		return f.resolveAfterLoss(a)
 	}
 	err := fault.FromRefusal(*frame.Refusal)
-	if frame.Refusal.Outcome == fault.NotRun && !a.headReceived {
+	notRun := frame.Refusal.Outcome == fault.NotRun || a.isUnstarted(err)
+	if notRun && !a.headReceived {
 		a.markTooOld = fault.Is(err, fault.WrongIncarnation) && frame.Load != nil && frame.Load.Incarnation == a.Target.Incarnation
 		return f.closeNotRun(a, err)
 	}
@@ -93,6 +94,12 @@
 	return f.closeUnknown(a, err)
 }
 
+// isUnstarted reports whether the error refuses the attempt's only dispatch because of its incarnation or time mark. The
+// agent itself cannot rule out that it ran an earlier copy, but there was none.
+func (a *attemptState) isUnstarted(err error) bool {
+	return fault.Is(err, fault.WrongIncarnation) && a.dispatched && !a.fromOtherCall && a.connCount == 1
+}
+
 // onNotSent handles a connection on which nothing was sent. If it is the attempt's first connection, which carries the
 // dispatch, and no head has arrived, the attempt did not run. Otherwise the agent is asked for the attempt's state.
 func (f *Flow) onNotSent(a *attemptState, err error) []reduce.Effect {
--- a/internal/outcome/flow_test.go
+++ b/internal/outcome/flow_test.go
@@ -239,3 +239,28 @@
 		})
 	}
 }
+
+// An agent cannot rule out that it ran an earlier copy of an attempt that it refuses because of its mark or incarnation.
+// The entry, which sent only one, dispatches another.
+func TestDispatchRefusedForItsMarkHasNotRun(t *testing.T) {
+	refusal := fault.RefusalOf(fault.New(fault.WrongIncarnation, "the mark is too old", "dispatch another"), fault.Unknown)
+	f := NewFlow(Request{})
+	f.Step(Started{})
+	f.Step(Picked{Attempt: Attempt{ID: "a"}})
+	effects := f.Step(FrameArrived{Attempt: "a", Conn: 1, Frame: wire.Frame{Kind: wire.FrameRefusal, Attempt: "a", Refusal: &refusal}})
+	if len(effects) != 1 || f.Done() {
+		t.Fatalf("the refusal of the only dispatch ended the request: %+v", effects)
+	}
+	if _, picks := effects[0].(Pick); !picks {
+		t.Errorf("%+v", effects)
+	}
+	resumed := NewFlow(Request{})
+	resumed.Step(Started{})
+	resumed.Step(Picked{Attempt: Attempt{ID: "a"}})
+	resumed.Step(ConnLost{Attempt: "a", Conn: 1})
+	resumed.Step(Resolved{Attempt: "a", State: wire.ResolveRunning})
+	effects = resumed.Step(FrameArrived{Attempt: "a", Conn: 2, Frame: wire.Frame{Kind: wire.FrameRefusal, Attempt: "a", Refusal: &refusal}})
+	if len(effects) != 1 || effects[0].(Fail).Outcome != fault.Unknown {
+		t.Errorf("an attempt that may run was taken for one that did not: %+v", effects)
+	}
+}
