Follow the store through a restore from a copy; delegates that restart

Cause, evacuations: a delegate that started anew did not know which evacuations had ended, so it could not tell followers that knew of them. It sends them all operators' rows now, and not the configuration again if they have it.

Cause, resync: the client of control calls opens a new connection on its own, so a follower did not notice that another process answered at a delegate's address. A follower asks for a continuation only over the connection on which the delegate sent its full list (CallConnected), and for everything otherwise.

Restore: cursors carry the store's era. Versions of two eras are never compared; a cursor of an earlier era is answered by a complete read; a delegate that missed the restore refuses followers that have seen it; reads of an earlier era are ignored.

--- a/internal/follow/clock.go
+++ b/internal/follow/clock.go
@@ -22,6 +22,16 @@
 	hasOffset  bool
 	offset     time.Duration // lower bound of the boot clock's time minus the store's time
 	observedAt time.Duration // when the last observed read was sent, on the boot clock
+	era        uint64        // of the store that the offset belongs to
+}
+
+// observeEra drops the offset if the store was restored from a copy, since its clock may then have a new start.
+func (c *storeClock) observeEra(era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era > c.era {
+		c.era, c.hasOffset = era, false
+	}
 }
 
 // observe updates the offset from a read that was sent at the boot clock time sent. The response left the store at
--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/maphash"
 	"slices"
 	"time"
@@ -46,7 +47,9 @@
 	Endpoints  Cursor
 	Wait       time.Duration // longest time to wait for a change
 	OmitRoutes bool          `json:"Bare"` // leave out routes and workspaces
-	Resync     bool          // return all endpoints: the cursor comes from another source, which may have seen other states of an entry
+	// Configuration is the version of the configuration that the follower has, which is not sent again; 0 for none.
+	Configuration int64 `json:",omitempty"`
+	Resync        bool  // return all endpoints: the cursor comes from another source, which may have seen other states of an entry
 }
 
 // readResponse is a delegate's response to a readRequest.
@@ -126,10 +129,16 @@
 	if _, known := f.Age(); !known || !f.readsStore {
 		return readResponse{}, fault.New(fault.NotReady, "this process is not a delegate, or has not read the store yet", "ask another delegate")
 	}
+	if f.mirror.missedRestore(request.Operator, request.Endpoints) {
+		return readResponse{}, errMissedRestore()
+	}
 	if !f.mirror.waitForChange(ctx, request) && request.Operator.Valid {
 		return readResponse{}, fault.New(fault.PlatformUnavailable, "the delegate cannot read the store", "ask another delegate or the store")
 	}
 	operator, configuration := f.mirror.operatorSince(request.Operator, request.OmitRoutes)
+	if !f.mirror.hasNewerConfiguration(request.Configuration) {
+		configuration = nil
+	}
 	now := bootclock.Now()
 	age, silence := f.mirror.ages(now)
 	return readResponse{
@@ -150,29 +159,23 @@
 	delegatesDependency := dependency{name: "delegates that read the store", logger: f.logger}
 	var outage outage // of the store, as seen by this process's own reads
 	storeBackoff := backoff{retryAt: bootclock.Now() + startDelegateWait}
-	var syncedWith *delegate // the delegate whose full endpoint list this process holds, or nil
 	var operator, endpoints Cursor
+	session := delegateSession{follower: f, delegates: delegates}
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
-		response, answeredBy, err := f.askDelegates(ctx, delegates, syncedWith, readRequest{Operator: operator, Endpoints: endpoints, Wait: f.intervals.OperatorWait, OmitRoutes: f.delegates.OmitRoutes})
+		response, err := session.read(ctx, readRequest{Operator: operator, Endpoints: endpoints, Wait: f.intervals.OperatorWait, OmitRoutes: f.delegates.OmitRoutes, Configuration: f.configurationVersion()})
 		delegatesDependency.observe(err)
 		if err != nil && !storeBackoff.due(bootclock.Now()) {
 			f.sleep(ctx, startRetryInterval)
 			continue
 		}
 		if err != nil {
-			syncedWith = nil
+			session.syncedWith = nil
 			operator, endpoints, err = f.readStoreOnce(ctx, operator, endpoints, &outage)
 			storeBackoff.observe(err, bootclock.Now())
 			continue
 		}
 		storeBackoff = backoff{}
-		if answeredBy != syncedWith {
-			syncedWith = nil
-		}
-		if response.Endpoints.Full {
-			syncedWith = answeredBy
-		}
 		outage.observe(nil, bootclock.Now())
 		operator, endpoints = response.Operator.Cursor, response.Endpoints.Cursor
 		f.loop.Post(ctx, response.toOperatorRead(sent))
@@ -180,6 +183,14 @@
 	}
 }
 
+// configurationVersion returns the version of the configuration in force; 0 if there is none.
+func (f *Follower) configurationVersion() int64 {
+	if index := f.View().Index; index != nil {
+		return index.Configuration.Version
+	}
+	return 0
+}
+
 // toOperatorRead converts the delegate's ages to times of this process's boot clock. The network delay is unknown, so
 // it assumes the earliest time at which the response can have left the delegate: when the request was sent plus the time
 // for which the delegate held it.
@@ -192,34 +203,77 @@
 	return read
 }
 
-// askDelegates returns the response of the first delegate that has recent data, and that delegate. A process without any
-// data accepts an old response, because during an outage of the store nothing better is available.
-func (f *Follower) askDelegates(ctx context.Context, delegates []*delegate, syncedWith *delegate, request readRequest) (readResponse, *delegate, error) {
+// delegateSession is a follower's state for reads from delegates.
+type delegateSession struct {
+	follower   *Follower
+	delegates  []*delegate
+	syncedWith *delegate // the delegate that sent its full endpoint list over the connection that is still open, or nil
+}
+
+// read returns the response of the first delegate that has recent data. A process without any data accepts an old
+// response, because during an outage of the store nothing better is available.
+func (s *delegateSession) read(ctx context.Context, request readRequest) (readResponse, error) {
 	err := error(fault.New(fault.Interrupted, "no delegate answers", "check the processes at the delegates' addresses; the store is read instead"))
-	available, timeout := orderDelegates(delegates, f.delegates.Region, bootclock.Now()), request.Wait+delegateResponseMargin
-	if !request.Operator.Valid {
-		timeout = startRequestTimeout
-	}
-	for _, d := range available {
+	for _, d := range orderDelegates(s.delegates, s.follower.delegates.Region, bootclock.Now()) {
 		var response readResponse
-		request.Resync = d != syncedWith
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		err = f.delegates.Peers.Call(callCtx, d.address, methodFollow, request, &response)
-		cancel()
+		response, err = s.ask(ctx, d, request)
 		if err == nil {
-			response.Operator.Configuration, err = response.EncodedConfiguration.decode()
-		}
-		if err == nil && (response.Silence <= request.Wait+maxDelegateSilence || !request.Operator.Valid) {
 			d.region = response.Region
-			return response, d, nil
+			return response, nil
 		}
-		if err == nil {
-			err = fault.New(fault.PlatformUnavailable, "the delegate has received nothing from the store for too long", "check the store and the network to it")
-		}
-		syncedWith = nil // a different process may respond at this address next time
+		s.syncedWith = nil // a different process may respond at this address next time
 		d.retryAt = bootclock.Now() + retryDelay(err, request.Operator.Valid)
 	}
-	return readResponse{}, nil, err
+	return readResponse{}, err
+}
+
+// ask reads from one delegate. It requests all endpoints unless the delegate sent them over the connection in use: after a
+// restart, a delegate does not know which entries were removed before.
+func (s *delegateSession) ask(ctx context.Context, d *delegate, request readRequest) (readResponse, error) {
+	timeout := request.Wait + delegateResponseMargin
+	if !request.Operator.Valid {
+		timeout = startRequestTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if s.syncedWith != d {
+		s.syncedWith = nil
+	}
+	var response readResponse
+	err := rpc.ErrNotConnected
+	if s.syncedWith != nil {
+		err = s.follower.delegates.Peers.CallConnected(ctx, d.address, methodFollow, request, &response)
+	}
+	if errors.Is(err, rpc.ErrNotConnected) {
+		s.syncedWith = nil
+		request.Resync = true
+		err = s.follower.delegates.Peers.Call(ctx, d.address, methodFollow, request, &response)
+	}
+	if err == nil {
+		response.Operator.Configuration, err = response.EncodedConfiguration.decode()
+	}
+	if err != nil {
+		return readResponse{}, err
+	}
+	if response.Silence > request.Wait+maxDelegateSilence && request.Operator.Valid {
+		return readResponse{}, fault.New(fault.PlatformUnavailable, "the delegate has received nothing from the store for too long", "check the store and the network to it")
+	}
+	if response.isOlderEra(request) {
+		return readResponse{}, errMissedRestore()
+	}
+	if response.Endpoints.Full {
+		s.syncedWith = d
+	}
+	return response, nil
+}
+
+func errMissedRestore() error {
+	return fault.New(fault.PlatformUnavailable, "the delegate has not read the store since it was restored from a copy", "ask another delegate or the store")
+}
+
+// isOlderEra reports whether the response comes from before a restore of the store that the request's cursors include.
+func (r readResponse) isOlderEra(request readRequest) bool {
+	return r.Operator.Cursor.Era < request.Operator.Era || r.Endpoints.Cursor.Era < request.Endpoints.Era
 }
 
 // retryDelay returns the delay before a delegate that returned the error is asked again.
--- a/internal/follow/delegate_test.go
+++ b/internal/follow/delegate_test.go
@@ -23,6 +23,7 @@
 type fakeStore struct {
 	mu          sync.Mutex
 	version     uint64
+	era         uint64
 	config      int64
 	ready       map[catalog.EndpointID]bool
 	unavailable bool
@@ -46,7 +47,7 @@
 	if s.unavailable {
 		return OperatorChanges{}, errUnavailable
 	}
-	changes := OperatorChanges{Full: true, Cursor: Cursor{Valid: true, Version: s.version}}
+	changes := OperatorChanges{Full: true, Cursor: Cursor{Valid: true, Era: s.era, Version: s.version}}
 	if s.config > 0 {
 		changes.Configuration = &catalog.Configuration{Version: s.config}
 	}
@@ -60,7 +61,7 @@
 	if s.unavailable {
 		return EndpointChanges{}, errUnavailable
 	}
-	changes := EndpointChanges{Full: true, Cursor: Cursor{Valid: true, Version: s.version}}
+	changes := EndpointChanges{Full: true, Cursor: Cursor{Valid: true, Era: s.era, Version: s.version}}
 	for id, ready := range s.ready {
 		changes.Present = append(changes.Present, &catalog.Endpoint{ID: id, Service: "s", Draining: !ready})
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -21,12 +21,13 @@
 
 // Cursor is a position in the history of a table of the store. The zero cursor requests the complete current state.
 type Cursor struct {
-	Valid   bool `json:"Read"` // the cursor comes from a read, so Version is valid even if it is 0
-	Version uint64
+	Valid   bool   `json:"Read"`       // the cursor comes from a read, so Version is valid even if it is 0
+	Era     uint64 `json:",omitempty"` // rises with each restore of the store from a copy; 0 if unknown
+	Version uint64 // comparable only within one era, since a restored store assigns versions again
 }
 
-// ErrHistoryGone is returned if the store no longer has the changes since a cursor. The reader has to start again from
-// the zero cursor.
+// ErrHistoryGone is returned if the store no longer has the changes since a cursor, or was restored from a copy since. The
+// reader has to start again from the zero cursor.
 var ErrHistoryGone = errors.New("the store no longer has the changes since this cursor; read the complete state again")
 
 // OperatorChanges holds changes of the operators' table.
@@ -148,6 +149,7 @@
 			continue
 		}
 		cursor = changes.Cursor
+		f.clock.observeEra(cursor.Era)
 		read := operatorRead{sentAt: sent, asOf: f.clock.asOf(sent, bootclock.Now(), changes.StoreTime), changes: changes}
 		if err := f.mirror.addOperator(read); err != nil {
 			f.logger.Error().Err(err).Msg("configuration cannot be served to followers")
@@ -172,6 +174,7 @@
 			continue
 		}
 		cursor = changes.Cursor
+		f.clock.observeEra(cursor.Era)
 		f.clock.observe(sent, changes.StoreTime)
 		changes.AfterOutage = outage.justEnded
 		f.mirror.addEndpoints(bootclock.Now(), changes)
@@ -181,9 +184,11 @@
 }
 
 // recover returns the cursor for the read after a failed one. Unless the cursor was too old, it first sleeps
-// for retryInterval.
+// for retryInterval. After a restore of the store, the cursors of both tables are too old, so the registry is read again
+// without further delay.
 func (f *Follower) recover(ctx context.Context, cursor Cursor, err error) Cursor {
 	if errors.Is(err, ErrHistoryGone) {
+		f.ReadEndpointsNow()
 		return Cursor{}
 	}
 	f.sleep(ctx, retryInterval)
@@ -217,6 +222,8 @@
 		f.asOf.Store(max(f.asOf.Load(), int64(effect.asOf))) // the previous read may have come from a delegate that is further ahead
 	case logEndpointState:
 		f.logger.Info().Str("endpoint", string(effect.endpoint)).Str("state", effect.state).Int("count", effect.count).Msg("endpoints changed")
+	case logRestore:
+		f.logger.Warn().Str("table", effect.table).Uint64("era", effect.era).Uint64("era_before", effect.before).Int("kept", effect.kept).Msg("store was restored from a copy")
 	case logOperatorChange:
 		f.logger.Info().Str("change", effect.change).Int64("version", effect.version).Str("name", effect.name).Msg("configuration taken over")
 	}
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -30,7 +30,8 @@
 	evacuations          map[core.FailureDomain]versioned[bool]
 	wanted               map[core.Model]versioned[int64]
 	entries              map[catalog.EndpointID]versioned[*catalog.Endpoint] // a nil endpoint marks a removal
-	forgottenVersion     uint64                                              // removals up to this version are no longer kept
+	forgottenVersion     uint64                                              // removals of entries up to this version are no longer kept
+	forgottenOperator    uint64                                              // ends of evacuations up to this version are not known
 	failing              map[string]bool                                     // tables whose last read failed
 	changed              chan struct{}                                       // closed and replaced to wake waiting reads
 }
@@ -78,7 +79,14 @@
 	defer m.mu.Unlock()
 	changes := read.changes
 	readVersion := changes.Cursor.Version
-	changed := changes.Configuration != nil || len(changes.Evacuations) > 0 || len(changes.Wanted) > 0
+	restored := isNewEra(m.operatorCursor, changes.Cursor)
+	if restored || !m.operatorCursor.Valid {
+		m.forgottenOperator = readVersion
+	}
+	if restored {
+		m.restartOperator(readVersion)
+	}
+	changed := restored || changes.Configuration != nil || len(changes.Evacuations) > 0 || len(changes.Wanted) > 0
 	if err := m.setConfiguration(changes.Configuration, readVersion); err != nil {
 		return err
 	}
@@ -102,6 +110,29 @@
 	return nil
 }
 
+// restartOperator assigns the version to everything that is kept of the operators' table, since the versions of an earlier
+// era cannot be compared with those of this one. Evacuations are read again.
+func (m *mirror) restartOperator(version uint64) {
+	clear(m.evacuations)
+	m.configurationVersion = version
+	for model, entry := range m.wanted {
+		entry.version = version
+		m.wanted[model] = entry
+	}
+}
+
+// restartEndpoints is like restartOperator for the registry. Earlier removals are dropped.
+func (m *mirror) restartEndpoints(version uint64) {
+	for id, entry := range m.entries {
+		if entry.value == nil {
+			delete(m.entries, id)
+			continue
+		}
+		entry.version = version
+		m.entries[id] = entry
+	}
+}
+
 // setConfiguration stores a newer configuration and its encoded forms.
 func (m *mirror) setConfiguration(next *catalog.Configuration, readVersion uint64) error {
 	if next == nil || m.configuration != nil && next.Version <= m.configuration.Version {
@@ -124,12 +155,16 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	readVersion := changes.Cursor.Version
-	if !m.endpointCursor.Valid {
-		m.forgottenVersion = readVersion // earlier removals are unknown to this process
+	restored := isNewEra(m.endpointCursor, changes.Cursor)
+	if restored || !m.endpointCursor.Valid {
+		m.forgottenVersion = readVersion // earlier removals are unknown to this process, or of another era
+	}
+	if restored {
+		m.restartEndpoints(readVersion)
 	}
 	removed := changes.Removed
 	present := make(map[catalog.EndpointID]bool, len(changes.Present))
-	changed := false
+	changed := restored
 	for _, endpoint := range changes.Present {
 		present[endpoint.ID] = true
 		if before, ok := m.entries[endpoint.ID]; ok && reflect.DeepEqual(before.value, endpoint) {
@@ -147,7 +182,7 @@
 	}
 	for _, id := range removed {
 		if m.entries[id].value != nil {
-			m.entries[id] = versioned[*catalog.Endpoint]{version: readVersion, seenAt: now, lapsed: changes.AfterOutage}
+			m.entries[id] = versioned[*catalog.Endpoint]{version: readVersion, seenAt: now, lapsed: changes.AfterOutage || restored}
 			changed = true
 		}
 	}
@@ -181,7 +216,7 @@
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
-		hasChanges := m.changedSince(request.Operator, request.Endpoints) || request.Resync && !m.isBehind(request.Endpoints)
+		hasChanges := m.changedSince(request.Operator, request.Endpoints) || request.Resync && !isLater(request.Endpoints, m.endpointCursor)
 		failing := m.failing[tableOperators] || m.failing[tableEndpoints]
 		changed := m.changed
 		m.mu.Unlock()
@@ -198,11 +233,22 @@
 	}
 }
 
+// missedRestore reports whether a cursor is of a later era than what this process has read. Such a follower must not
+// receive anything from here.
+func (m *mirror) missedRestore(operator, endpoints Cursor) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return isNewEra(m.operatorCursor, operator) || isNewEra(m.endpointCursor, endpoints)
+}
+
 // changedSince reports whether there are changes since the cursors. The caller must hold m.mu.
 func (m *mirror) changedSince(operator, endpoints Cursor) bool {
 	if !operator.Valid || !endpoints.Valid || m.configurationVersion > operator.Version {
 		return true
 	}
+	if isNewEra(operator, m.operatorCursor) || isNewEra(endpoints, m.endpointCursor) {
+		return true
+	}
 	for _, entry := range m.evacuations {
 		if entry.version > operator.Version {
 			return true
@@ -222,12 +268,12 @@
 }
 
 // operatorSince returns the changes since the cursor, and the encoded configuration if it changed. With omitRoutes, the
-// configuration leaves out routes and workspaces.
+// configuration leaves out routes and workspaces. A follower whose evacuations may have ended unnoticed gets all of them.
 func (m *mirror) operatorSince(since Cursor, omitRoutes bool) (OperatorChanges, encodedConfiguration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changes := OperatorChanges{
-		Full:        !since.Valid,
+		Full:        !since.Valid || since.Version < m.forgottenOperator || isNewEra(since, m.operatorCursor),
 		Cursor:      laterCursor(since, m.operatorCursor),
 		Evacuations: make(map[core.FailureDomain]bool),
 		Wanted:      make(map[core.Model]int64),
@@ -252,6 +298,13 @@
 	return changes, configuration
 }
 
+// hasNewerConfiguration reports whether the configuration is newer than the version that a follower has.
+func (m *mirror) hasNewerConfiguration(version int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.configuration != nil && m.configuration.Version > version
+}
+
 // ages returns the age of this process's view of the operators' table, and the time since its last response from the
 // store.
 func (m *mirror) ages(now time.Duration) (age, silence time.Duration) {
@@ -271,20 +324,15 @@
 	return ages
 }
 
-// isBehind reports whether a follower has read a later version of the registry than this process. The caller must hold m.mu.
-func (m *mirror) isBehind(since Cursor) bool {
-	return since.Valid && m.endpointCursor.Version < since.Version
-}
-
 // endpointsSince returns the changes since the cursor, or all endpoints with resync. A follower that has read a later
 // version gets no changes until this process has caught up.
 func (m *mirror) endpointsSince(since Cursor, resync bool, now time.Duration) EndpointChanges {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if resync && m.isBehind(since) {
+	if resync && isLater(since, m.endpointCursor) {
 		return EndpointChanges{Cursor: since}
 	}
-	full := !since.Valid || since.Version < m.forgottenVersion || resync
+	full := !since.Valid || since.Version < m.forgottenVersion || resync || isNewEra(since, m.endpointCursor)
 	changes := EndpointChanges{Full: full, Cursor: laterCursor(since, m.endpointCursor)}
 	for id, entry := range m.entries {
 		switch {
@@ -299,10 +347,30 @@
 	return changes
 }
 
+// eraRose reports whether the store was restored from a copy between two eras. An unknown era is taken for the same one,
+// as processes of earlier releases send none.
+func eraRose(before, after uint64) bool { return before > 0 && after > before }
+
+// isNewEra reports whether the store was restored from a copy between two cursors.
+func isNewEra(before, after Cursor) bool { return before.Valid && eraRose(before.Era, after.Era) }
+
+// isLater reports whether cursor a is later than b.
+func isLater(a, b Cursor) bool {
+	switch {
+	case !a.Valid || !b.Valid:
+		return a.Valid && !b.Valid
+	case isNewEra(a, b):
+		return false
+	case isNewEra(b, a):
+		return true
+	}
+	return a.Version > b.Version
+}
+
 // laterCursor returns the later of two cursors.
 func laterCursor(a, b Cursor) Cursor {
-	if !a.Valid || b.Valid && b.Version > a.Version {
-		return b
+	if isLater(a, b) {
+		return a
 	}
-	return a
+	return b
 }
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -84,6 +84,7 @@
 	endpoints       map[catalog.EndpointID]*catalog.Endpoint
 	lapsed          map[catalog.EndpointID]bool // endpoints kept during the grace period although the registry no longer lists them
 	lapsedKeptUntil time.Duration               // end of the grace period for lapsed entries
+	restored        restored                    // what is kept against an older copy of the store
 	effects         []reduce.Effect
 }
 
@@ -93,6 +94,7 @@
 		wanted:    make(map[core.Model]catalog.Rollouts),
 		endpoints: make(map[catalog.EndpointID]*catalog.Endpoint),
 		lapsed:    make(map[catalog.EndpointID]bool),
+		restored:  newRestored(),
 	}
 }
 
@@ -101,11 +103,17 @@
 	s.effects = nil
 	switch event := event.(type) {
 	case operatorRead:
+		if eraRose(event.changes.Cursor.Era, s.restored.operatorEra) {
+			return nil // sent before the store was restored
+		}
 		if s.applyOperator(event) {
 			s.publish()
 		}
 		s.emit(confirmAsOf{asOf: event.sentAt}) // event.asOf holds only if the store serves waiting reads promptly
 	case endpointsRead:
+		if eraRose(event.changes.Cursor.Era, s.restored.endpointEra) {
+			return nil
+		}
 		if s.applyEndpoints(event) {
 			s.publish()
 		}
@@ -126,6 +134,7 @@
 
 // applyOperator applies a read of the operators' table and reports whether it changed the state.
 func (s *state) applyOperator(event operatorRead) bool {
+	s.keepEvacuations(&event)
 	changed := s.applyConfiguration(event.changes.Configuration)
 	changed = s.applyEvacuations(event.changes) || changed
 	for model, version := range event.changes.Wanted {
@@ -176,6 +185,7 @@
 // applyEndpoints applies a read of the registry and reports whether the view may have changed. Entries that lapsed
 // during an outage are kept until the grace period ends.
 func (s *state) applyEndpoints(event endpointsRead) bool {
+	s.keepDepartures(&event)
 	changes := event.changes
 	if changes.AfterOutage || len(changes.Lapsed) > 0 {
 		s.lapsedKeptUntil = event.receivedAt + lapseGrace
@@ -190,6 +200,9 @@
 		if !changes.Full && (before == nil || before.Draining != endpoint.Draining) {
 			s.emit(logEndpointState{endpoint: endpoint.ID, state: stateOf(endpoint)})
 		}
+		if endpoint.Draining {
+			s.restored.recordDeparture(endpoint, false, event.receivedAt)
+		}
 		s.endpoints[endpoint.ID] = withColdUntil(endpoint, event.receivedAt)
 		delete(s.lapsed, endpoint.ID)
 	}
@@ -198,7 +211,7 @@
 		lapsed, gone = append(lapsed, gone...), nil
 	}
 	for _, id := range gone {
-		s.remove(id)
+		s.remove(id, event.receivedAt)
 	}
 	for _, id := range lapsed {
 		if s.endpoints[id] != nil {
@@ -207,7 +220,7 @@
 	}
 	if event.receivedAt >= s.lapsedKeptUntil {
 		for id := range s.lapsed {
-			s.remove(id)
+			s.remove(id, event.receivedAt)
 			gone = append(gone, id)
 		}
 		clear(s.lapsed)
@@ -215,10 +228,11 @@
 	return len(changes.Present)+len(gone)+len(lapsed) > 0
 }
 
-func (s *state) remove(id catalog.EndpointID) {
+func (s *state) remove(id catalog.EndpointID, now time.Duration) {
 	if s.endpoints[id] == nil {
 		return
 	}
+	s.restored.recordDeparture(s.endpoints[id], true, now)
 	s.emit(logEndpointState{endpoint: id, state: "gone"})
 	delete(s.endpoints, id)
 	delete(s.lapsed, id)
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -62,6 +62,9 @@
 	}
 }
 
+// ErrNotConnected is returned by CallConnected if there is no open connection.
+var ErrNotConnected = errors.New("there is no open connection to the process; open one with Call")
+
 // Call calls the method of the process at the address and decodes its result into result, which must be a pointer.
 // The context must have a deadline.
 // After an error of kind Interrupted, the call may or may not have taken effect.
@@ -70,7 +73,22 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Interrupted, "no connection to "+address, "check that the process runs and that it can be reached over the network")
 	}
-	err = conn.Call(ctx, method, params, result)
+	return c.callOn(ctx, conn, address, method, params, result)
+}
+
+// CallConnected is like Call, but returns ErrNotConnected instead of opening a connection. All calls over one connection
+// reach the same process, so a caller can rely on what that process answered before.
+func (c *Client) CallConnected(ctx context.Context, address, method string, params, result any) error {
+	conn := c.acquire(address)
+	if conn == nil {
+		return ErrNotConnected
+	}
+	return c.callOn(ctx, conn, address, method, params, result)
+}
+
+// callOn calls the method over the connection, which the caller has acquired, and releases it.
+func (c *Client) callOn(ctx context.Context, conn *jsonrpc2.Conn, address, method string, params, result any) error {
+	err := conn.Call(ctx, method, params, result)
 	c.release(conn)
 	var rpcErr *jsonrpc2.Error
 	if errors.As(err, &rpcErr) {
