Endpoints that say they are leaving or want no requests get none; soak of both and of restores

Cause: a runner's leaving mark and the time in its refusals were ignored; only the registry took endpoints out.

Change: a gateway that sees the mark on any answer sends nothing more to that incarnation; a refusal with a time holds its requests off for that time. Sidecars do the same from their engine's answers and reports, refuse at once, and say so to all gateways in the refusal. While all endpoints of a service hold requests off, callers get a Retry-After that follows from the earliest time, spread over a second. Log lines 'request let in', 'request not let in' and 'version not brought yet' have the field's terms; explain matches reasons of both.

Soak: restores of the store with writes whose versions processes have seen, back ends that leave, back ends that hold requests off.

Versions only rise on the platform, so the soak was wrong: it now numbers and writes a version under one lock.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -44,6 +44,8 @@
 	NotRun        bool           // the endpoint states that it did not and will not run the request
 	ColdRemaining time.Duration  // how much longer the endpoint stays cold
 	Load          *Load          // nil if the header has none
+	Leaving       bool           // the endpoint is shutting down and takes no new requests
+	HoldOff       time.Duration  // how long the endpoint wants no requests from this host; 0 if unstated
 }
 
 // Load is the current load of an endpoint, in requests.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -74,9 +74,9 @@
 func TestTimelineOfRefusedRequest(t *testing.T) {
 	lines := readLines(t, map[string][]string{"collected.log": {
 		"  12.5 gateway " + logLine("gateway", 20*second, 20*second, `"request":"r1","outcome":"overloaded","failed_picks":["i-1 load 4 of 4, report 20ms old: no room","i-2 load 1 of 4, no report: weights are loading"],"message":"request refused"`),
-		logLine("sidecar-1", 20*second, 20*second, `"request":"r1","reason":"no room","running":4,"message":"request not let in"`),
+		logLine("sidecar-1", 20*second, 20*second, `"request":"r1","reason":"no room","running":4,"message":"request not admitted"`),
 		logLine("sidecar-2", 19*second, 19*second, `"before":1,"version":0,"message":"version served changed"`),
-		logLine("sidecar-2", 20*second, 20*second, `"request":"r1","reason":"weights are loading","message":"request not let in"`),
+		logLine("sidecar-2", 20*second, 20*second, `"request":"r1","reason":"weights are loading","message":"request not admitted"`),
 		logLine("sidecar-3", 19*second, 19*second, `"before":1,"version":0,"message":"version served changed"`),
 		logLine("gateway", 21*second, 21*second, `"dropped":7,"message":"log lines dropped; the output is not read or the bound is reached"`),
 		"a foreign line",
@@ -108,3 +108,22 @@
 		t.Errorf("error is %v, want NotFound with a remedy", err)
 	}
 }
+
+// Lines of earlier releases and of this one lead to the same cause.
+func TestCausesOfWithdrawnEndpoints(t *testing.T) {
+	for reason, want := range map[string]string{
+		"engine is leaving":                                    "engines were shutting down",
+		"engine wants no requests for some time":               "endpoints had asked for no requests for some time",
+		"engine is cold and has reached its request rate":      "engines had just started and were sent no more than their request rate while cold",
+		"engine is cold and has got what it bears this second": "engines had just started and were sent no more than their request rate while cold",
+	} {
+		lines := readLines(t, map[string][]string{"all.log": {logLine("sidecar", 10*second, 10*second, `"request":"r1","reason":"`+reason+`","message":"request not admitted"`)}})
+		timeline, err := ForRequest(lines, "r1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := timeline.Causes(); len(got) != 1 || got[0] != want {
+			t.Errorf("%s: causes are %q, want %q", reason, got, want)
+		}
+	}
+}
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -19,6 +19,7 @@
 var stateMessages = []string{
 	"dependency lost", "dependency regained", "endpoint avoided after a failure", "endpoint answers again", "sidecar cannot be reached",
 	"version served changed", "engine ordered to load", "configuration taken over", "readiness changed", "gateway started", "gateway draining",
+	"endpoint says that it is leaving", "endpoint wants no requests", "engine's readiness for requests changed", "store was restored from a copy",
 	"sidecar started", "sidecar draining", "log lines dropped; the output is not read or the bound is reached",
 }
 
@@ -28,7 +29,9 @@
 	{"it would run into a change of weights", "engines were about to change their weights and took only short requests"},
 	{"no room", "engines ran as many requests as they have slots; more engines are needed for this load"},
 	{"first event later than the bound", "engines had too many prompts to read for the first event to come in time"},
-	{"engine is cold", "engines had just started and were sent no more than they bear while cold"},
+	{"engine is cold", "engines had just started and were sent no more than their request rate while cold"},
+	{"engine is leaving", "engines were shutting down"},
+	{"wants no requests", "endpoints had asked for no requests for some time"},
 	{"its sidecar is away", "sidecars could not be reached and the gateway's share past them was in use"},
 	{"connection reset", "an endpoint or the network reset the connection after the request was sent"},
 	{"EOF", "an endpoint or its sidecar closed the connection before its answer was complete"},
--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -51,7 +51,7 @@
 	}
 	entry := g.logger.Info().Str("outcome", fault.Kind(err)).Int("status", status).Str("cause", err.Error())
 	if status == http.StatusServiceUnavailable {
-		after := minRetryAfter + time.Duration(rand.Int64N(int64(retryAfterJitter)))
+		after := f.earliestRetry() + time.Duration(rand.Int64N(int64(retryAfterJitter)))
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 		entry.Dur("retry_after", after)
 	}
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -252,3 +252,15 @@
 	deadline, _ := f.ctx.Deadline()
 	return time.Until(deadline)
 }
+
+// earliestRetry returns the shortest time after which the caller's retry can succeed: minRetryAfter, or longer while all
+// endpoints of the service want no requests. A call that was not offered to an endpoint has a nil forwarder.
+func (f *forwarder) earliestRetry() time.Duration {
+	if f == nil {
+		return minRetryAfter
+	}
+	query := f.lastQuery
+	query.Now = f.g.now()
+	holdOff, _ := f.g.placer.HoldOff(f.g.follower.View().AvailableEndpoints(f.service), query)
+	return max(minRetryAfter, holdOff)
+}
--- a/internal/gateway/pick_record.go
+++ b/internal/gateway/pick_record.go
@@ -89,3 +89,16 @@
 		g.logger.Info().Str("endpoint", string(endpoint.ID)).Msg("endpoint answers again")
 	}
 }
+
+// recordWithdrawal tells the placer that the endpoint is leaving, or that it wants no requests for the time holdOff, and logs
+// it if it is new. Both may be unset.
+func (g *Gateway) recordWithdrawal(endpoint *catalog.Endpoint, leaving bool, holdOff time.Duration) {
+	now := g.now()
+	if leaving && g.placer.RecordLeaving(endpoint, now) {
+		g.pool.CloseIdle(endpoint.Address)
+		g.logger.Info().Str("endpoint", string(endpoint.ID)).Msg("endpoint says that it is leaving")
+	}
+	if holdOff > 0 && g.placer.RecordHoldOff(endpoint, now, holdOff) {
+		g.logger.Info().Str("endpoint", string(endpoint.ID)).Dur("for", holdOff).Msg("endpoint wants no requests")
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -35,14 +35,14 @@
 func (f *forwarder) send(ctx context.Context, endpoint *catalog.Endpoint) (*dispatch.Response, call.ResponseInfo, error) {
 	request := f.newRequest(endpoint)
 	if !f.route.Generates {
-		return f.exchange(ctx, request)
+		return f.exchange(ctx, endpoint, request)
 	}
 	now := f.g.now()
 	if f.g.sidecars.reachable(endpoint.ID, now) {
 		request.Address = f.g.relayAddress(endpoint)
 		f.setFirstEventBound(request.Header)
 		f.setMinVersion(request.Header)
-		answer, info, err := f.exchange(ctx, request)
+		answer, info, err := f.exchange(ctx, endpoint, request)
 		if err == nil {
 			return f.readSidecarAnswer(endpoint, answer, info)
 		}
@@ -93,7 +93,7 @@
 	}
 	f.releaseDirectSlot = func() { f.g.sidecars.releaseDirectSlot(endpoint.ID) }
 	request.Address = endpoint.Address
-	return f.exchange(ctx, request)
+	return f.exchange(ctx, endpoint, request)
 }
 
 // newRequest returns the request to the endpoint, addressed to the endpoint itself.
@@ -123,12 +123,15 @@
 	}
 }
 
-func (f *forwarder) exchange(ctx context.Context, request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
+// exchange sends the request and reads the header of the answer. It records what the endpoint says about further requests.
+func (f *forwarder) exchange(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
 	answer, err := f.g.pool.Send(ctx, request)
 	if err != nil {
 		return nil, call.ResponseInfo{}, err
 	}
-	return answer, f.g.codec.DecodeResponse(answer.Status, answer.Header), nil
+	info := f.g.codec.DecodeResponse(answer.Status, answer.Header)
+	f.g.recordWithdrawal(endpoint, info.Leaving, info.HoldOff)
+	return answer, info, nil
 }
 
 // readSidecarAnswer reads the headers that the sidecar added to the answer and removes them. It returns a refusalError if
@@ -142,6 +145,8 @@
 	if reason == "" {
 		return answer, info, nil
 	}
+	holdOff, _ := strconv.Atoi(answer.Header.Get(wire.HeaderHoldOff)) // absent unless the engine holds requests off
+	f.g.recordWithdrawal(endpoint, answer.Header.Get(wire.HeaderLeaving) != "", time.Duration(holdOff)*time.Millisecond)
 	drainAndClose(answer)
 	return nil, info, &refusalError{reason: reason}
 }
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -32,6 +32,17 @@
 	return ok && version >= query.MinVersion
 }
 
+// excludeWithdrawn returns the endpoints that have not said that they want no requests.
+func (p *Placer) excludeWithdrawn(endpoints []*catalog.Endpoint, now time.Duration) []*catalog.Endpoint {
+	wanted := make([]*catalog.Endpoint, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		if !p.withdrawals.excludes(endpoint, now) {
+			wanted = append(wanted, endpoint)
+		}
+	}
+	return wanted
+}
+
 // excludeFailing returns the endpoints that are not avoided after a failure.
 func (p *Placer) excludeFailing(endpoints []*catalog.Endpoint, now time.Duration) []*catalog.Endpoint {
 	healthy := make([]*catalog.Endpoint, 0, len(endpoints))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,14 +24,15 @@
 
 // Placer picks endpoints by their load and health. It is safe for concurrent use.
 type Placer struct {
-	meters   *routing.LoadMeters
-	health   *health
-	randIntN func(n int) int
+	meters      *routing.LoadMeters
+	health      *health
+	withdrawals *withdrawals
+	randIntN    func(n int) int
 }
 
 // NewPlacer returns a placer without load reports or failure records.
 func NewPlacer() *Placer {
-	return &Placer{meters: routing.NewLoadMeters(), health: newHealth(), randIntN: rand.IntN}
+	return &Placer{meters: routing.NewLoadMeters(), health: newHealth(), withdrawals: newWithdrawals(), randIntN: rand.IntN}
 }
 
 // Meter returns the load meter of the endpoint. It creates one for a new endpoint.
@@ -48,11 +49,32 @@
 	return p.health.recordFailure(id, now)
 }
 
+// RecordLeaving records that the endpoint said that it is leaving. It takes no more requests, whatever the registry says. It
+// returns true if this was unknown.
+func (p *Placer) RecordLeaving(endpoint *catalog.Endpoint, now time.Duration) bool {
+	return p.withdrawals.recordLeaving(endpoint, now)
+}
+
+// RecordHoldOff records that the endpoint wants no requests for the given time. It returns true if that is longer than what
+// was known.
+func (p *Placer) RecordHoldOff(endpoint *catalog.Endpoint, now, wait time.Duration) bool {
+	return p.withdrawals.recordHoldOff(endpoint, now, now+wait)
+}
+
+// HoldOff returns the time until the first endpoint that the query allows takes requests again. It returns false unless all
+// of them have said that they want none, at least one of them only for some time.
+func (p *Placer) HoldOff(endpoints []*catalog.Endpoint, query Query) (time.Duration, bool) {
+	query.Exclude = nil
+	eligible, unconfirmed := filter(endpoints, query)
+	earliest, known := p.withdrawals.earliestReturn(append(eligible, unconfirmed...), query.Now)
+	return earliest - query.Now, known
+}
+
 // Pick returns the endpoint with the lowest score, or nil if none may run the request. It prefers endpoints whose
 // registry entry shows a suitable version. If there are none it takes an unconfirmed one, whose sidecar decides.
-// Endpoints that failed recently are used only if no others remain.
+// Endpoints that failed recently are used only if no others remain, and those that want no requests not at all.
 func (p *Placer) Pick(endpoints []*catalog.Endpoint, query Query) *catalog.Endpoint {
-	eligible, unconfirmed := filter(endpoints, query)
+	eligible, unconfirmed := filter(p.excludeWithdrawn(endpoints, query.Now), query)
 	if len(eligible) == 0 {
 		eligible = unconfirmed
 	}
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -14,6 +14,7 @@
 	Running  int
 	Queued   int
 	Slowdown float64 // slowdown against the published step times; above 1 for a slower engine
+	Leaving  bool    // the engine is shutting down and takes no new requests
 }
 
 // LoadResult is an engine's answer to an order to load weights.
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -21,9 +21,11 @@
 	refusedLoading        = "weights are loading"
 	refusedNoCapacity     = "no room"
 	refusedLateFirstEvent = "first event later than the bound"
-	refusedCold           = "engine is cold and has got what it bears this second"
+	refusedCold           = "engine is cold and has reached its request rate"
 	refusedVersionChange  = "it would run into a change of weights"
 	refusedUnreachable    = "engine cannot be reached"
+	refusedLeaving        = "engine is leaving"
+	refusedHeldOff        = "engine wants no requests for some time"
 )
 
 const (
@@ -43,6 +45,10 @@
 		s.refuse(w, c, refusedBadRequest, err)
 		return
 	}
+	if reason := s.withdrawnReason(); reason != "" {
+		s.refuse(w, c, reason, nil)
+		return
+	}
 	if !s.canServe(minVersionOf(r)) {
 		s.refuse(w, c, refusedLoading, nil)
 		return
@@ -56,6 +62,11 @@
 		s.refuse(w, c, refusedNoCapacity, err)
 		return
 	}
+	if reason := s.withdrawnReason(); reason != "" { // the engine may have said so while the request waited
+		s.gate.ReleaseUnmeasured()
+		s.refuse(w, c, reason, nil)
+		return
+	}
 	bound := firstEventBound(r)
 	c.Forward.Del(wire.HeaderFirstEvent)
 	c.Forward.Del(wire.HeaderMinVersion)
@@ -118,7 +129,7 @@
 
 // logAdmitted logs an admitted request with the inputs of its admission.
 func (s *Sidecar) logAdmitted(a *admittedCall) {
-	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Dur("took", time.Since(a.arrived)).Msg("request let in")
+	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Dur("took", time.Since(a.arrived)).Msg("request admitted")
 }
 
 // canServe reports whether the engine may run a request that needs at least the version. It checks the serve deadline
@@ -174,10 +185,31 @@
 		panic(http.ErrAbortHandler) // a closed connection tells the gateway that the outcome is unknown
 	}
 	defer answer.Close()
+	info := s.codec.DecodeResponse(answer.Status, answer.Header)
+	if s.withdrawal.recordAnswer(info.Leaving, info.HoldOff, bootclock.Now()) {
+		s.logWithdrawal()
+	}
 	s.copyAnswer(w, a, answer)
 	return true
 }
 
+// withdrawnReason returns the reason of a refusal while the engine wants no requests, and otherwise "".
+func (s *Sidecar) withdrawnReason() string {
+	switch leaving, holdOff := s.withdrawal.state(bootclock.Now()); {
+	case leaving:
+		return refusedLeaving
+	case holdOff > 0:
+		return refusedHeldOff
+	}
+	return ""
+}
+
+// logWithdrawal logs a change of what the engine says about taking requests.
+func (s *Sidecar) logWithdrawal() {
+	leaving, holdOff := s.withdrawal.state(bootclock.Now())
+	s.logger.Info().Bool("leaving", leaving).Dur("hold_off", holdOff).Msg("engine's readiness for requests changed")
+}
+
 func (s *Sidecar) copyAnswer(w http.ResponseWriter, a *admittedCall, answer *dispatch.Response) {
 	header := w.Header()
 	for name, values := range s.codec.CallerHeader(answer.Header) {
@@ -219,6 +251,17 @@
 	a.firstByteAfter = time.Since(a.arrived)
 }
 
+// setWithdrawalHeaders tells a gateway that the engine wants no requests, from any gateway.
+func (s *Sidecar) setWithdrawalHeaders(header http.Header) {
+	leaving, holdOff := s.withdrawal.state(bootclock.Now())
+	if leaving {
+		header.Set(wire.HeaderLeaving, "1")
+	}
+	if holdOff > 0 {
+		header.Set(wire.HeaderHoldOff, strconv.FormatInt(holdOff.Milliseconds()+1, 10))
+	}
+}
+
 func (s *Sidecar) setLoadHeader(header http.Header) {
 	load := s.gate.Load()
 	header.Set(wire.HeaderLoad, fmt.Sprintf("%d,%d,%d", load.Running, load.Queued, load.Limit))
@@ -235,8 +278,9 @@
 	if cause != nil {
 		entry.Err(cause)
 	}
-	entry.Msg("request not let in")
+	entry.Msg("request not admitted")
 	w.Header().Set(wire.HeaderRefused, reason)
 	s.setLoadHeader(w.Header())
+	s.setWithdrawalHeaders(w.Header())
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,6 +54,7 @@
 	gate           *admission.Gate
 	prompts        admission.PrefillTracker
 	coldRate       admission.ColdRateLimiter
+	withdrawal     withdrawal
 	pool           *dispatch.Pool
 	peerClient     *rpc.Client
 	store          *weights.Store
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -468,12 +468,12 @@
 		}
 		answer.Body.Close()
 	}
-	waitFor(t, "both log lines", func() bool { return logContains("request let in") && logContains("request not let in") })
+	waitFor(t, "both log lines", func() bool { return logContains("request admitted") && logContains("request not admitted") })
 	mu.Lock()
 	defer mu.Unlock()
 	for line, fields := range map[string][]string{
-		"request let in":     {"request", "tokens", "version", "running", "estimated", "first_event", "took"},
-		"request not let in": {"request", "reason", "version", "running", "limit"},
+		"request admitted":     {"request", "tokens", "version", "running", "estimated", "first_event", "took"},
+		"request not admitted": {"request", "reason", "version", "running", "limit"},
 	} {
 		i := slices.IndexFunc(lines, func(text string) bool { return strings.Contains(text, `"`+line+`"`) })
 		if i < 0 {
--- a/internal/sidecar/updater.go
+++ b/internal/sidecar/updater.go
@@ -87,7 +87,7 @@
 	u := &updater{sidecar: s}
 	for {
 		if err := u.reconcile(ctx); err != nil && ctx.Err() == nil {
-			s.logger.Warn().Err(err).Str("model", string(u.model)).Msg("version not brought yet")
+			s.logger.Warn().Err(err).Str("model", string(u.model)).Msg("version not deployed yet")
 		}
 		timer := time.NewTimer(u.interval())
 		select {
@@ -123,7 +123,11 @@
 	if !ok {
 		return nil
 	}
+	requestedAt := bootclock.Now()
 	report, reportErr := s.engine.Report(ctx)
+	if (reportErr == nil || report.Leaving) && s.withdrawal.recordReport(report.Leaving, requestedAt, bootclock.Now()) {
+		s.logWithdrawal()
+	}
 	s.prompts.SetSlowdown(report.Slowdown)
 	u.loading = report.Loading
 	loaded := report.Loaded[model]
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -8,6 +8,11 @@
 	// HeaderLoad reports the requests running and waiting at the endpoint and its concurrency limit, as
 	// "running,waiting,limit".
 	HeaderLoad = "Lovage-Load"
+	// HeaderLeaving is set to "1" by a sidecar on refusals once its engine has said that it is shutting down.
+	HeaderLeaving = "Lovage-Leaving"
+	// HeaderHoldOff is set by a sidecar on refusals while its engine wants no requests from it. Its value is the remaining
+	// time in milliseconds.
+	HeaderHoldOff = "Lovage-Hold-Off-Ms"
 	// HeaderFirstEvent is the maximum time to the first event of a stream, in milliseconds. A sidecar that expects to
 	// take longer refuses the request, so that the gateway can try another endpoint.
 	HeaderFirstEvent = "Lovage-First-Event-Ms"
--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -19,6 +19,9 @@
 ignores-draining|drained back ends:|internal/catalog/view.go|s/if endpoint.Draining \|\| /if /
 ignores-evacuations|evacuated failure domains:|internal/catalog/view.go|s/ \|\| evacuated\[endpoint.FailureDomain\]//
 keeps-first-configuration|configuration in force:|internal/follow/state.go|s/s.index != nil \&\& next.Version <= s.index.Configuration.Version/s.index != nil/
+ignores-restores|configuration in force:|platform/store.go|s/return before > 0 \&\& after > 0 \&\& after != before/return false/
+ignores-leaving|leaving back ends:|internal/placement/withdrawal.go|s/\(r.leaving \|\| now < r.heldOffUntil\)/(now < r.heldOffUntil)/
+ignores-hold-offs|held off:|internal/placement/withdrawal.go|s/\(r.leaving \|\| now < r.heldOffUntil\)/(r.leaving)/
 passes-keys-on|unasked:|platform/headers.go|s/headerPriority, headerKey, headerDeadline/headerPriority, headerDeadline/
 '
 
--- a/systemtest/soak/answers_test.go
+++ b/systemtest/soak/answers_test.go
@@ -41,6 +41,11 @@
 // truncates some answers while back ends are faulty.
 func (s *system) backendHandler(b *backend) func(http.ResponseWriter, platformtest.Run) {
 	return func(rw http.ResponseWriter, run platformtest.Run) {
+		if b.holdsOff.Load() {
+			b.withdrawals.addRefused(run)
+			b.Reject(rw, run)
+			return
+		}
 		draw := 1.0
 		if s.backendsFaulty.Load() {
 			draw = rand.Float64()
--- a/systemtest/soak/checks_test.go
+++ b/systemtest/soak/checks_test.go
@@ -41,6 +41,7 @@
 		all = append(all, list...)
 	}
 	s.checkWrites(all)
+	s.checkWithdrawals(requests, all)
 	s.checkConfigurationOrder(all)
 	s.checkEngines()
 	s.t.Logf("%d requests, %d runs, %d disruptions, answers by status: %s", len(requests), len(all), len(s.disruptions.list), s.statusCounts(requests))
--- a/systemtest/soak/faults_test.go
+++ b/systemtest/soak/faults_test.go
@@ -51,6 +51,7 @@
 	{"store unavailable", (*system).makeStoreUnavailable},
 	{"store slow", (*system).slowDownStore},
 	{"store drops its history", func(s *system, _ int, _ time.Duration) { s.store.DropHistory() }},
+	{"store restored from a copy", (*system).restoreStore},
 	{"back ends faulty", (*system).makeBackendsFaulty},
 	{"origin disturbed", (*system).disturbOrigin},
 	{"staged chunks corrupted", (*system).corruptStagedWeights},
@@ -60,6 +61,8 @@
 	{"key revoked while a gateway is cut off", (*system).revokeKeyDuringPartition},
 	{"failure domain evacuated", (*system).evacuate},
 	{"back end replaced", func(s *system, pick int, _ time.Duration) { s.replacePlainBackend(pick) }},
+	{"back end leaves", (*system).leavePlainBackend},
+	{"back end holds requests off", (*system).holdRequestsOff},
 }
 
 // injectFaults starts faults, drawn from the seed, for the given time and returns when all of them have ended.
@@ -184,12 +187,17 @@
 	}
 }
 
+// publishVersion writes the next version. Versions are written in their order, also by faults that wait for the store at the
+// same time.
 func (s *system) publishVersion() {
+	s.storeOutage.RLock()
+	defer s.storeOutage.RUnlock()
 	s.mu.Lock()
 	s.newestVersion++
 	number := s.newestVersion
+	s.store.SetTargetVersion(testWeights.Model, number)
 	s.mu.Unlock()
-	s.performWrite("published", testWeights.Model, number, func() { s.store.SetTargetVersion(testWeights.Model, number) })
+	s.recordWrite("published", testWeights.Model, number)
 }
 
 // reconfigure changes the configuration and writes it to the store.
@@ -206,6 +214,11 @@
 func (s *system) moveRoute() {
 	s.storeOutage.RLock()
 	defer s.storeOutage.RUnlock()
+	s.writeRouteMove()
+}
+
+// writeRouteMove carries out moveRoute. The caller holds s.storeOutage.
+func (s *system) writeRouteMove() {
 	s.reconfigure(func(c *platformtest.Configuration) {
 		if s.moveNumber+1 >= movingBackendCount {
 			return
@@ -249,10 +262,20 @@
 	}
 	defer s.evacuationMu.Unlock()
 	domain := string(failureDomains[pick%len(failureDomains)])
-	s.performWrite("evacuated", domain, 0, func() { s.store.SetEvacuated(domain, true) })
+	s.performWrite("evacuated", domain, 0, func() { s.setEvacuated(domain) })
 	time.Sleep(duration + evacuationBound + settleTime)
 	s.recordWrite("returned", domain, 0) // recorded before the write, because requests can go there as soon as it is written
-	s.store.SetEvacuated(domain, false)
+	s.setEvacuated("")
+}
+
+// setEvacuated evacuates the failure domain and returns all others to service; "" evacuates none.
+func (s *system) setEvacuated(evacuated string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated = evacuated
+	for _, domain := range failureDomains {
+		s.store.SetEvacuated(string(domain), string(domain) == evacuated)
+	}
 }
 
 // replacePlainBackend starts a new plain back end, and then drains and removes an old one.
@@ -269,7 +292,7 @@
 	time.Sleep(entryReturnDelay)
 	s.performWrite("drained", old.ID, 0, func() { s.register(old, "draining") })
 	time.Sleep(drainBound + entryReturnDelay)
-	s.store.Unregister(old.Runner)
+	s.unregister(old)
 	s.plainBackends[index] = replacement
 	old.proxy.setMode(refused)
 }
--- a/systemtest/soak/soak_test.go
+++ b/systemtest/soak/soak_test.go
@@ -31,6 +31,7 @@
 	seed  uint64
 	cause string
 }{
+	{41215, "the soak wrote two versions in the wrong order, and no process saw the newer one"},
 	{217, "the soak published a version while the store was unavailable and measured its time bound from then on"},
 }
 
--- a/systemtest/soak/system_test.go
+++ b/systemtest/soak/system_test.go
@@ -71,6 +71,7 @@
 	newestVersion  int64        // newest published version of the weights
 	moveNumber     int
 
+	evacuated     string     // failure domain that is evacuated, or ""
 	evacuationMu  sync.Mutex // held while a failure domain is evacuated
 	replacementMu sync.Mutex // held while a back end is replaced
 	replacements  int
@@ -94,7 +95,10 @@
 	proxy        *proxy
 	service      string
 	domain       core.FailureDomain
-	entryExpired atomic.Bool // its entry in the store has expired
+	entryExpired atomic.Bool  // its entry in the store has expired
+	entryState   atomic.Value // state in its entry, a string; "" after it was removed
+	holdsOff     atomic.Bool  // it refuses requests and asks for no more of them
+	withdrawals  withdrawalLog
 }
 
 // recordedWrite is a change that an operator or a back end wrote. Later runs must respect it.
@@ -174,9 +178,16 @@
 			model = testWeights.Model
 		}
 	}
+	b.entryState.Store(state)
 	s.store.Register(b.Runner, b.service, string(b.domain), state, model, number)
 }
 
+// unregister removes the back end's entry.
+func (s *system) unregister(b *backend) {
+	b.entryState.Store("")
+	s.store.Unregister(b.Runner)
+}
+
 // heartbeat renews the entries of engines periodically, as real engines do.
 func (s *system) heartbeat(ctx context.Context) {
 	for ctx.Err() == nil {
