No new claims for a minute after a restore of the table service

Cause: after a restore from a copy, a claim of the lost seconds cannot be told from one that was never written, so a resend with the same key got a claim of its own and ran again.

Change: rows carry the service's era. An entry that notices a restore writes no new claim and reports none as absent for a minute; the caller hears that the outcome is unknown. A claim whose write shows the restore is not used.

Open: an entry that starts after the restore does not know of it; generations of published configurations may be assigned again. Both concern entry and agent only, not the users' platform.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -67,29 +68,37 @@
 
 // Claimer reads and writes claims. It is safe for concurrent use.
 type Claimer struct {
-	tables  platform.Tables
-	batcher *batcher
+	tables   platform.Tables
+	batcher  *batcher
+	restores restoreWatch
 }
 
 // NewClaimer returns a claimer that uses the table service.
 func NewClaimer(tables platform.Tables) *Claimer {
-	return &Claimer{tables: tables, batcher: newBatcher(tables)}
+	return &Claimer{tables: tables, batcher: newBatcher(tables), restores: restoreWatch{now: time.Now}}
 }
 
-// Read returns the claim for the key.
+// Read returns the claim for the key. It returns an error if there is none and it may have been lost.
 func (c *Claimer) Read(ctx context.Context, key Key) (Record, error) {
 	row, err := c.tables.Get(ctx, Table, key.row())
 	if err != nil {
 		return Record{}, err
 	}
+	c.restores.observe(row.Era)
+	if row.Revision == 0 {
+		return Record{}, c.restores.checkAbsent()
+	}
 	return decode(row)
 }
 
 // Acquire writes the holder if the claim still has the given revision. It returns the claim that is stored afterwards:
 // the new one, or the one that another call wrote first. If the result of a write is lost, Acquire reads the claim and
 // writes again if it has not changed. After an error a write may still take effect later, so the holder's attempt must
-// not be dispatched.
+// not be dispatched. While claims may have been lost, Acquire returns an error and writes none.
 func (c *Claimer) Acquire(ctx context.Context, key Key, holder Holder, revision platform.Revision) (Record, error) {
+	if err := c.restores.checkAbsent(); err != nil {
+		return c.readExisting(ctx, key, revision, err)
+	}
 	value, err := json.Marshal(holder)
 	if err != nil {
 		return Record{}, err
@@ -99,7 +108,7 @@
 		var result platform.WriteResult
 		result, err = c.batcher.write(ctx, write)
 		if err == nil {
-			return checkRevision(result.Row, revision)
+			return c.checkWritten(result, revision)
 		}
 		current, readErr := c.Read(ctx, key)
 		if readErr == nil && current.Revision > revision {
@@ -109,6 +118,27 @@
 	return Record{}, err
 }
 
+// checkWritten returns the claim that is stored after a write. If the answer shows that the table service was restored, the
+// claim must not be used: an earlier claim of the key may have been lost.
+func (c *Claimer) checkWritten(result platform.WriteResult, revision platform.Revision) (Record, error) {
+	c.restores.observe(result.Row.Era)
+	if result.Written {
+		if err := c.restores.checkAbsent(); err != nil {
+			return Record{}, err
+		}
+	}
+	return checkRevision(result.Row, revision)
+}
+
+// readExisting returns a claim that another call has written since the given revision, or else the error.
+func (c *Claimer) readExisting(ctx context.Context, key Key, revision platform.Revision, err error) (Record, error) {
+	current, readErr := c.Read(ctx, key)
+	if readErr == nil && revision == 0 {
+		return current, nil
+	}
+	return Record{}, err
+}
+
 // checkRevision returns the claim that is stored after a write. A row with a lower revision than before was removed
 // while it was in use, which is an error.
 func checkRevision(row platform.Row, revision platform.Revision) (Record, error) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,9 @@
 	Key      string   `json:"key"`
 	Value    []byte   `json:"value"`
 	Revision Revision `json:"revision"`
+	// Era of the table service when it answered; 0 if unknown. It rises when the service is restored from a copy, which loses
+	// the latest writes and assigns their revisions again. A row that does not exist has it as well.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Write is a conditional write of one row. It takes effect only if the row's current revision is IfRevision.
