The version between is loaded in turns if the newest cannot arrive in time

Change: a sidecar expects the newest weights to take as long as the previous ones did. If they cannot be there before the served version has to go, the version between is loaded in its turn at once.

The test fails without the change.

--- a/internal/sidecar/stagger_test.go
+++ b/internal/sidecar/stagger_test.go
@@ -67,6 +67,32 @@
 	}
 }
 
+// On the booking fleet's calm day, the newest version was requested when the one before it had arrived, four seconds before
+// the deadline. Fourteen of nineteen engines then waited until the deadline and changed at the same moment.
+func TestIntermediateVersionIsStaggeredIfTheNewestCannotArriveInTime(t *testing.T) {
+	s := &Sidecar{}
+	s.settings.VersionRolloutMs = 8000
+	bound := s.settings.VersionRolloutMs.Duration()
+	view := catalog.NewView(nil, nil, nil, nil)
+	now := bootclock.Now()
+	requestedAt := now - bound/2
+	deadline := requestedAt + bound
+	for _, test := range []struct {
+		took time.Duration // from the request for the previous version until it was complete
+		want time.Duration
+	}{
+		{3500 * time.Millisecond, staggeredStart(requestedAt, deadline, bound, 0)},
+		{2500 * time.Millisecond, deadline - supersededMargin},
+	} {
+		intermediate := &targetVersion{version: 2, requestedAt: requestedAt, completeAt: requestedAt + test.took}
+		newest := &targetVersion{version: 3, requestedAt: now, lastChunkAt: now}
+		u := &updater{sidecar: s, model: model, targets: []*targetVersion{intermediate, newest}}
+		if start := u.loadStart(view, intermediate, deadline); start != test.want {
+			t.Errorf("weights take %v: the start is %v before the deadline, want %v", test.took, deadline-start, deadline-test.want)
+		}
+	}
+}
+
 // The updater may be waiting for the origin when the serve deadline passes, so the request path must check the deadline.
 func TestServeDeadlineAppliesWithoutTheUpdater(t *testing.T) {
 	s := &Sidecar{}
--- a/internal/sidecar/staging.go
+++ b/internal/sidecar/staging.go
@@ -54,6 +54,9 @@
 		}
 		u.stagedChunks[chunk] = true
 		if len(u.stagedChunks) == len(target.manifest.Chunks) {
+			if target.completeAt == 0 {
+				target.completeAt = bootclock.Now()
+			}
 			u.sidecar.logger.Info().Str("model", string(u.model)).Int64("version", target.version).Dur("after", bootclock.Now()-target.requestedAt).Msg("weights complete and staged")
 		}
 	}
--- a/internal/sidecar/updater.go
+++ b/internal/sidecar/updater.go
@@ -63,6 +63,7 @@
 	chunksHeld        int           // chunks held at the last check
 	lastChunkAt       time.Duration // when the last chunk arrived
 	manifestDroppedAt time.Duration // when the manifest was last dropped as possibly corrupted
+	completeAt        time.Duration // when all chunks were first staged; 0 before
 
 	originAskedAt time.Duration // when the origin was last asked because no peer had the manifest
 }
@@ -264,11 +265,12 @@
 }
 
 // loadStart returns when this engine may stop taking requests to load the version. While the weights of the newest version
-// are arriving, the previous version is loaded only shortly before the deadline of the served one.
+// are arriving and can be in time, the previous version is loaded only shortly before the deadline of the served one.
 func (u *updater) loadStart(view *catalog.View, next *targetVersion, deadline time.Duration) time.Duration {
 	newest := u.newestTarget()
-	if next != newest && bootclock.Now()-newest.lastChunkAt < originTimeout {
-		return deadline - supersededMargin
+	lastStart := deadline - supersededMargin
+	if next != newest && bootclock.Now()-newest.lastChunkAt < originTimeout && newest.canArriveBy(lastStart, next) {
+		return lastStart
 	}
 	peers, _ := u.sidecar.peerHosts(view)
 	hosts := []core.HostID{core.HostID(u.sidecar.settings.Address)}
@@ -279,6 +281,15 @@
 	return staggeredStart(next.requestedAt, deadline, u.sidecar.settings.VersionRolloutMs.Duration(), position)
 }
 
+// canArriveBy reports whether the weights are expected to be complete by the given time, if they take as long as those of
+// the previous version did.
+func (t *targetVersion) canArriveBy(at time.Duration, previous *targetVersion) bool {
+	if previous.completeAt == 0 {
+		return true // not known
+	}
+	return t.requestedAt+previous.completeAt-previous.requestedAt < at
+}
+
 // updateDistributor submits the targets and the peers to the distributor. A target without a manifest does not delay the
 // other one.
 func (u *updater) updateDistributor(ctx context.Context, view *catalog.View) error {
