Weights reach hundreds of hosts: one host a chunk at the origin, also after an outage

The origin was away from 20.5 to 26.5 s. While it was, nobody made progress, so every host took every other for stalled, counted itself the fetcher of all chunks and went to the origin, whose link carried 11.4 copies, most of them cancelled by time-outs. A host whose remote source lacked a chunk went to the origin as well. Hosts also dropped their manifests every 3 s.

Bounded backoffs. The manifest is fetched again only if chunks contradict it.

--- a/internal/sidecar/updater.go
+++ b/internal/sidecar/updater.go
@@ -30,8 +30,8 @@
 	// registryReadInterval is the time between two reads of the registry while weights are being fetched. Engines that
 	// start together register within about one heartbeat interval of each other.
 	registryReadInterval = 700 * time.Millisecond
-	// manifestRefetchDelay is the time without a new chunk after which the manifest is fetched again. The manifest may have
-	// been corrupted on its way, and then no chunk matches it.
+	// manifestRefetchDelay is the time without a new chunk after which the manifest is fetched again if it may have been
+	// corrupted on its way. While the origin is away, no chunk arrives either, but the manifest is kept.
 	manifestRefetchDelay = 3 * time.Second
 	// serveMargin is how long before the deadline of a version its requests are refused, so that admitted requests start in
 	// time.
@@ -369,7 +369,7 @@
 		if progress.Have != target.chunksHeld {
 			target.chunksHeld, target.lastChunkAt = progress.Have, now
 		}
-		if now-max(target.lastChunkAt, target.manifestDroppedAt) > manifestRefetchDelay {
+		if progress.ManifestSuspect && now-max(target.lastChunkAt, target.manifestDroppedAt) > manifestRefetchDelay {
 			u.sidecar.logger.Warn().Str("manifest", string(target.manifestID)).Int64("version", target.version).Int("have", progress.Have).Msg("no chunk arrives; manifest is fetched again")
 			target.manifestDroppedAt = now
 			u.sidecar.shareManifest(manifestRequest{Model: u.model, Version: target.version}, nil)
--- a/internal/weights/distribution/perform.go
+++ b/internal/weights/distribution/perform.go
@@ -103,7 +103,7 @@
 	if effect.Source == "" {
 		raw, result = d.fetchFromOrigin(ctx, manifest.Object, offset, length, effect.BytesPerS)
 	} else {
-		raw, result = d.fetchFromPeer(ctx, source, digest, length, effect.BytesPerS)
+		raw, result = d.fetchFromPeer(ctx, source, digest, length, effect)
 	}
 	if result != plan.Verified {
 		return result
@@ -142,9 +142,13 @@
 	return raw, plan.Verified
 }
 
-func (d *Distributor) fetchFromPeer(ctx context.Context, source core.Host, digest weights.Digest, length, bytesPerS int64) ([]byte, plan.Result) {
+func (d *Distributor) fetchFromPeer(ctx context.Context, source core.Host, digest weights.Digest, length int64, effect plan.FetchChunk) ([]byte, plan.Result) {
 	d.controlBytes.Add(requestOverheadBytes)
-	response, err := d.client.Do(stream.Request{Method: http.MethodGet, URL: "http://" + source.DataAddress + wire.PathChunks + string(digest)})
+	request := stream.Request{Method: http.MethodGet, URL: "http://" + source.DataAddress + wire.PathChunks + string(digest)}
+	if effect.ForRegion {
+		request.Header = map[string]string{wire.HeaderForRegion: "1"}
+	}
+	response, err := d.client.Do(request)
 	if err != nil {
 		return nil, plan.Unreachable
 	}
@@ -153,7 +157,7 @@
 		_, _ = io.Copy(io.Discard, response)
 		return nil, result
 	}
-	return d.readChunk(ctx, response, length, newPacer(bytesPerS))
+	return d.readChunk(ctx, response, length, newPacer(effect.BytesPerS))
 }
 
 // readChunk reads length bytes and ignores any bytes that a peer sends beyond them.
--- a/internal/weights/distribution/serve.go
+++ b/internal/weights/distribution/serve.go
@@ -60,7 +60,7 @@
 	d.controlBytes.Add(requestOverheadBytes)
 	digest := weights.Digest(strings.Clone(c.Params("digest")))
 	id := plan.UploadID(d.lastUploadID.Add(1))
-	result := d.requestUpload(id, digest)
+	result := d.requestUpload(plan.UploadRequested{Timestamp: d.timestamp(), UploadID: id, Digest: digest, ForRegion: c.Get(wire.HeaderForRegion) != ""})
 	if result != plan.Granted {
 		return c.SendStatus(statusForResult(result))
 	}
@@ -76,14 +76,15 @@
 
 // requestUpload asks the planner whether the upload may start. It returns Busy if the planner does not decide within
 // uploadDecisionTimeout.
-func (d *Distributor) requestUpload(id plan.UploadID, digest weights.Digest) plan.Result {
+func (d *Distributor) requestUpload(request plan.UploadRequested) plan.Result {
+	id := request.UploadID
 	decision := make(chan plan.Result, 1)
 	d.mu.Lock()
 	d.uploadDecisions[id] = decision
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), uploadDecisionTimeout)
 	defer cancel()
-	d.loop.Post(ctx, plan.UploadRequested{Timestamp: d.timestamp(), UploadID: id, Digest: digest})
+	d.loop.Post(ctx, request)
 	select {
 	case result := <-decision:
 		return result
--- a/internal/weights/plan/burst_test.go
+++ b/internal/weights/plan/burst_test.go
@@ -14,6 +14,7 @@
 	burstHostRate        = 9.4e6 / 8       // bytes per second
 	burstOriginRate      = 15e6 / 8        // bytes per second
 	burstRegionRate      = 26e6 / 8        // bytes per second
+	largeRegionRate      = 34e6 / 8        // bytes per second, between five regions
 	maxBurstTime         = 4 * time.Second // half of the eight seconds; engines need the rest to load in turns
 	maxBurstOriginCopies = 1.05            // a chunk may be fetched twice if an origin fetcher responds slowly
 )
@@ -62,3 +63,50 @@
 		t.Errorf("it took %v and %.2f copies from the origin", n.now, n.originCopies())
 	}
 }
+
+// Five regions with 53 hosts each. A tenth of a second after the hosts learn of the version, the origin goes away for six
+// seconds. On mt-flota-large's trouble-1 all hosts then fetched from the origin by themselves, whose link carried eleven
+// copies, most of them in vain, and no host had the version ten seconds after the origin was back.
+func TestBurstAfterAnOriginOutage(t *testing.T) {
+	const (
+		hosts     = 265
+		downAt    = 100 * time.Millisecond
+		upAt      = downAt + 6*time.Second
+		maxCopies = 1.3 // some transfers are under way when a source changes
+	)
+	config := burstConfig(func(n *network) {
+		n.version.OriginInterval = time.Duration(float64(burstChunkBytes) / burstOriginRate * float64(time.Second))
+		n.versions["v"] = n.version
+		n.schedule(downAt, func() { n.originDown = true })
+		n.schedule(upAt, func() { n.originDown = false })
+	})
+	config.hosts, config.regionPerDomain, config.crossRegionRate = hosts, true, largeRegionRate
+	n := newNetwork(config)
+	if !n.run() {
+		t.Fatal("not every host has the version")
+	}
+	t.Logf("took %v after the outage, %.2f copies from the origin", n.now-upAt, n.originCopies())
+	if n.now-upAt > maxBurstTime {
+		t.Errorf("it took %v after the outage, want at most %v", n.now-upAt, maxBurstTime)
+	}
+	if copies := n.originCopies(); copies > maxCopies {
+		t.Errorf("%.2f copies were fetched from the origin, want about one", copies)
+	}
+}
+
+// The same hosts without an outage.
+func TestBurstToHundredsOfHosts(t *testing.T) {
+	config := burstConfig(func(n *network) {
+		n.version.OriginInterval = time.Duration(float64(burstChunkBytes) / burstOriginRate * float64(time.Second))
+		n.versions["v"] = n.version
+	})
+	config.hosts, config.regionPerDomain, config.crossRegionRate = 265, true, largeRegionRate
+	n := newNetwork(config)
+	if !n.run() {
+		t.Fatal("not every host has the version")
+	}
+	t.Logf("took %v, %.2f copies from the origin", n.now, n.originCopies())
+	if n.now > maxBurstTime || n.originCopies() > maxBurstOriginCopies {
+		t.Errorf("it took %v and %.2f copies, want at most %v and %v", n.now, n.originCopies(), maxBurstTime, maxBurstOriginCopies)
+	}
+}
--- a/internal/weights/plan/events.go
+++ b/internal/weights/plan/events.go
@@ -99,8 +99,9 @@
 // UploadRequested reports that a peer has requested a chunk.
 type UploadRequested struct {
 	Timestamp
-	UploadID UploadID
-	Digest   weights.Digest
+	UploadID  UploadID
+	Digest    weights.Digest
+	ForRegion bool // the peer fetches the chunk on behalf of another region
 }
 
 // UploadEnded reports that an upload has ended or that its request was abandoned.
@@ -118,6 +119,7 @@
 	Version   core.VersionID
 	Index     int
 	BytesPerS int64
+	ForRegion bool // the source is in another region, and this host passes the chunk on to its own region
 }
 
 // CancelFetch cancels a fetch. No FetchEnded is required for it.
@@ -149,4 +151,7 @@
 	Have      int
 	Total     int
 	Remaining time.Duration
+	// ManifestSuspect reports that since the last new chunk some did not match their digests, or that peers want none with such
+	// a digest. The manifest may have been corrupted on its way.
+	ManifestSuspect bool
 }
--- a/internal/weights/plan/exchange.go
+++ b/internal/weights/plan/exchange.go
@@ -135,6 +135,9 @@
 		return
 	}
 	other.chunkMapFailures = 0
+	if other.sameRegion {
+		p.heardAt = p.now
+	}
 	if !event.IsReply {
 		p.controlBudget.consume(p.now, float64(chunkMapExchangeBytes(v)))
 	}
@@ -148,6 +151,9 @@
 	}
 	if have.Count() > h.have.Count() {
 		h.progressAt = p.now
+		if other.sameRegion {
+			v.recordProgress(p.now, p.takeoverTimeout(v))
+		}
 	}
 	v.updateCopies(h.have, have)
 	h.have = have
--- a/internal/weights/plan/fetch.go
+++ b/internal/weights/plan/fetch.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	busyBackoff           = 500 * time.Millisecond // initial backoff after a peer was busy
-	maxBusyDoublings      = 4
-	maxOriginDoublings    = 4
+	maxBackoffDoublings   = 4
+	maxBusyAfterWait      = 1                      // consecutive refusals after a wait, above which the peer's uploads count as stalled
 	peerTimeoutFactor     = 8                      // timeout of a fetch from a peer, in multiples of the recent mean duration
 	unannouncedBackoff    = 500 * time.Millisecond // delay after an unannounced fetch failed
 	maxUnannouncedFetches = 1                      // concurrent fetches of chunks that the source did not announce
+	notWantedGrace        = 2 * time.Second        // within which all hosts learn of a version
 	durationSmoothing     = 8                      // each sample has a weight of 1/durationSmoothing in the moving average
 )
 
@@ -48,7 +48,7 @@
 		f.deadline = p.now + max(p.limits.MinPeerTimeout, peerTimeoutFactor*p.origin.meanPeerFetch)
 		source.activeFetches++
 		if !source.sameRegion {
-			effect.BytesPerS = p.crossRegionBytesPerS()
+			effect.BytesPerS, effect.ForRegion = p.crossRegionBytesPerS(), true
 			f.deadline = p.now + p.originTimeout(v, effect.BytesPerS)
 		}
 	}
@@ -118,6 +118,10 @@
 		p.fetchVerified(f)
 		return
 	}
+	if p.contradictsManifest(f.version, event.Result) && !f.version.manifestSuspect {
+		f.version.manifestSuspect = true
+		p.reportProgress(f.version)
+	}
 	if f.source == nil {
 		p.originFailed()
 		return
@@ -125,19 +129,28 @@
 	p.peerFailed(f, event.Result)
 }
 
+// contradictsManifest reports whether the result suggests that the manifest is wrong. A peer that learns late of a version
+// does not want its chunks at first.
+func (p *Planner) contradictsManifest(v *version, result Result) bool {
+	return result == Corrupt || result == NotWanted && p.now-v.startedAt > notWantedGrace
+}
+
 func (p *Planner) fetchVerified(f *fetch) {
 	if f.source == nil {
 		p.origin.failures = 0
 	} else {
 		f.source.faultCount = 0
 		f.source.busyCount = 0
+		if f.source.sameRegion {
+			p.heardAt = p.now
+		}
 		p.origin.meanPeerFetch += (p.now - f.startedAt - p.origin.meanPeerFetch) / durationSmoothing
 	}
 	p.markVerified(f.version.manifest.Chunks[f.chunk])
 }
 
 func (p *Planner) originFailed() {
-	p.origin.backoffUntil = p.now + p.limits.OriginBackoff<<min(p.origin.failures, maxOriginDoublings)
+	p.origin.backoffUntil = p.now + min(p.limits.MaxOriginBackoff, p.limits.OriginBackoff<<min(p.origin.failures, maxBackoffDoublings))
 	p.origin.failures++
 }
 
@@ -145,14 +158,18 @@
 // A peer that stalled, was unreachable, sent corrupt bytes or lacked a chunk that it had announced is quarantined.
 func (p *Planner) peerFailed(f *fetch, result Result) {
 	if result == VersionLimitReached || result == ChunkLimitReached {
+		f.version.hasRefusals = true
 		p.lastRefusal = p.now
 	}
 	if !f.announced {
 		p.nextUnannouncedFetch = p.now + unannouncedBackoff
 	}
 	switch {
+	case result == Busy && p.limits.MaxUploadWait > 0 && f.source.busyCount >= maxBusyAfterWait:
+		f.source.busyCount = 0
+		p.quarantine(f.source)
 	case result == Busy:
-		delay := busyBackoff << min(f.source.busyCount, maxBusyDoublings)
+		delay := min(p.limits.MaxBusyBackoff, p.limits.BusyBackoff<<min(f.source.busyCount, maxBackoffDoublings))
 		f.source.busyCount++
 		f.source.backoffUntil = p.now + delay + time.Duration(p.nextRandom()%uint64(delay))
 	case result == VersionLimitReached:
--- a/internal/weights/plan/network_test.go
+++ b/internal/weights/plan/network_test.go
@@ -79,6 +79,7 @@
 	corruptedFraction float64 // fraction of the transfers that arrive corrupt
 	seed              uint64
 	tickInterval      time.Duration // 0 means defaultTickInterval
+	regionPerDomain   bool          // each failure domain is a region of its own
 	limits            func(*Limits)
 	newPlanner        func(self Peer, limits Limits, seed uint64) simulatedPlanner
 	setup             func(*network)
@@ -115,7 +116,10 @@
 
 func newNetwork(config networkConfig) *network {
 	n := &network{networkConfig: config, rng: rand.New(rand.NewPCG(config.seed, 1)), byID: make(map[core.HostID]*fakeHost), originBytes: make(map[core.Region]int64)}
-	n.regionLinks = map[core.Region]*link{"r0": {bytesPerS: config.crossRegionRate}, "r1": {bytesPerS: config.crossRegionRate}}
+	n.regionLinks = make(map[core.Region]*link)
+	for domain := range failureDomainCount {
+		n.regionLinks[n.regionOf(domain)] = &link{bytesPerS: config.crossRegionRate}
+	}
 	n.origin.bytesPerS = config.originRate
 	n.version = testVersion("v", config.chunks, config.chunkBytes)
 	n.versions = map[core.VersionID]Version{"v": n.version}
@@ -134,12 +138,20 @@
 	return n
 }
 
+// regionOf returns the region of a failure domain.
+func (n *network) regionOf(domain int) core.Region {
+	switch {
+	case n.regionPerDomain:
+		return core.Region(fmt.Sprintf("r%d", domain))
+	case domain >= firstRegionDomains:
+		return "r1"
+	}
+	return "r0"
+}
+
 func (n *network) addHost(i int, limits Limits) {
 	domain := i % failureDomainCount
-	region := core.Region("r0")
-	if domain >= firstRegionDomains {
-		region = "r1"
-	}
+	region := n.regionOf(domain)
 	h := &fakeHost{
 		peer:               Peer{Host: core.HostID(fmt.Sprintf("h%03d", i)), FailureDomain: core.FailureDomain(fmt.Sprintf("d%d", domain)), Region: region},
 		uplink:             link{bytesPerS: n.hostRate},
@@ -316,7 +328,7 @@
 		}
 		t.source.lastUploadID++
 		t.upload = t.source.lastUploadID
-		request := UploadRequested{Timestamp: n.timestamp(), UploadID: t.upload, Digest: n.versions[effect.Version].Manifest.Chunks[effect.Index]}
+		request := UploadRequested{Timestamp: n.timestamp(), UploadID: t.upload, Digest: n.versions[effect.Version].Manifest.Chunks[effect.Index], ForRegion: effect.ForRegion}
 		t.source.pendingUploads[t.upload] = pendingUpload{transfer: t, fetch: effect.FetchID}
 		for _, effect := range t.source.planner.Step(request) {
 			n.perform(t.source, effect)
--- a/internal/weights/plan/origin.go
+++ b/internal/weights/plan/origin.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -16,7 +17,7 @@
 	if chunk < 0 {
 		return false
 	}
-	if source := v.remoteFetcher(chunk); source != nil && p.healthy(source) {
+	if source := v.remoteFetcher(chunk); source != nil && source.quarantinedUntil <= p.now {
 		p.startFetch(v, chunk, source, false)
 		return true
 	}
@@ -44,13 +45,13 @@
 
 // nextOriginChunk returns the next chunk that this host has to fetch from outside its region, or -1.
 func (p *Planner) nextOriginChunk(v *version) int {
-	fallback := p.now-v.progressAt >= p.limits.OriginFallbackTimeout+time.Duration(p.seed%uint64(p.limits.OriginFallbackTimeout+1))
+	fallback := p.needsFallback(v)
 	if !fallback && (!p.isOriginFetcher(v) || p.awaitingPeers(v)) {
 		return -1
 	}
 	offset := int(p.seed % uint64(len(v.chunkFetchers)))
 	stalledFetchers := p.stalledOriginFetchers(v)
-	stalled := fallback || p.now-v.progressAt > p.takeoverTimeout(v)
+	stalled := fallback || v.behind(v.progressAt) > p.takeoverTimeout(v)
 	offered, refused := p.offeredChunks(v), p.refusedChunks(v)
 	unmapped := p.hasPeersWithoutChunkMap(v) || p.now-p.lastRefusal < p.limits.MissingBackoff
 	for n := range v.chunkFetchers {
@@ -65,6 +66,43 @@
 	return -1
 }
 
+// needsFallback reports whether this host has to use the origin by itself: it has made no progress for a long time, although
+// others have, or it hears from no peer. While nobody makes progress, the origin is at fault, and more hosts at the origin
+// would only delay its return.
+func (p *Planner) needsFallback(v *version) bool {
+	timeout := p.limits.OriginFallbackTimeout + time.Duration(p.seed%uint64(p.limits.OriginFallbackTimeout+1))
+	if p.now-max(v.progressAt, v.resumedAt) < timeout {
+		return false
+	}
+	return v.behind(v.progressAt) >= timeout || p.now-p.heardAt >= p.limits.OriginFallbackTimeout || v.isOfferedMissing()
+}
+
+// isOfferedMissing reports whether a peer of this region has a chunk that this host lacks.
+func (v *version) isOfferedMissing() bool {
+	for _, h := range v.holdingList {
+		for w := range h.have {
+			if h.peer.sameRegion && h.have[w]&^v.have[w] != 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// recordProgress records that this host or a peer of its region made progress at the given time.
+func (v *version) recordProgress(now, takeoverTimeout time.Duration) {
+	if now-v.latestProgress > takeoverTimeout {
+		v.resumedAt = now
+	}
+	v.latestProgress = now
+}
+
+// behind returns how long the region has made progress without a host whose own last progress was at the given time. Time in
+// which nobody made progress does not count.
+func (v *version) behind(progressAt time.Duration) time.Duration {
+	return v.latestProgress - max(v.startedAt, progressAt, v.resumedAt)
+}
+
 // originTurnReached reports whether the chunk may be fetched from the origin at this time.
 func (v *version) originTurnReached(chunk int, now time.Duration) bool {
 	return now >= v.startedAt+time.Duration(chunk)*v.originInterval
@@ -111,7 +149,7 @@
 // that refuse the chunk to this host are ignored.
 func (p *Planner) assignedFetcher(v *version, chunk int, excluded uint64) *peerState {
 	for i, g := range v.originFetchers {
-		if g.peer != nil && i < wordBits && p.refusedBy(v, g.peer, chunk) {
+		if v.hasRefusals && g.peer != nil && i < wordBits && p.refusedBy(v, g.peer, chunk) {
 			excluded |= 1 << i
 		}
 	}
@@ -119,18 +157,38 @@
 	if index < wordBits && excluded>>index&1 == 1 {
 		index = p.bestOriginFetcher(v, chunk, v.originFetchers, excluded)
 	}
+	for range v.takeovers % min(wordBits, len(v.originFetchers)) {
+		if index >= wordBits || bits.OnesCount64(excluded) >= len(v.originFetchers)-1 {
+			break
+		}
+		excluded |= 1 << index
+		index = p.bestOriginFetcher(v, chunk, v.originFetchers, excluded)
+	}
 	return v.originFetchers[index].peer
 }
 
-// stalledOriginFetchers returns the set of origin fetchers that are quarantined or make no progress. It never contains
-// this host.
+// advanceTakeovers passes each missing chunk to its next origin fetcher after RotationTimeout without progress of anybody:
+// either the fetchers of the last chunks have stalled, or the origin is away. One host at a time tries each chunk, so that an
+// origin that is back is not asked by all of them.
+func (p *Planner) advanceTakeovers() {
+	for _, v := range p.versions {
+		if !v.isComplete() && p.now-max(v.startedAt, v.latestProgress, v.takeoverAt) >= max(p.limits.RotationTimeout, p.takeoverTimeout(v)) {
+			v.takeovers++
+			v.takeoverAt = p.now
+		}
+	}
+}
+
+// stalledOriginFetchers returns the set of origin fetchers that are quarantined, or make no progress while others do. It never
+// contains this host.
 func (p *Planner) stalledOriginFetchers(v *version) uint64 {
 	var stalled uint64
+	timeout := p.takeoverTimeout(v)
 	for i, g := range v.originFetchers {
 		if g.peer == nil || i >= wordBits {
 			continue
 		}
-		if g.peer.quarantinedUntil > p.now || p.now-max(v.startedAt, v.lastProgress(g.peer)) > p.takeoverTimeout(v) {
+		if g.peer.quarantinedUntil > p.now || v.behind(v.lastProgress(g.peer)) > timeout {
 			stalled |= 1 << i
 		}
 	}
--- a/internal/weights/plan/planner.go
+++ b/internal/weights/plan/planner.go
@@ -27,6 +27,7 @@
 	ControlBytesPerS        float64       // budget for chunk maps and requests, both ways
 	JoinTimeout             time.Duration // how long a host waits for its expected peers before it uses the origin
 	TakeoverTimeout         time.Duration // time without progress of an origin fetcher after which another one fetches its chunks
+	RotationTimeout         time.Duration // time without progress of anybody after which the next origin fetcher of each chunk tries
 	OriginFallbackTimeout   time.Duration // time without progress of this host after which it uses the origin itself
 	MinPeerTimeout          time.Duration // lower bound of the timeout of a fetch from a peer
 	MinOriginTimeout        time.Duration // lower bound of the timeout of a fetch from the origin
@@ -38,7 +39,10 @@
 	QuarantinePeriod        time.Duration // quarantine after the first fault of a peer, doubled with each further fault
 	SingleOriginFetch       bool          // only one region fetches a given chunk from the origin; the other regions fetch it from there
 	RequestUnannounced      bool          // request a chunk from its origin fetcher before that host has announced it
-	MaxUploadWait           time.Duration // how long a request for a missing chunk waits for it; 0 refuses it immediately
+	MaxUploadWait           time.Duration // how long a request for a missing chunk, or one that finds all uploads in use, waits; 0 refuses it immediately
+	MaxOriginBackoff        time.Duration // upper bound of the backoff after the origin failed
+	BusyBackoff             time.Duration // initial backoff after a peer was busy, doubled with each further refusal
+	MaxBusyBackoff          time.Duration // upper bound of that backoff, without the random part
 }
 
 // DefaultLimits returns the limits of an agent.
@@ -55,11 +59,15 @@
 		ControlBytesPerS:        2500,
 		JoinTimeout:             3 * time.Second,
 		TakeoverTimeout:         30 * time.Second,
+		RotationTimeout:         30 * time.Second,
 		OriginFallbackTimeout:   time.Minute,
 		MinPeerTimeout:          15 * time.Second,
 		MinOriginTimeout:        time.Minute,
 		MaxOriginDownloads:      2,
 		OriginBackoff:           2 * time.Second,
+		MaxOriginBackoff:        32 * time.Second,
+		BusyBackoff:             500 * time.Millisecond,
+		MaxBusyBackoff:          8 * time.Second,
 		MissingBackoff:          5 * time.Second,
 		QuarantinePeriod:        20 * time.Second,
 	}
@@ -86,6 +94,7 @@
 	nextChunkMapExchange time.Duration
 	nextFetcherExchange  time.Duration // next exchange of chunk maps with the other origin fetchers
 	unannouncedFetches   int           // active fetches of chunks that the source did not announce
+	heardAt              time.Duration // when a peer of this region last sent its chunk map or a chunk
 	lastRefusal          time.Duration // when a peer last refused a chunk because of an upload limit
 	nextUnannouncedFetch time.Duration // earliest time of the next unannounced fetch
 	effects              []reduce.Effect
@@ -107,15 +116,21 @@
 	copies          []uint16 // number of known holders of each chunk
 	startedAt       time.Duration
 	progressAt      time.Duration // when the last chunk was verified
+	latestProgress  time.Duration // when this host or a peer of its region last made progress
+	resumedAt       time.Duration // when progress was last made after a pause of all of them
 	uploadedBytes   int64         // in the current upload window
 	uploadWindowEnd time.Duration
 	originFetchers  []originFetcher
 	holdingList     []*holding // in order of creation
 	holdings        map[*peerState]*holding
-	uploadCounts    []uint8      // uploads of each chunk in the current upload window
-	chunkHashes     []uint64     // for rendezvous hashing
-	chunkFetchers   []int32      // index into originFetchers of the one assigned to each chunk
-	remoteFetchers  []*peerState // remote origin fetcher of each chunk with SingleOriginFetch; nil if this region uses the origin
+	uploadCounts    []uint8       // uploads of each chunk in the current upload window
+	chunkHashes     []uint64      // for rendezvous hashing
+	chunkFetchers   []int32       // index into originFetchers of the one assigned to each chunk
+	takeovers       int           // how often missing chunks have passed to their next origin fetcher
+	takeoverAt      time.Duration // when they last did
+	manifestSuspect bool          // see Progress
+	hasRefusals     bool          // a peer has refused a chunk because of an upload limit
+	remoteFetchers  []*peerState  // remote origin fetcher of each chunk with SingleOriginFetch; nil if this region uses the origin
 }
 
 // holding records which chunks of a version a peer has announced and which requests it has refused.
@@ -152,6 +167,7 @@
 	case Tick:
 		p.expireFetches()
 		p.expireWaiting()
+		p.advanceTakeovers()
 		p.exchangeChunkMaps()
 		p.schedule()
 	case PeersChanged:
@@ -174,6 +190,7 @@
 	case UploadEnded:
 		delete(p.uploads, event.UploadID)
 		p.removeWaiting(event.UploadID)
+		p.answerWaiting()
 	}
 	return p.effects
 }
@@ -218,6 +235,7 @@
 		holdings:        make(map[*peerState]*holding),
 		startedAt:       p.now,
 		progressAt:      p.now,
+		latestProgress:  p.now,
 		uploadWindowEnd: p.now + p.limits.UploadWindow,
 	}
 	for i, digest := range wanted.Manifest.Chunks {
@@ -257,10 +275,12 @@
 			v.have.Set(i)
 			v.heldCount++
 			v.progressAt = p.now
+			v.manifestSuspect = false
+			v.recordProgress(p.now, p.takeoverTimeout(v))
 		}
 		p.reportProgress(v)
 	}
-	p.answerWaiting(digest)
+	p.answerWaiting()
 }
 
 // missingIndices returns the indices of the version's missing chunks with the digest. A digest can occur more than once.
@@ -283,7 +303,7 @@
 
 func (p *Planner) reportProgress(v *version) {
 	total := len(v.manifest.Chunks)
-	progress := Progress{Version: v.id, Have: v.heldCount, Total: total}
+	progress := Progress{Version: v.id, Have: v.heldCount, Total: total, ManifestSuspect: v.manifestSuspect}
 	elapsed := p.now - v.startedAt
 	if v.heldCount > 0 && elapsed > 0 {
 		progress.Remaining = elapsed * time.Duration(total-v.heldCount) / time.Duration(v.heldCount)
--- a/internal/weights/plan/regions.go
+++ b/internal/weights/plan/regions.go
@@ -52,16 +52,11 @@
 	return v.remoteFetchers[chunk]
 }
 
-// healthy reports whether the peer is neither quarantined nor in backoff.
-func (p *Planner) healthy(other *peerState) bool {
-	return other.quarantinedUntil <= p.now && other.backoffUntil <= p.now
-}
-
 // remoteFetcherBusy reports whether the chunk has to be fetched from an origin fetcher of another region that already
-// has the maximum number of fetches from this host.
+// has the maximum number of fetches from this host, or that has just refused one because it lacks the chunk itself.
 func (p *Planner) remoteFetcherBusy(v *version, chunk int) bool {
 	other := v.remoteFetcher(chunk)
-	return other != nil && p.healthy(other) && other.activeFetches >= p.limits.MaxDownloadsPerPeer
+	return other != nil && other.quarantinedUntil <= p.now && !p.canFetchFrom(other)
 }
 
 // startAssignedFetch requests a missing chunk that is due at the origin from its origin fetcher, even if that host has
--- a/internal/weights/plan/upload.go
+++ b/internal/weights/plan/upload.go
@@ -10,39 +10,42 @@
 // upload is an active upload.
 type upload struct{ digest weights.Digest }
 
-// uploadRequested decides on a peer's request for a chunk. A request for a missing chunk may wait up to MaxUploadWait.
+// uploadRequested decides on a peer's request for a chunk. A request for a missing chunk, or one that finds all uploads in
+// use, may wait up to MaxUploadWait.
 func (p *Planner) uploadRequested(event UploadRequested) {
 	p.controlBudget.consume(p.now, requestOverheadBytes)
-	p.answerUpload(event.UploadID, event.Digest, p.now+p.limits.MaxUploadWait)
+	p.answerUpload(waitingUpload{id: event.UploadID, digest: event.Digest, forRegion: event.ForRegion, deadline: p.now + p.limits.MaxUploadWait})
 }
 
-// answerUpload decides on the request, or queues it until the deadline if this host does not have the chunk yet.
-func (p *Planner) answerUpload(id UploadID, digest weights.Digest, deadline time.Duration) {
-	result := p.admitUpload(id, digest)
-	if result == Missing && p.now < deadline {
-		p.waitingUploads = append(p.waitingUploads, waitingUpload{id: id, digest: digest, deadline: deadline})
+// answerUpload decides on the request, or queues it until its deadline.
+func (p *Planner) answerUpload(request waitingUpload) {
+	result := p.admitUpload(request)
+	if (result == Missing || result == Busy) && p.now < request.deadline {
+		p.waitingUploads = append(p.waitingUploads, request)
 		return
 	}
-	p.emit(AnswerUpload{UploadID: id, Result: result})
+	p.emit(AnswerUpload{UploadID: request.id, Result: result})
 }
 
-// waitingUpload is a request that waits until this host has the chunk.
+// waitingUpload is a request that waits until this host has the chunk and an upload may start.
 type waitingUpload struct {
-	id       UploadID
-	digest   weights.Digest
-	deadline time.Duration
+	id        UploadID
+	digest    weights.Digest
+	forRegion bool
+	deadline  time.Duration
 }
 
-// answerWaiting answers the requests that waited for the chunk, which has been verified.
-func (p *Planner) answerWaiting(digest weights.Digest) {
+// answerWaiting decides again on the requests that wait. Those on behalf of other regions come first, since a whole region
+// waits for each of them.
+func (p *Planner) answerWaiting() {
 	previous := p.waitingUploads
 	p.waitingUploads = nil
-	for _, request := range previous {
-		if request.digest == digest {
-			p.answerUpload(request.id, request.digest, p.now)
-			continue
+	for _, forRegion := range []bool{true, false} {
+		for _, request := range previous {
+			if request.forRegion == forRegion {
+				p.answerUpload(request)
+			}
 		}
-		p.waitingUploads = append(p.waitingUploads, request)
 	}
 }
 
@@ -52,7 +55,8 @@
 	p.waitingUploads = nil
 	for _, request := range previous {
 		if request.deadline <= p.now || !p.wants(request.digest) {
-			p.answerUpload(request.id, request.digest, p.now)
+			request.deadline = p.now
+			p.answerUpload(request)
 			continue
 		}
 		p.waitingUploads = append(p.waitingUploads, request)
@@ -64,15 +68,16 @@
 }
 
 // admitUpload returns Granted and counts the upload, or returns the reason for refusing it.
-func (p *Planner) admitUpload(id UploadID, digest weights.Digest) Result {
-	if !p.wants(digest) {
+// Requests on behalf of another region do not wait for the others.
+func (p *Planner) admitUpload(request waitingUpload) Result {
+	if !p.wants(request.digest) {
 		return NotWanted
 	}
-	v, index := p.findHeld(digest)
+	v, index := p.findHeld(request.digest)
 	if v == nil {
 		return Missing
 	}
-	if len(p.uploads) >= p.limits.MaxUploads {
+	if len(p.uploads) >= p.limits.MaxUploads && !request.forRegion {
 		return Busy
 	}
 	if p.now >= v.uploadWindowEnd {
@@ -89,7 +94,7 @@
 	}
 	v.uploadedBytes += length
 	v.uploadCounts[index]++
-	p.uploads[id] = upload{digest: digest}
+	p.uploads[request.id] = upload{digest: request.digest}
 	return Granted
 }
 
