Delegates gather changes of endpoints and send them compressed

Four endpoints and more are sent as compressed JSON. Followers of earlier releases get what they got.

--- a/cmd/lovage-gateway/main.go
+++ b/cmd/lovage-gateway/main.go
@@ -20,6 +20,9 @@
 // within two seconds, the revocation of a key within five.
 var readIntervals = follow.Intervals{OperatorWait: time.Second, EndpointsInterval: 800 * time.Millisecond}
 
+// endpointsWait is a fraction of the time within which the removal of an endpoint must take effect.
+const endpointsWait = 200 * time.Millisecond
+
 func main() {
 	daemon.Main(daemon.Program[settings.Gateway]{
 		Name:         "lovage-gateway",
@@ -31,7 +34,7 @@
 }
 
 func run(ctx context.Context, config settings.Gateway, peers *rpc.Client, logger *log.Logger) error {
-	delegates := follow.Delegates{Self: config.ControlAddress, Region: config.Region, Addresses: config.Delegates, Peers: peers}
+	delegates := follow.Delegates{Self: config.ControlAddress, Region: config.Region, Addresses: config.Delegates, Peers: peers, EndpointsWait: endpointsWait}
 	follower := follow.New(platform.NewStore(config.StoreAddress, config.Regions, logger), readIntervals, delegates, logger)
 	return gateway.New(config, platform.Headers{}, follower, logger).Run(ctx)
 }
--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -49,7 +49,13 @@
 	OmitRoutes bool          `json:"Bare"` // leave out routes and workspaces
 	// Configuration is the version of the configuration that the follower has, which is not sent again; 0 for none.
 	Configuration int64 `json:",omitempty"`
-	Resync        bool  // return all endpoints: the cursor comes from another source, which may have seen other states of an entry
+	// EndpointsWait is the shortest time to wait if only endpoints change, so that one response carries many changes.
+	EndpointsWait time.Duration `json:",omitempty"`
+	// UrgentAddress is the address of an endpoint whose changes end the wait at once; "" for none.
+	UrgentAddress string `json:",omitempty"`
+	// PackEndpoints requests that many endpoints are sent compressed.
+	PackEndpoints bool `json:",omitempty"`
+	Resync        bool // return all endpoints: the cursor comes from another source, which may have seen other states of an entry
 }
 
 // readResponse is a delegate's response to a readRequest.
@@ -62,6 +68,7 @@
 	RequestedAges        map[core.Model]time.Duration `json:"Named"`  // upper bound of the time since each wanted version was requested
 	EncodedConfiguration encodedConfiguration         `json:"Packed"` // the configuration; empty if it did not change
 	Endpoints            EndpointChanges
+	PackedEndpoints      packedEndpoints `json:",omitempty"` // compressed Endpoints.Present
 }
 
 // Delegates describes the processes that read the store on behalf of others, so that the load on the store does not
@@ -73,6 +80,10 @@
 	Addresses  []string // control addresses; if empty, each process reads the store itself
 	Peers      *rpc.Client
 	OmitRoutes bool // this process does not need routes and workspaces
+	// EndpointsWait is the shortest time between two responses of a delegate if only endpoints change.
+	EndpointsWait time.Duration
+	// UrgentAddress is the address of an endpoint whose changes this process has to learn at once; "" for none.
+	UrgentAddress string
 }
 
 // delegate is a follower's state for one delegate.
@@ -141,6 +152,17 @@
 	}
 	now := bootclock.Now()
 	age, silence := f.mirror.ages(now)
+	endpoints := f.mirror.endpointsSince(request.Endpoints, request.Resync, now)
+	var packed packedEndpoints
+	if request.PackEndpoints {
+		var err error
+		if packed, err = packEndpoints(endpoints.Present); err != nil {
+			return readResponse{}, err
+		}
+	}
+	if packed != nil {
+		endpoints.Present = nil
+	}
 	return readResponse{
 		Region:               f.delegates.Region,
 		Waited:               now - arrived,
@@ -149,7 +171,8 @@
 		Operator:             operator,
 		RequestedAges:        f.mirror.requestedAges(operator.Wanted, now),
 		EncodedConfiguration: configuration,
-		Endpoints:            f.mirror.endpointsSince(request.Endpoints, request.Resync, now),
+		Endpoints:            endpoints,
+		PackedEndpoints:      packed,
 	}, nil
 }
 
@@ -163,7 +186,7 @@
 	session := delegateSession{follower: f, delegates: delegates}
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
-		response, err := session.read(ctx, readRequest{Operator: operator, Endpoints: endpoints, Wait: f.intervals.OperatorWait, OmitRoutes: f.delegates.OmitRoutes, Configuration: f.configurationVersion()})
+		response, err := session.read(ctx, f.readRequest(operator, endpoints))
 		delegatesDependency.observe(err)
 		if err != nil && !storeBackoff.due(bootclock.Now()) {
 			f.sleep(ctx, startRetryInterval)
@@ -203,6 +226,20 @@
 	return read
 }
 
+// readRequest returns the request to a delegate for the changes since the cursors.
+func (f *Follower) readRequest(operator, endpoints Cursor) readRequest {
+	return readRequest{
+		Operator:      operator,
+		Endpoints:     endpoints,
+		Wait:          f.intervals.OperatorWait,
+		OmitRoutes:    f.delegates.OmitRoutes,
+		Configuration: f.configurationVersion(),
+		EndpointsWait: f.delegates.EndpointsWait,
+		UrgentAddress: f.delegates.UrgentAddress,
+		PackEndpoints: true,
+	}
+}
+
 // delegateSession is a follower's state for reads from delegates.
 type delegateSession struct {
 	follower   *Follower
@@ -250,7 +287,7 @@
 		err = s.follower.delegates.Peers.Call(ctx, d.address, methodFollow, request, &response)
 	}
 	if err == nil {
-		response.Operator.Configuration, err = response.EncodedConfiguration.decode()
+		err = response.unpack()
 	}
 	if err != nil {
 		return readResponse{}, err
@@ -271,6 +308,17 @@
 	return fault.New(fault.PlatformUnavailable, "the delegate has not read the store since it was restored from a copy", "ask another delegate or the store")
 }
 
+// unpack decodes the compressed parts of the response. It returns fault.Corrupted if one cannot be decoded.
+func (r *readResponse) unpack() error {
+	var err error
+	if r.Operator.Configuration, err = r.EncodedConfiguration.decode(); err != nil {
+		return err
+	}
+	present, err := r.PackedEndpoints.unpack()
+	r.Endpoints.Present = append(r.Endpoints.Present, present...)
+	return err
+}
+
 // isOlderEra reports whether the response comes from before a restore of the store that the request's cursors include.
 func (r readResponse) isOlderEra(request readRequest) bool {
 	return r.Operator.Cursor.Era < request.Operator.Era || r.Endpoints.Cursor.Era < request.Endpoints.Era
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -210,17 +210,22 @@
 }
 
 // waitForChange blocks until there are changes since the request's cursors, the request's Wait has passed, or ctx ends.
-// It returns false as soon as this process's own reads of the store fail.
+// Changes of endpoints alone end the wait only after the request's EndpointsWait, unless they concern its UrgentAddress.
+// waitForChange returns false as soon as this process's own reads of the store fail.
 func (m *mirror) waitForChange(ctx context.Context, request readRequest) bool {
 	timer := time.NewTimer(request.Wait)
 	defer timer.Stop()
+	gather := time.NewTimer(request.EndpointsWait)
+	defer gather.Stop()
+	gathered := request.EndpointsWait <= 0
 	for {
 		m.mu.Lock()
-		hasChanges := m.changedSince(request.Operator, request.Endpoints) || request.Resync && !isLater(request.Endpoints, m.endpointCursor)
+		due := m.operatorChangedSince(request.Operator, request.Endpoints) || request.Resync && !isLater(request.Endpoints, m.endpointCursor)
+		due = due || m.endpointsChangedSince(request.Endpoints, gathered, request.UrgentAddress)
 		failing := m.failing[tableOperators] || m.failing[tableEndpoints]
 		changed := m.changed
 		m.mu.Unlock()
-		if failing || hasChanges {
+		if failing || due {
 			return !failing
 		}
 		select {
@@ -228,6 +233,8 @@
 			return true
 		case <-timer.C:
 			return true
+		case <-gather.C:
+			gathered = true
 		case <-changed:
 		}
 	}
@@ -241,8 +248,9 @@
 	return isNewEra(m.operatorCursor, operator) || isNewEra(m.endpointCursor, endpoints)
 }
 
-// changedSince reports whether there are changes since the cursors. The caller must hold m.mu.
-func (m *mirror) changedSince(operator, endpoints Cursor) bool {
+// operatorChangedSince reports whether there are changes of the operators' table since the cursor, or the reader has to read
+// both tables anew. The caller must hold m.mu.
+func (m *mirror) operatorChangedSince(operator, endpoints Cursor) bool {
 	if !operator.Valid || !endpoints.Valid || m.configurationVersion > operator.Version {
 		return true
 	}
@@ -259,8 +267,15 @@
 			return true
 		}
 	}
+	return false
+}
+
+// endpointsChangedSince reports whether there are changes of the registry since the cursor: any, or only those of the
+// endpoint at the address. The caller must hold m.mu.
+func (m *mirror) endpointsChangedSince(since Cursor, any bool, address string) bool {
 	for _, entry := range m.entries {
-		if entry.version > endpoints.Version {
+		isUrgent := entry.value != nil && address != "" && entry.value.Address == address
+		if entry.version > since.Version && (any || isUrgent) {
 			return true
 		}
 	}
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -150,14 +150,17 @@
 	addOperator(first)
 	m.addEndpoints(0, registryAt(inEra(1, 90), endpoint("a"), endpoint("b")))
 	before := readRequest{Operator: inEra(1, 90), Endpoints: inEra(1, 90)}
-	if m.changedSince(before.Operator, before.Endpoints) {
+	changedSince := func(operator, endpoints Cursor) bool {
+		return m.operatorChangedSince(operator, endpoints) || m.endpointsChangedSince(endpoints, true, "")
+	}
+	if changedSince(before.Operator, before.Endpoints) {
 		t.Fatal("the mirror has changes for a follower that is up to date")
 	}
 	older := operatorsAt(inEra(2, 60))
 	older.Configuration, older.Wanted = &catalog.Configuration{Version: 5}, map[core.Model]int64{"m": 2}
 	addOperator(older)
 	m.addEndpoints(0, registryAt(inEra(2, 60), endpoint("a")))
-	if !m.changedSince(before.Operator, before.Endpoints) {
+	if !changedSince(before.Operator, before.Endpoints) {
 		t.Error("a follower of the earlier era is not told")
 	}
 	operators, _ := m.operatorSince(before.Operator, false)
@@ -168,7 +171,7 @@
 	if !registry.Full || registry.Cursor != inEra(2, 60) || len(registry.Present) != 1 || len(registry.Lapsed) != 1 || len(registry.Removed) != 0 {
 		t.Errorf("registry for a follower of the earlier era: %+v", registry)
 	}
-	if m.changedSince(inEra(2, 60), inEra(2, 60)) {
+	if changedSince(inEra(2, 60), inEra(2, 60)) {
 		t.Error("the mirror has changes for a follower that is up to date in the new era")
 	}
 	// A follower that read the new era elsewhere, before this process did, may lack what this process saw first.
