--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -146,6 +146,9 @@
 		return answer, info, nil
 	}
 	holdOff, _ := strconv.Atoi(answer.Header.Get(wire.HeaderHoldOff)) // absent unless the engine holds requests off
+	if answer.Header.Get(wire.HeaderChanging) != "" {
+		f.g.placer.RecordRefusal(endpoint.ID, f.g.now())
+	}
 	f.g.recordWithdrawal(endpoint, answer.Header.Get(wire.HeaderLeaving) != "", time.Duration(holdOff)*time.Millisecond)
 	drainAndClose(answer)
 	return nil, info, &refusalError{reason: reason}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,12 +27,13 @@
 	meters      *routing.LoadMeters
 	health      *health
 	withdrawals *withdrawals
+	refusals    *refusals
 	randIntN    func(n int) int
 }
 
 // NewPlacer returns a placer without load reports or failure records.
 func NewPlacer() *Placer {
-	return &Placer{meters: routing.NewLoadMeters(), health: newHealth(), withdrawals: newWithdrawals(), randIntN: rand.IntN}
+	return &Placer{meters: routing.NewLoadMeters(), health: newHealth(), withdrawals: newWithdrawals(), refusals: newRefusals(), randIntN: rand.IntN}
 }
 
 // Meter returns the load meter of the endpoint. It creates one for a new endpoint.
@@ -49,6 +50,9 @@
 	return p.health.recordFailure(id, now)
 }
 
+// RecordRefusal records that the endpoint refused a request because its weights change. It is used after others for a moment.
+func (p *Placer) RecordRefusal(id catalog.EndpointID, now time.Duration) { p.refusals.record(id, now) }
+
 // RecordLeaving records that the endpoint said that it is leaving. It takes no more requests, whatever the registry says. It
 // returns true if this was unknown.
 func (p *Placer) RecordLeaving(endpoint *catalog.Endpoint, now time.Duration) bool {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -142,3 +142,25 @@
 		t.Errorf("chose %q although the only other endpoint is excluded, want old", got)
 	}
 }
+
+// An engine that is about to load a version empties, so that it looks like the least loaded one while it refuses requests. On
+// the booking fleet's changes of weights, callers were refused after four such engines although others had room.
+func TestEndpointThatRefusedForAChangeOfWeightsIsChosenLast(t *testing.T) {
+	p := NewPlacer()
+	changing, loaded := newEndpoint("a", "east", 1), newEndpoint("b", "west", 1)
+	p.Meter("b").AddInFlight(3)
+	query := Query{LocalRegion: "east", Model: "m", Now: time.Second}
+	endpoints := []*catalog.Endpoint{changing, loaded}
+	p.RecordRefusal("a", time.Second)
+	if got := pickID(p, endpoints, query); got != "b" {
+		t.Errorf("chose %s, which has just refused", got)
+	}
+	query.Exclude = map[catalog.EndpointID]bool{"b": true}
+	if got := pickID(p, endpoints, query); got != "a" {
+		t.Errorf("chose %q although no other endpoint is left", got)
+	}
+	query.Exclude, query.Now = nil, time.Second+refusalMemory
+	if got := pickID(p, endpoints, query); got != "a" {
+		t.Errorf("chose %s, want the less loaded endpoint again", got)
+	}
+}
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -15,5 +15,5 @@
 	if endpoint.Region != query.LocalRegion {
 		score += crossRegionPenalty
 	}
-	return score
+	return score + p.refusals.penalty(endpoint.ID, query.Now)
 }
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -282,5 +282,8 @@
 	w.Header().Set(wire.HeaderRefused, reason)
 	s.setLoadHeader(w.Header())
 	s.setWithdrawalHeaders(w.Header())
+	if reason == refusedLoading || reason == refusedVersionChange {
+		w.Header().Set(wire.HeaderChanging, "1")
+	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -16,6 +16,8 @@
 	// HeaderHoldOff is set by a sidecar on refusals while its engine wants no requests from it. Its value is the remaining
 	// time in milliseconds.
 	HeaderHoldOff = "Lovage-Hold-Off-Ms"
+	// HeaderChanging is set to "1" by a sidecar on refusals because of a change of weights, which its load does not show.
+	HeaderChanging = "Lovage-Changing-Weights"
 	// HeaderFirstEvent is the maximum time to the first event of a stream, in milliseconds. A sidecar that expects to
 	// take longer refuses the request, so that the gateway can try another endpoint.
 	HeaderFirstEvent = "Lovage-First-Event-Ms"
