--- a/internal/follow/delegate_test.go
+++ b/internal/follow/delegate_test.go
@@ -290,3 +290,25 @@
 		t.Error("invalid bytes are accepted as a configuration")
 	}
 }
+
+// A delegate that the store turns away keeps up through another delegate. It must not serve what it reads there.
+func TestDelegateThatCannotReadTheStoreReadsFromAnother(t *testing.T) {
+	healthyListener, cutOffListener := listen(t), listen(t)
+	healthy, cutOff := healthyListener.Addr().String(), cutOffListener.Addr().String()
+	addresses := []string{healthy, cutOff}
+	store, ownStore := &fakeStore{config: 1, version: 1}, &fakeStore{config: 1, version: 1}
+	startFollower(t, store, Delegates{Self: healthy, Addresses: addresses}, healthyListener)
+	delegate := startFollower(t, ownStore, Delegates{Self: cutOff, Addresses: addresses}, cutOffListener)
+	waitFor(t, "the first configuration", func() bool { return configurationVersion(delegate) == 1 })
+	ownStore.change(func() { ownStore.unavailable = true })
+	store.change(func() {
+		store.config = 2
+		store.ready = map[catalog.EndpointID]bool{"a": true}
+	})
+	waitFor(t, "the next configuration", func() bool {
+		return configurationVersion(delegate) == 2 && len(delegate.View().AvailableEndpoints("s")) == 1
+	})
+	if _, err := delegate.serveRead(context.Background(), readRequest{Operator: cursorAt(1), Endpoints: cursorAt(1)}); err == nil {
+		t.Error("a delegate that cannot read the store serves followers")
+	}
+}
--- /dev/null
+++ b/internal/follow/fallback.go
@@ -0,0 +1,56 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/bootclock"
+)
+
+// peerReadInterval is the time between two reads from other delegates by a delegate whose own reads fail.
+const peerReadInterval = time.Second
+
+// peerFallback lets a delegate read from other delegates while the store does not answer it. What it reads is used by this
+// process alone and not served to followers, so that no view is passed round between delegates.
+type peerFallback struct {
+	follower *Follower
+	session  delegateSession
+	failures int
+	readAt   time.Duration // of the last read from other delegates
+}
+
+func newPeerFallback(f *Follower) *peerFallback {
+	others := f.delegates
+	others.Addresses = slices.DeleteFunc(slices.Clone(f.delegates.Addresses), func(address string) bool { return address == f.delegates.Self })
+	return &peerFallback{follower: f, session: delegateSession{follower: f, delegates: newDelegates(others)}}
+}
+
+// observe records the result of an own read of the operators' table. After two failures in a row it reads from another
+// delegate and takes over what is newer than this process's view.
+func (p *peerFallback) observe(ctx context.Context, err error) {
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		p.failures = 0
+		return
+	}
+	p.failures++
+	now := bootclock.Now()
+	if p.failures < 2 || now-p.readAt < peerReadInterval || len(p.session.delegates) == 0 {
+		return
+	}
+	p.readAt = now
+	p.session.syncedWith = nil
+	response, err := p.session.read(ctx, p.follower.readRequest(Cursor{}, Cursor{}))
+	if err != nil {
+		return // the session has set when to ask that delegate again; the lost dependency is logged already
+	}
+	read := response.toOperatorRead(now)
+	if read.sentAt <= time.Duration(p.follower.asOf.Load()) {
+		return
+	}
+	p.follower.loop.Post(ctx, read)
+	if p.follower.mirror.isFailing(tableEndpoints) {
+		p.follower.loop.Post(ctx, endpointsRead{sentAt: now, receivedAt: bootclock.Now(), changes: response.Endpoints})
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -138,12 +138,14 @@
 // readOperator reads the operators' table until the context ends.
 func (f *Follower) readOperator(ctx context.Context) {
 	dependency := dependency{name: "operators' table of the store", logger: f.logger}
+	fallback := newPeerFallback(f)
 	var cursor Cursor
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
 		changes, err := f.source.Operator(ctx, cursor, f.intervals.OperatorWait)
 		dependency.observe(err)
 		f.mirror.observe(tableOperators, err)
+		fallback.observe(ctx, err)
 		if err != nil {
 			cursor = f.recover(ctx, cursor, err)
 			continue
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -55,6 +55,13 @@
 	m.notify()
 }
 
+// isFailing reports whether the last read of the table failed.
+func (m *mirror) isFailing(table string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.failing[table]
+}
+
 // versioned is a value with the version of the read that returned it.
 type versioned[T any] struct {
 	value   T
