--- a/internal/follow/fallback.go
+++ b/internal/follow/fallback.go
@@ -43,7 +43,8 @@
 	p.session.syncedWith = nil
 	response, err := p.session.read(ctx, p.follower.readRequest(Cursor{}, Cursor{}))
 	if err != nil {
-		return // the session has set when to ask that delegate again; the lost dependency is logged already
+		p.follower.logger.Debug().Err(err).Msg("no other delegate answers")
+		return
 	}
 	read := response.toOperatorRead(now)
 	if read.sentAt <= time.Duration(p.follower.asOf.Load()) {
