Log how an endpoint framed its answer, and what follows a stream's last whole event

No process logged whether an answer's end was marked by a length, a last chunk or the end of the connection, nor whether bytes followed the last whole event; the gateway could not know the first at all, since the sidecar frames anew what it forwards.

Change: dispatch.Response has a Framing in place of Framed; the sidecar logs it and states it to the gateway in a header; the gateway logs framing and partial_bytes in 'request answered' and framing in 'answer broken off'. The metric lovage_answer_framing counts answers by it. No decision changes.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -54,11 +54,21 @@
 	Matches func(http.Header) bool
 }
 
+// Framing is how the end of a response's body is marked.
+type Framing string
+
+// The framings of responses.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	Unframed       Framing = "none" // the body ends with the connection, so a crash of the server can look like its end
+)
+
 // Response is an endpoint's response. Its header has arrived; its body is read as it arrives. Close must be called.
 type Response struct {
-	Status int
-	Header http.Header
-	Framed bool // the end is marked by a length or a last chunk, not by the end of the connection
+	Status  int
+	Header  http.Header
+	Framing Framing
 
 	pool        *Pool
 	address     string
@@ -183,20 +193,30 @@
 }
 
 func (p *Pool) newResponse(c *conn, request *Request, resp *http.Response, bodyWritten <-chan error) *Response {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	framing := framingOf(resp)
 	return &Response{
 		Status:      resp.StatusCode,
 		Header:      resp.Header,
-		Framed:      framed,
+		Framing:     framing,
 		pool:        p,
 		address:     request.Address,
 		conn:        c,
 		body:        resp.Body,
-		reusable:    framed && !resp.Close && !request.NewConn, // pooled connections that no request reuses would exhaust the endpoint's connection limit
+		reusable:    framing != Unframed && !resp.Close && !request.NewConn, // pooled connections that no request reuses would exhaust the endpoint's connection limit
 		bodyWritten: bodyWritten,
 	}
 }
 
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return Unframed
+}
+
 // Read reads the body. It returns io.EOF only if the body is complete: by its length, by its last chunk, or, without
 // either, by an orderly close of the connection.
 func (r *Response) Read(buf []byte) (int, error) {
--- a/internal/dispatch/exchange_test.go
+++ b/internal/dispatch/exchange_test.go
@@ -242,8 +242,8 @@
 		}
 		close(read)
 		_, err = response.Read(first)
-		if complete := errors.Is(err, io.EOF); complete == reset || response.Framed {
-			t.Errorf("reset %v: complete %v, framed %v (%v)", reset, complete, response.Framed, err)
+		if complete := errors.Is(err, io.EOF); complete == reset || response.Framing != Unframed {
+			t.Errorf("reset %v: complete %v, framing %s (%v)", reset, complete, response.Framing, err)
 		}
 		response.Close()
 	}
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -66,7 +66,7 @@
 	if f.ctx.Err() == nil {
 		f.g.recordFailure(endpoint)
 	}
-	f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Err(err).Msg("answer broken off")
+	f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Str("framing", string(f.framing)).Err(err).Msg("answer broken off")
 }
 
 // writeAnswer sends the answer to the caller. The body holds the first maxBufferedBytes; the rest is read from the answer.
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -37,10 +37,11 @@
 	sendCount         int  // endpoints that may have received the call, including those that stated that they did not run it
 	certainlyNotRun   bool // no endpoint has run the call or will run it; true exactly while possibleRuns is 0
 	stream            *streamState
-	fallback          *fallbackAnswer // answer for the caller if all further attempts fail; nil if there is none
-	lastQuery         placement.Query // query of the last pick
-	stall             *stallTimer     // timer of the current attempt
-	lastErr           error           // why the last endpoint gave no answer
+	fallback          *fallbackAnswer  // answer for the caller if all further attempts fail; nil if there is none
+	lastQuery         placement.Query  // query of the last pick
+	stall             *stallTimer      // timer of the current attempt
+	framing           dispatch.Framing // of the last answer of an endpoint; "" before the first
+	lastErr           error            // why the last endpoint gave no answer
 	picks             []pickRecord
 	releaseDirectSlot func() // releases the slot of an attempt that bypasses an unreachable sidecar; nil for others
 }
@@ -107,9 +108,9 @@
 // logAnswered logs a call that an endpoint answered, and counts it in the metrics.
 func (f *forwarder) logAnswered(endpoint *catalog.Endpoint) {
 	telemetry.RequestAnswered(f.route.Name, "answered", f.answerLatency())
-	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("route", f.route.Name).Str("endpoint", string(endpoint.ID)).Int("picks", len(f.tried)).Int("runs", f.possibleRuns).Dur("took", time.Since(f.arrived))
+	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("route", f.route.Name).Str("endpoint", string(endpoint.ID)).Int("picks", len(f.tried)).Int("runs", f.possibleRuns).Str("framing", string(f.framing)).Dur("took", time.Since(f.arrived))
 	if f.stream != nil {
-		entry.Dur("first_event", f.stream.firstEvent).Dur("longest_pause", f.stream.longestPause).Str("last_event", f.stream.lastEventID)
+		entry.Dur("first_event", f.stream.firstEvent).Dur("longest_pause", f.stream.longestPause).Str("last_event", f.stream.lastEventID).Int("partial_bytes", f.stream.partialBytes)
 	}
 	f.addPickFields(entry).Int64("configuration", f.view.Configuration.Version).Msg("request answered")
 }
@@ -164,6 +165,7 @@
 		f.recordNoAnswer(endpoint, err)
 		return false
 	}
+	telemetry.AnswerReceived(string(f.framing))
 	if info.NotRun {
 		drainAndClose(answer)
 		f.lastErr = fault.New(fault.Overloaded, "the endpoint "+string(endpoint.ID)+" refused the request", "come back later")
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -129,6 +129,7 @@
 	if err != nil {
 		return nil, call.ResponseInfo{}, err
 	}
+	f.framing = answer.Framing
 	info := f.g.codec.DecodeResponse(answer.Status, answer.Header)
 	f.g.recordWithdrawal(endpoint, info.Leaving, info.HoldOff)
 	return answer, info, nil
@@ -141,6 +142,10 @@
 		f.g.placer.Meter(endpoint.ID).RecordReport(load, f.g.now())
 	}
 	answer.Header.Del(wire.HeaderLoad)
+	if framing := answer.Header.Get(wire.HeaderFraming); framing != "" {
+		f.framing = dispatch.Framing(framing)
+	}
+	answer.Header.Del(wire.HeaderFraming)
 	reason := answer.Header.Get(wire.HeaderRefused)
 	if reason == "" {
 		return answer, info, nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,6 +29,7 @@
 	firstEvent   time.Duration // time from the request's arrival to the first event
 	longestPause time.Duration // longest pause between two events
 	lastEventAt  time.Time
+	partialBytes int // bytes of the last attempt's answer after its last complete event
 }
 
 // recordEvent records that the event was sent to the caller, whose request came at arrived.
@@ -59,10 +60,12 @@
 	flusher, _ := f.w.(http.Flusher)
 	defer f.stall.stop()
 	var partialEvent []byte // bytes after the last complete event; forwarded only if the stream ends normally
+	f.stream.partialBytes = 0
 	for events.Scan() {
 		event := events.Bytes()
 		if !bytes.HasSuffix(event, eventTerminator) {
 			partialEvent = bytes.Clone(event)
+			f.stream.partialBytes = len(event)
 			continue
 		}
 		f.stall.reset()
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -111,11 +111,12 @@
 	call           *call.Call
 	arrived        time.Time
 	prompt         *admission.Prompt
-	estimate       time.Duration // estimated time to the first event
-	answerBegun    bool          // the first part of the answer has arrived
-	firstByteAfter time.Duration // time from arrival to the first part of the answer
-	running        int           // requests at the engine on admission, including this one
-	version        int64         // version of the weights
+	estimate       time.Duration    // estimated time to the first event
+	answerBegun    bool             // the first part of the answer has arrived
+	firstByteAfter time.Duration    // time from arrival to the first part of the answer
+	running        int              // requests at the engine on admission, including this one
+	version        int64            // version of the weights
+	framing        dispatch.Framing // of the engine's answer; "" without an answer
 }
 
 // minVersionOf returns the oldest version that may run the request, from the gateway's header; 0 for any.
@@ -129,7 +130,7 @@
 
 // logAdmitted logs an admitted request with the inputs of its admission.
 func (s *Sidecar) logAdmitted(a *admittedCall) {
-	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Dur("took", time.Since(a.arrived)).Msg("request admitted")
+	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
 }
 
 // canServe reports whether the engine may run a request that needs at least the version. It checks the serve deadline
@@ -185,6 +186,8 @@
 		panic(http.ErrAbortHandler) // a closed connection tells the gateway that the outcome is unknown
 	}
 	defer answer.Close()
+	a.framing = answer.Framing
+	telemetry.AnswerReceived(string(answer.Framing))
 	info := s.codec.DecodeResponse(answer.Status, answer.Header)
 	if s.withdrawal.recordAnswer(info.Leaving, info.HoldOff, bootclock.Now()) {
 		s.logWithdrawal()
@@ -219,6 +222,7 @@
 		header["Content-Type"] = nil
 	}
 	s.setLoadHeader(header)
+	header.Set(wire.HeaderFraming, string(answer.Framing))
 	w.WriteHeader(answer.Status)
 	flusher, _ := w.(http.Flusher)
 	buffer := make([]byte, relayBufferBytes)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -472,7 +472,7 @@
 	mu.Lock()
 	defer mu.Unlock()
 	for line, fields := range map[string][]string{
-		"request admitted":     {"request", "tokens", "version", "running", "estimated", "first_event", "took"},
+		"request admitted":     {"request", "tokens", "version", "running", "estimated", "first_event", "framing", "took"},
 		"request not admitted": {"request", "reason", "version", "running", "limit"},
 	} {
 		i := slices.IndexFunc(lines, func(text string) bool { return strings.Contains(text, `"`+line+`"`) })
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -12,8 +12,9 @@
 
 // The metrics of gateways and sidecars, and the count of dropped log lines.
 var (
-	answers             = expvar.NewMap("lovage_answers")     // requests by route and outcome
-	admissionRejections = expvar.NewMap("lovage_turned_away") // requests that a sidecar did not admit, by reason
+	answers             = expvar.NewMap("lovage_answers")        // requests by route and outcome
+	admissionRejections = expvar.NewMap("lovage_turned_away")    // requests that a sidecar did not admit, by reason
+	answerFramings      = expvar.NewMap("lovage_answer_framing") // answers of endpoints, by how their end is marked
 	logDropped          = expvar.NewInt("lovage_log_dropped")
 	latencies           = newHistograms()
 )
@@ -30,6 +31,9 @@
 // AdmissionRejected counts a request that a sidecar did not admit, by the reason.
 func AdmissionRejected(reason string) { admissionRejections.Add(reason, 1) }
 
+// AnswerReceived counts an endpoint's answer by its framing.
+func AnswerReceived(framing string) { answerFramings.Add(framing, 1) }
+
 const (
 	maxLatencyMs             = 60_000 // higher latencies are recorded as this value
 	latencySignificantDigits = 2
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -18,6 +18,9 @@
 	HeaderHoldOff = "Lovage-Hold-Off-Ms"
 	// HeaderChanging is set to "1" by a sidecar on refusals because of a change of weights, which its load does not show.
 	HeaderChanging = "Lovage-Changing-Weights"
+	// HeaderFraming is set by a sidecar on the engine's response to how its end is marked, which the sidecar's own framing
+	// does not show. Its values are those of dispatch.Framing.
+	HeaderFraming = "Lovage-Framing"
 	// HeaderFirstEvent is the maximum time to the first event of a stream, in milliseconds. A sidecar that expects to
 	// take longer refuses the request, so that the gateway can try another endpoint.
 	HeaderFirstEvent = "Lovage-First-Event-Ms"
