--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -37,6 +37,7 @@
 	pathAtMostOnce   = "/once/1"
 	pathIdempotent   = "/safe/1"
 	pathStream       = "/stream/1"
+	pathStreamOnce   = "/stream-once/1" // not resumable
 	pathPublic       = "/public/1"
 	pathShortTimeout = "/short/1"
 	pathWestOnly     = "/home/1"
@@ -56,6 +57,7 @@
 		route("once", "unsafe", nil),
 		route("safe", "safe", nil),
 		route("stream", "stream", document{"resumable": true}),
+		route("stream-once", "stream", nil),
 		route("public", "safe", document{"public": true}),
 		route("short", "unsafe", document{"timeout-ms": 300}),
 		route("home", "safe", document{"allowed-regions": []string{"west"}}),
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -25,9 +25,7 @@
 				return
 			}
 			r.SendEvents(rw, run, after)
-			event := platformtest.FormatEvent(after + 1)
-			_, _ = rw.Write([]byte(event[:len(event)/2]))
-			rw.(http.Flusher).Flush()
+			platformtest.SendPartialEvent(rw, after+1)
 			platformtest.AbortConnection()
 		})
 	}
@@ -106,6 +104,76 @@
 	}
 }
 
+// streamEndings are ways to end a stream in the middle of an event without an error of the connection.
+var streamEndings = []struct {
+	name string
+	end  func(r *platformtest.Runner, rw http.ResponseWriter, run platformtest.Run, events int)
+}{
+	{"unframed", func(r *platformtest.Runner, rw http.ResponseWriter, run platformtest.Run, events int) {
+		platformtest.OmitFraming(rw)
+		r.SendEvents(rw, run, events)
+		platformtest.SendPartialEvent(rw, events+1)
+	}},
+	{"with a last chunk", func(r *platformtest.Runner, rw http.ResponseWriter, run platformtest.Run, events int) {
+		r.SendEvents(rw, run, events)
+		platformtest.SendPartialEvent(rw, events+1)
+	}},
+}
+
+func TestStreamEndingInsideAnEventIsResumed(t *testing.T) {
+	for _, ending := range streamEndings {
+		fx := newFixture(t)
+		runners := []*platformtest.Runner{fx.startBackend("r1", "e"), fx.startBackend("r2", "e")}
+		var broken sync.Once
+		for _, r := range runners {
+			r.SetHandler(func(rw http.ResponseWriter, run platformtest.Run) {
+				first := false
+				broken.Do(func() { first = true })
+				if first {
+					ending.end(r, rw, run, 3)
+					return
+				}
+				r.SendEvents(rw, run, 6)
+			})
+		}
+		if got := fx.mustCall(pathStream, nil); got.err != nil || got.body != eventsText(6) {
+			t.Errorf("%s: error %v, body %q", ending.name, got.err, got.body)
+		}
+	}
+}
+
+func TestStreamEndingInsideAnEventDoesNotLookComplete(t *testing.T) {
+	for _, ending := range streamEndings {
+		for _, path := range []string{pathStream, pathStreamOnce} {
+			fx := newFixture(t)
+			for _, r := range []*platformtest.Runner{fx.startBackend("r1", "e"), fx.startBackend("r2", "e")} {
+				r.SetHandler(func(rw http.ResponseWriter, run platformtest.Run) { ending.end(r, rw, run, 3) })
+			}
+			got, err := fx.tryCall(t.Context(), path, nil)
+			if err == nil && got.err == nil && got.status == http.StatusOK {
+				t.Errorf("%s, %s: the caller read %q without an error", path, ending.name, got.body)
+			}
+			if got.status == http.StatusOK && !strings.HasPrefix(eventsText(3), got.body) {
+				t.Errorf("%s, %s: body %q is not a prefix of the stream", path, ending.name, got.body)
+			}
+		}
+	}
+}
+
+func TestWholeUnframedStreamIsDelivered(t *testing.T) {
+	for _, path := range []string{pathStream, pathStreamOnce} {
+		fx := newFixture(t)
+		r := fx.startBackend("r1", "e")
+		r.SetHandler(func(rw http.ResponseWriter, run platformtest.Run) {
+			platformtest.OmitFraming(rw)
+			r.SendEvents(rw, run, 4)
+		})
+		if got := fx.mustCall(path, nil); got.err != nil || got.status != http.StatusOK || got.body != eventsText(4) {
+			t.Errorf("%s: status %d, error %v, body %q", path, got.status, got.err, got.body)
+		}
+	}
+}
+
 func TestSplitEvents(t *testing.T) {
 	for _, test := range []struct {
 		data  string
