A stream that ends inside an event is broken off, not complete

Cause: the gateway judged the end of a stream by the framing of the answer alone, and passed on what followed the last whole event. An answer without a length or chunks ends with its connection, so an orderly close in the middle of an event passed for the end; a sidecar in between turns that close into a last chunk, so no gateway behind one could see it.

Change: the split function of events returns an error for an end inside an event. The stream then resumes at another endpoint where that is allowed; elsewhere the caller's connection is closed before the last chunk. Lines that end with CR LF or CR are recognized, since events are now required to be whole. The log field partial_bytes gives way to the error, which states the bytes.

Why it works: a blank line ends each event, whatever frames the answer, so the check needs nothing that is lost between two hops.

--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+const lineBreaks = "\r\n"
+
+var (
+	eventIDPrefix = []byte("id:")
+	// eventTerminators are the blank lines that end an event. Lines end with LF, CR LF or CR.
+	eventTerminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+)
+
+// splitEvents is a bufio.SplitFunc that returns each event together with the blank line that ends it. It returns an error of
+// kind EndpointFault if the data ends inside an event.
+func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
+	if length := firstEventLength(data); length > 0 {
+		return length, data[:length], nil
+	}
+	if !atEOF || len(data) == 0 {
+		return 0, nil, nil
+	}
+	if len(bytes.Trim(data, lineBreaks)) == 0 {
+		return len(data), data, nil // blank lines after the last event
+	}
+	return 0, nil, fault.New(fault.EndpointFault, "the stream ended inside an event, after "+strconv.Itoa(len(data))+" bytes of it", "check whether the endpoint crashed")
+}
+
+// firstEventLength returns the length of the first event with its blank line; 0 if the event is incomplete.
+func firstEventLength(data []byte) int {
+	first := 0
+	for _, terminator := range eventTerminators {
+		if i := bytes.Index(data, terminator); i >= 0 && (first == 0 || i+len(terminator) < first) {
+			first = i + len(terminator)
+		}
+	}
+	return first
+}
+
+// eventIDOf returns the id of the event, or lastID if the event has none.
+func eventIDOf(event []byte, lastID string) string {
+	isLineBreak := func(r rune) bool { return r == '\r' || r == '\n' }
+	for line := range bytes.FieldsFuncSeq(event, isLineBreak) {
+		if value, ok := bytes.CutPrefix(line, eventIDPrefix); ok {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return lastID
+}
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -110,7 +110,7 @@
 	telemetry.RequestAnswered(f.route.Name, "answered", f.answerLatency())
 	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("route", f.route.Name).Str("endpoint", string(endpoint.ID)).Int("picks", len(f.tried)).Int("runs", f.possibleRuns).Str("framing", string(f.framing)).Dur("took", time.Since(f.arrived))
 	if f.stream != nil {
-		entry.Dur("first_event", f.stream.firstEvent).Dur("longest_pause", f.stream.longestPause).Str("last_event", f.stream.lastEventID).Int("partial_bytes", f.stream.partialBytes)
+		entry.Dur("first_event", f.stream.firstEvent).Dur("longest_pause", f.stream.longestPause).Str("last_event", f.stream.lastEventID)
 	}
 	f.addPickFields(entry).Int64("configuration", f.view.Configuration.Version).Msg("request answered")
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"net/http"
 	"time"
 
@@ -17,11 +16,6 @@
 	maxEventBytes     = 1 << 20
 )
 
-var (
-	eventTerminator = []byte("\n\n")
-	eventIDPrefix   = []byte("id:")
-)
-
 // streamState tracks what the caller has received of a stream.
 type streamState struct {
 	headerSent   bool          // the header was sent to the caller
@@ -29,7 +23,6 @@
 	firstEvent   time.Duration // time from the request's arrival to the first event
 	longestPause time.Duration // longest pause between two events
 	lastEventAt  time.Time
-	partialBytes int // bytes of the last attempt's answer after its last complete event
 }
 
 // recordEvent records that the event was sent to the caller, whose request came at arrived.
@@ -45,7 +38,7 @@
 }
 
 // deliverStream forwards the events of a stream as they arrive. It forwards complete events only, so that another endpoint
-// can resume after the last one. It returns false when the stream breaks off.
+// can resume after the last one. It returns false when the stream breaks off, which includes an end inside an event.
 func (f *forwarder) deliverStream(endpoint *catalog.Endpoint, answer *dispatch.Response, info call.ResponseInfo) bool {
 	if f.stream == nil {
 		f.stream = &streamState{}
@@ -59,15 +52,8 @@
 	events.Split(splitEvents)
 	flusher, _ := f.w.(http.Flusher)
 	defer f.stall.stop()
-	var partialEvent []byte // bytes after the last complete event; forwarded only if the stream ends normally
-	f.stream.partialBytes = 0
 	for events.Scan() {
 		event := events.Bytes()
-		if !bytes.HasSuffix(event, eventTerminator) {
-			partialEvent = bytes.Clone(event)
-			f.stream.partialBytes = len(event)
-			continue
-		}
 		f.stall.reset()
 		f.sendStreamHeader(answer)
 		if _, err := f.w.Write(event); err != nil {
@@ -83,7 +69,6 @@
 	}
 	f.g.recordSuccess(endpoint)
 	f.sendStreamHeader(answer)
-	_, _ = f.w.Write(partialEvent) // fails only if the caller has disconnected
 	return true
 }
 
@@ -96,25 +81,3 @@
 	f.w.WriteHeader(answer.Status)
 	f.stream.headerSent = true
 }
-
-// splitEvents is a bufio.SplitFunc that returns each event together with the blank line that ends it.
-func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
-	if end := bytes.Index(data, eventTerminator); end >= 0 {
-		length := end + len(eventTerminator)
-		return length, data[:length], nil
-	}
-	if atEOF && len(data) > 0 {
-		return len(data), data, nil
-	}
-	return 0, nil, nil
-}
-
-// eventIDOf returns the id of the event, or lastID if the event has none.
-func eventIDOf(event []byte, lastID string) string {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, eventIDPrefix); ok {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return lastID
-}
