Test which bodies count as whole on the way from agent to engine; framing in the sidecar's log

The test pins all six forms; the comment is corrected. The sidecar's line about a broken answer has the framing.

--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -239,7 +239,7 @@
 			return
 		}
 		if err != nil {
-			s.logger.Info().Str("request", string(a.call.ID)).Err(err).Msg("engine's answer broken off")
+			s.logger.Info().Str("request", string(a.call.ID)).Str("framing", string(a.framing)).Err(err).Msg("engine's answer broken off")
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/internal/stream/client.go
+++ b/internal/stream/client.go
@@ -114,7 +114,8 @@
 	return response, nil
 }
 
-// Read reads the body. It returns io.EOF only if the body is complete by its length or its last chunk.
+// Read reads the body. It returns io.EOF only if the body is complete: by its length, by its last chunk, or, without either,
+// by an orderly close of the connection.
 func (r *Response) Read(buf []byte) (int, error) {
 	body := r.raw.BodyStream()
 	if body == nil {
--- /dev/null
+++ b/internal/stream/client_test.go
@@ -0,0 +1,73 @@
+package stream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const testTimeout = 10 * time.Second
+
+// serveOnce accepts one connection, reads a request and writes the response. Once the response has arrived, it ends the
+// connection in order or resets it.
+func serveOnce(t *testing.T, response string, reset bool, arrived <-chan struct{}) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			t.Error(err)
+		}
+		_, _ = io.WriteString(conn, response)
+		<-arrived
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestOnlyAWholeBodyEndsWithEOF(t *testing.T) {
+	const unframed = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	for _, test := range []struct {
+		name, response string
+		reset          bool
+		whole          bool
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", false, true},
+		{"short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\ncut", false, false},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", false, true},
+		{"no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n", false, false},
+		{"unframed", unframed + "whole", false, true},
+		{"unframed and reset", unframed + "cut", true, false},
+	} {
+		client := NewClient(testTimeout, 1)
+		arrived := make(chan struct{})
+		address := serveOnce(t, test.response, test.reset, arrived)
+		response, err := client.Do(Request{Method: "GET", URL: "http://" + address + "/", NewConn: true})
+		if err != nil {
+			t.Fatalf("%s: %v", test.name, err)
+		}
+		begin := make([]byte, len("cut"))
+		if _, err := io.ReadFull(response, begin); err != nil {
+			t.Fatalf("%s: %v", test.name, err)
+		}
+		close(arrived)
+		body, err := io.ReadAll(response)
+		response.Close()
+		if (err == nil) != test.whole {
+			t.Errorf("%s: read %q, error %v", test.name, body, err)
+		}
+	}
+}
