An unframed stream without events is broken off, not complete

What callers would see: a 200 with an endpoint's signature and an empty stream, whole by its framing, from an endpoint that crashed before its first event.

An orderly close is all that ends an answer without a length or chunks, and an empty stream has no event by which an early end would show.

Change: such a stream is resumed at another endpoint, or breaks off. With a length or a last chunk, an empty stream stays an answer.

Result: TestUnframedStreamWithoutEventsIsNotComplete failed before ('the caller read "" without an error' on both routes) and passes.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,29 +47,43 @@
 		f.recordBrokenAnswer(endpoint, fault.New(fault.EndpointFault, "the stream has no signature", "check the endpoint's logs"))
 		return false
 	}
+	connected, err := f.forwardEvents(answer)
+	if err != nil {
+		f.recordBrokenAnswer(endpoint, err)
+		return false
+	}
+	if !connected {
+		f.cancel()
+		return true
+	}
+	f.g.recordSuccess(endpoint)
+	f.sendStreamHeader(answer)
+	return true
+}
+
+// forwardEvents forwards the answer's events to the caller. It returns an error if the stream breaks off, and false if the
+// caller has disconnected.
+func (f *forwarder) forwardEvents(answer *dispatch.Response) (connected bool, err error) {
 	events := bufio.NewScanner(answer)
 	events.Buffer(make([]byte, 0, initialEventBytes), maxEventBytes)
 	events.Split(splitEvents)
 	flusher, _ := f.w.(http.Flusher)
 	defer f.stall.stop()
+	empty := true
 	for events.Scan() {
-		event := events.Bytes()
+		empty = false
 		f.stall.reset()
 		f.sendStreamHeader(answer)
-		if _, err := f.w.Write(event); err != nil {
-			f.cancel() // the caller has disconnected
-			return true
+		if _, err := f.w.Write(events.Bytes()); err != nil {
+			return false, nil
 		}
 		flusher.Flush()
-		f.stream.recordEvent(event, f.arrived)
+		f.stream.recordEvent(events.Bytes(), f.arrived)
 	}
-	if err := events.Err(); err != nil {
-		f.recordBrokenAnswer(endpoint, err)
-		return false
+	if events.Err() == nil && empty && f.framing == dispatch.Unframed {
+		return true, fault.New(fault.EndpointFault, "the stream ended with its connection before any event", "check whether the endpoint crashed")
 	}
-	f.g.recordSuccess(endpoint)
-	f.sendStreamHeader(answer)
-	return true
+	return true, events.Err()
 }
 
 // sendStreamHeader sends the answer's header to the caller unless a header was sent already.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -173,3 +173,27 @@
 		}
 	}
 }
+
+func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	sendNothing := func(r *platformtest.Runner) func(http.ResponseWriter, platformtest.Run) {
+		return func(rw http.ResponseWriter, run platformtest.Run) {
+			platformtest.OmitFraming(rw)
+			r.SendEvents(rw, run, 0)
+		}
+	}
+	for _, path := range []string{pathStream, pathStreamOnce} {
+		fx := newFixture(t)
+		r := fx.startBackend("r1", "e")
+		r.SetHandler(sendNothing(r))
+		got, err := fx.tryCall(t.Context(), path, nil)
+		if err == nil && got.err == nil && got.status == http.StatusOK {
+			t.Errorf("%s: the caller read %q without an error", path, got.body)
+		}
+	}
+	fx := newFixture(t)
+	r := fx.startBackend("r1", "e")
+	r.SetHandler(func(rw http.ResponseWriter, run platformtest.Run) { r.SendEvents(rw, run, 0) })
+	if got := fx.mustCall(pathStream, nil); got.err != nil || got.status != http.StatusOK {
+		t.Errorf("a framed stream without events: status %d, error %v", got.status, got.err)
+	}
+}
