A broken answer to an HTTP/1.0 caller resets its connection

What callers would see: a cut stream, or a cut answer above 256 KiB, that ends in order and so looks complete.

HTTP/1.0 has no chunks, so net/http sends an answer of unknown length up to the end of the connection, and closing it, which shows HTTP/1.1 callers that the last chunk is missing, marks the end for these.

Change: where the answer is not chunked, an abort resets the connection. Ruled out: a reset for all callers; it may take events with it that the caller has not read yet.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -83,7 +83,7 @@
 	buffer := make([]byte, copyBufferBytes)
 	_, err := io.CopyBuffer(f.w, onlyReader{answer}, buffer)
 	if err != nil && !errors.Is(err, io.EOF) {
-		panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look complete
+		f.abortAnswer()
 	}
 }
 
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -31,6 +31,7 @@
 	ctx     context.Context // ends when the caller disconnects or its timeout expires
 	cancel  context.CancelFunc
 	regions catalog.Regions
+	chunked bool // an answer of unknown length is sent in chunks; false for HTTP/1.0
 
 	tried             map[catalog.EndpointID]bool
 	possibleRuns      int  // endpoints that have run the call or may have
@@ -55,6 +56,7 @@
 		regions:         catalog.AllowedRegions(a.route, a.workspace),
 		tried:           make(map[catalog.EndpointID]bool),
 		certainlyNotRun: true,
+		chunked:         r.ProtoAtLeast(1, 1),
 	}
 	a.service = a.route.PickService(rand.Float64())
 	f.ctx, f.cancel = context.WithDeadline(r.Context(), arrived.Add(f.timeout()))
@@ -222,7 +224,7 @@
 		telemetry.RequestAnswered(f.route.Name, "broken_off", f.answerLatency())
 		entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("last_event", f.stream.lastEventID).Dur("took", time.Since(f.arrived))
 		f.addPickFields(entry).Msg("stream broken off")
-		panic(http.ErrAbortHandler) // closes the connection, so that the stream does not look complete
+		f.abortAnswer()
 	}
 	if f.fallback != nil {
 		f.writeAnswer(f.fallback.answer, f.fallback.body)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -197,3 +200,37 @@
 		t.Errorf("a framed stream without events: status %d, error %v", got.status, got.err)
 	}
 }
+
+func TestBrokenAnswerToHTTP10DoesNotLookComplete(t *testing.T) {
+	for _, test := range []struct {
+		path    string
+		handler func(*platformtest.Runner, http.ResponseWriter, platformtest.Run)
+	}{
+		{pathStreamOnce, func(r *platformtest.Runner, rw http.ResponseWriter, run platformtest.Run) {
+			r.SendEvents(rw, run, 2)
+			platformtest.AbortConnection()
+		}},
+		{pathIdempotent, func(r *platformtest.Runner, rw http.ResponseWriter, run platformtest.Run) {
+			r.Sign(rw, run)
+			_, _ = rw.Write(make([]byte, 2*maxBufferedBytes))
+			platformtest.AbortConnection()
+		}},
+	} {
+		fx := newFixture(t)
+		r := fx.startBackend("r1", "e")
+		r.SetHandler(func(rw http.ResponseWriter, run platformtest.Run) { test.handler(r, rw, run) })
+		conn, err := net.Dial("tcp", fx.frontServer.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: h.example\r\n%s: attempt-1\r\n%s: %skey-1\r\n\r\n", test.path, platformtest.HeaderAttempt, platformtest.HeaderKey, platformtest.KeyScheme)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, err := io.ReadAll(conn)
+		_ = conn.Close()
+		if err == nil {
+			t.Errorf("%s: %d bytes of a broken answer end in order: %.60q", test.path, len(answer), answer)
+		}
+	}
+}
