--- a/systemtest/soak/answers_test.go
+++ b/systemtest/soak/answers_test.go
@@ -26,6 +26,9 @@
 	truncatedShare = 0.1
 )
 
+// unframedShare is the share of answers that end with their connection, at all times.
+const unframedShare = 0.2
+
 // answerBody returns the complete answer of a back end to a request.
 func answerBody(id, instance string) string {
 	return "answer to " + id + " by " + instance + strings.Repeat("."+id, fillerBytes/len(id))
@@ -70,7 +73,11 @@
 func (b *backend) sendBody(rw http.ResponseWriter, run platformtest.Run, truncate bool) {
 	body := answerBody(run.ID, b.ID)
 	b.Sign(rw, run)
-	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if !truncate && rand.Float64() < unframedShare {
+		platformtest.OmitFraming(rw)
+	} else {
+		rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	if truncate {
 		sendAndReset(rw, body[:len(body)/2])
 	}
@@ -81,10 +88,15 @@
 	from, _ := strconv.Atoi(run.ResumeAfter) // an empty or invalid id resumes from the start
 	b.Sign(rw, run)
 	rw.Header().Set("Content-Type", "text/event-stream")
+	unframed := rand.Float64() < unframedShare
+	if unframed {
+		platformtest.OmitFraming(rw)
+	}
 	for number := from + 1; number <= streamEvents; number++ {
 		event := streamEvent(run.ID, number)
 		if truncate && number > streamEvents/2 {
-			sendAndReset(rw, event[:len(event)/2])
+			b.truncateStream(rw, event[:len(event)/2], unframed)
+			return
 		}
 		if _, err := io.WriteString(rw, event); err != nil {
 			return // the caller has disconnected
@@ -94,6 +106,15 @@
 	}
 }
 
+// truncateStream ends the stream inside an event: unframed streams and half of the others in order, and the rest without the
+// last chunk.
+func (b *backend) truncateStream(rw http.ResponseWriter, part string, unframed bool) {
+	if !unframed && rand.IntN(2) == 0 {
+		sendAndReset(rw, part)
+	}
+	_, _ = io.WriteString(rw, part) // fails only if the caller has disconnected
+}
+
 // sendAndReset sends the text and then resets the connection.
 func sendAndReset(rw http.ResponseWriter, text string) {
 	_, _ = io.WriteString(rw, text) // fails only if the caller has disconnected
