--- a/internal/gateway/sidecars_test.go
+++ b/internal/gateway/sidecars_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/bootclock"
+	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
+	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
 // A cold engine takes only a few requests per second. While its sidecar is unreachable nothing limits the sum of all
@@ -24,3 +27,16 @@
 		t.Errorf("a direct request to a warm engine was refused: %v", err)
 	}
 }
+
+func TestFramingOfTheEngineIsKnownPastItsSidecar(t *testing.T) {
+	fx := newFixture(t)
+	f := &forwarder{g: fx.gateway, framing: dispatch.FramedByChunks}
+	engine := &catalog.Endpoint{ID: "i-1"}
+	answer := &dispatch.Response{Status: http.StatusOK, Header: http.Header{wire.HeaderFraming: {string(dispatch.Unframed)}}, Framing: dispatch.FramedByChunks}
+	if _, _, err := f.readSidecarAnswer(engine, answer, call.ResponseInfo{}); err != nil {
+		t.Fatal(err)
+	}
+	if f.framing != dispatch.Unframed || answer.Header.Get(wire.HeaderFraming) != "" {
+		t.Errorf("framing %s, header left for the caller: %v", f.framing, answer.Header)
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -487,3 +487,29 @@
 		}
 	}
 }
+
+func TestSidecarStatesTheFramingOfTheEnginesAnswer(t *testing.T) {
+	engine := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/none":
+			w.Header().Set("Transfer-Encoding", "identity")
+		case "/length":
+			w.Header().Set("Content-Length", "0")
+		case "/chunks":
+			w.(http.Flusher).Flush()
+		}
+	})
+	s := newSidecar(t, &fakeEngine{staged: make(map[int][]byte), corruptChunk: -1, version: 1}, &fakeOrigin{}, &fakeSource{}, engine)
+	waitFor(t, "the gate to open", func() bool { return s.servingVersion.Load() == 1 && s.gate.Load().Limit == 2 })
+	address := serve(t, s.serveRelay)
+	for _, framing := range []string{"none", "length", "chunks"} {
+		answer, err := http.Post("http://"+address+"/"+framing, "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		if stated := answer.Header.Get(wire.HeaderFraming); stated != framing {
+			t.Errorf("the sidecar states %q for an answer with framing %s", stated, framing)
+		}
+	}
+}
