--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -107,24 +107,18 @@
 	}
 }
 
-// streamEndings are ways to end a stream in the middle of an event without an error of the connection.
-var streamEndings = []struct {
-	name string
-	end  func(r *platformtest.Runner, rw http.ResponseWriter, run platformtest.Run, events int)
-}{
-	{"unframed", func(r *platformtest.Runner, rw http.ResponseWriter, run platformtest.Run, events int) {
+// endInsideAnEvent sends some events and half of the next, and ends the response in order: with its connection if it is
+// unframed, and otherwise with a last chunk.
+func endInsideAnEvent(r *platformtest.Runner, rw http.ResponseWriter, run platformtest.Run, events int, unframed bool) {
+	if unframed {
 		platformtest.OmitFraming(rw)
-		r.SendEvents(rw, run, events)
-		platformtest.SendPartialEvent(rw, events+1)
-	}},
-	{"with a last chunk", func(r *platformtest.Runner, rw http.ResponseWriter, run platformtest.Run, events int) {
-		r.SendEvents(rw, run, events)
-		platformtest.SendPartialEvent(rw, events+1)
-	}},
+	}
+	r.SendEvents(rw, run, events)
+	platformtest.SendPartialEvent(rw, events+1)
 }
 
 func TestStreamEndingInsideAnEventIsResumed(t *testing.T) {
-	for _, ending := range streamEndings {
+	for _, unframed := range []bool{true, false} {
 		fx := newFixture(t)
 		runners := []*platformtest.Runner{fx.startBackend("r1", "e"), fx.startBackend("r2", "e")}
 		var broken sync.Once
@@ -133,31 +127,31 @@
 				first := false
 				broken.Do(func() { first = true })
 				if first {
-					ending.end(r, rw, run, 3)
+					endInsideAnEvent(r, rw, run, 3, unframed)
 					return
 				}
 				r.SendEvents(rw, run, 6)
 			})
 		}
 		if got := fx.mustCall(pathStream, nil); got.err != nil || got.body != eventsText(6) {
-			t.Errorf("%s: error %v, body %q", ending.name, got.err, got.body)
+			t.Errorf("unframed %v: error %v, body %q", unframed, got.err, got.body)
 		}
 	}
 }
 
 func TestStreamEndingInsideAnEventDoesNotLookComplete(t *testing.T) {
-	for _, ending := range streamEndings {
+	for _, unframed := range []bool{true, false} {
 		for _, path := range []string{pathStream, pathStreamOnce} {
 			fx := newFixture(t)
 			for _, r := range []*platformtest.Runner{fx.startBackend("r1", "e"), fx.startBackend("r2", "e")} {
-				r.SetHandler(func(rw http.ResponseWriter, run platformtest.Run) { ending.end(r, rw, run, 3) })
+				r.SetHandler(func(rw http.ResponseWriter, run platformtest.Run) { endInsideAnEvent(r, rw, run, 3, unframed) })
 			}
 			got, err := fx.tryCall(t.Context(), path, nil)
 			if err == nil && got.err == nil && got.status == http.StatusOK {
-				t.Errorf("%s, %s: the caller read %q without an error", path, ending.name, got.body)
+				t.Errorf("%s, unframed %v: the caller read %q without an error", path, unframed, got.body)
 			}
 			if got.status == http.StatusOK && !strings.HasPrefix(eventsText(3), got.body) {
-				t.Errorf("%s, %s: body %q is not a prefix of the stream", path, ending.name, got.body)
+				t.Errorf("%s, unframed %v: body %q is not a prefix of the stream", path, unframed, got.body)
 			}
 		}
 	}
