Gateways and sidecars log the request rate that an endpoint states

An endpoint in trouble names the requests a second that it takes from all hosts together. No process read it, so no log could tell a rate that is ignored from one that is lost. It is recorded for each incarnation, until the answer to a later request states none; nothing is decided by it yet.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -46,6 +46,7 @@
 	Load          *Load          // nil if the header has none
 	Leaving       bool           // the endpoint is shutting down and takes no new requests
 	HoldOff       time.Duration  // how long the endpoint wants no requests from this host; 0 if unstated
+	RequestRate   *float64       // requests per second that the endpoint takes from all hosts together; nil if it states none
 }
 
 // Load is the current load of an endpoint, in requests.
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -20,6 +20,7 @@
 	"dependency lost", "dependency regained", "endpoint avoided after a failure", "endpoint answers again", "sidecar cannot be reached",
 	"version served changed", "engine ordered to load", "configuration taken over", "readiness changed", "gateway started", "gateway draining",
 	"endpoint says that it is leaving", "endpoint wants no requests", "engine's readiness for requests changed", "store was restored from a copy",
+	"endpoint's stated request rate changed", "engine's stated request rate changed",
 	"sidecar started", "sidecar draining", "log lines dropped; the output is not read or the bound is reached",
 }
 
--- a/internal/gateway/pick_record.go
+++ b/internal/gateway/pick_record.go
@@ -16,6 +16,7 @@
 	load      int64         // estimated number of requests at the endpoint
 	slots     int           // requests that the endpoint runs at once
 	reportAge time.Duration // age of the load report behind the estimate; negative without a report
+	rate      float64       // requests per second that the endpoint states; 0 without a limit
 	outcome   string        // why the endpoint gave no answer; "" while the attempt runs or after it succeeded
 }
 
@@ -27,7 +28,9 @@
 	if !reported {
 		age = -1
 	}
+	rate, _ := f.g.placer.StatedRate(endpoint, now) // 0 if it states none
 	f.picks = append(f.picks, pickRecord{
+		rate:      rate,
 		endpoint:  endpoint.ID,
 		load:      meter.Load(now, int64(max(1, endpoint.Slots))),
 		slots:     endpoint.Slots,
@@ -71,6 +74,9 @@
 	}
 	if pick := f.picks[len(f.picks)-1]; pick.outcome == "" {
 		entry.Int64("load", pick.load).Int("slots", pick.slots).Dur("report_age", pick.reportAge)
+		if pick.rate > 0 {
+			entry.Float64("stated_rate", pick.rate)
+		}
 	}
 	return entry
 }
@@ -102,3 +108,16 @@
 		g.logger.Info().Str("endpoint", string(endpoint.ID)).Dur("for", holdOff).Msg("endpoint wants no requests")
 	}
 }
+
+// recordRate tells the placer which request rate an answer of the endpoint states, nil for none, and logs a change. The request
+// was sent at sentAt.
+func (g *Gateway) recordRate(endpoint *catalog.Endpoint, rate *float64, sentAt time.Duration) {
+	if !g.placer.RecordRate(endpoint, rate, sentAt, g.now()) {
+		return
+	}
+	entry := g.logger.Info().Str("endpoint", string(endpoint.ID))
+	if rate != nil {
+		entry.Float64("per_second", *rate)
+	}
+	entry.Msg("endpoint's stated request rate changed")
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -125,6 +125,7 @@
 
 // exchange sends the request and reads the header of the answer. It records what the endpoint says about further requests.
 func (f *forwarder) exchange(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
+	sentAt := f.g.now()
 	answer, err := f.g.pool.Send(ctx, request)
 	if err != nil {
 		return nil, call.ResponseInfo{}, err
@@ -132,6 +133,9 @@
 	f.framing = answer.Framing
 	info := f.g.codec.DecodeResponse(answer.Status, answer.Header)
 	f.g.recordWithdrawal(endpoint, info.Leaving, info.HoldOff)
+	if info.RequestRate != nil || info.Signed {
+		f.g.recordRate(endpoint, info.RequestRate, sentAt)
+	}
 	return answer, info, nil
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,12 +28,13 @@
 	health      *health
 	withdrawals *withdrawals
 	refusals    *refusals
+	rates       *statedRates
 	randIntN    func(n int) int
 }
 
 // NewPlacer returns a placer without load reports or failure records.
 func NewPlacer() *Placer {
-	return &Placer{meters: routing.NewLoadMeters(), health: newHealth(), withdrawals: newWithdrawals(), refusals: newRefusals(), randIntN: rand.IntN}
+	return &Placer{meters: routing.NewLoadMeters(), health: newHealth(), withdrawals: newWithdrawals(), refusals: newRefusals(), rates: newStatedRates(), randIntN: rand.IntN}
 }
 
 // Meter returns the load meter of the endpoint. It creates one for a new endpoint.
@@ -65,6 +66,18 @@
 	return p.withdrawals.recordHoldOff(endpoint, now, now+wait)
 }
 
+// RecordRate records the request rate that an answer of the endpoint states, nil for none; the request was sent at requestedAt.
+// It returns true if the rate changed.
+func (p *Placer) RecordRate(endpoint *catalog.Endpoint, rate *float64, requestedAt, now time.Duration) bool {
+	return p.rates.record(endpoint, rate, requestedAt, now)
+}
+
+// StatedRate returns the requests per second that the endpoint takes from all hosts together. It returns false if it states
+// none.
+func (p *Placer) StatedRate(endpoint *catalog.Endpoint, now time.Duration) (perSecond float64, stated bool) {
+	return p.rates.rateOf(endpoint, now)
+}
+
 // HoldOff returns the time until the first endpoint that the query allows takes requests again. It returns false unless all
 // of them have said that they want none, at least one of them only for some time.
 func (p *Placer) HoldOff(endpoints []*catalog.Endpoint, query Query) (time.Duration, bool) {
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -165,6 +165,7 @@
 	if timeout > 0 {
 		timeout -= time.Since(arrived)
 	}
+	sentAt := bootclock.Now()
 	answer, err := s.pool.Send(r.Context(), &dispatch.Request{
 		Address: s.settings.EngineAddress,
 		Method:  c.Method,
@@ -192,6 +193,9 @@
 	if s.withdrawal.recordAnswer(info.Leaving, info.HoldOff, bootclock.Now()) {
 		s.logWithdrawal()
 	}
+	if info.RequestRate != nil || info.Signed {
+		s.recordRate(info.RequestRate, sentAt)
+	}
 	s.copyAnswer(w, a, answer)
 	return true
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,6 +55,7 @@
 	prompts        admission.PrefillTracker
 	coldRate       admission.ColdRateLimiter
 	withdrawal     withdrawal
+	statedRate     admission.StatedRate
 	pool           *dispatch.Pool
 	peerClient     *rpc.Client
 	store          *weights.Store
