--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -41,6 +41,7 @@
 	pathPublic       = "/public/1"
 	pathShortTimeout = "/short/1"
 	pathWestOnly     = "/home/1"
+	pathModel        = "/model/1" // for a model engine; no sidecar can be reached
 )
 
 type document = map[string]any
@@ -60,6 +61,7 @@
 		route("stream-once", "stream", nil),
 		route("public", "safe", document{"public": true}),
 		route("short", "unsafe", document{"timeout-ms": 300}),
+		route("model", "safe", document{"sticky": true}),
 		route("home", "safe", document{"allowed-regions": []string{"west"}}),
 	}
 }
@@ -172,6 +174,18 @@
 	return got
 }
 
+// callThrough sends a call through the gateway, without the fixture's front server.
+func (fx *fixture) callThrough(g *Gateway, path string) int {
+	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader("body"))
+	request.Host = "h.example"
+	request.Header.Set(platformtest.HeaderAttempt, "attempt-1")
+	request.Header.Set(platformtest.HeaderDeadline, "4000")
+	request.Header.Set(platformtest.HeaderKey, platformtest.KeyScheme+"key-1")
+	answer := httptest.NewRecorder()
+	g.serveCall(answer, request)
+	return answer.Code
+}
+
 // closedAddress returns an address on which nothing listens.
 func closedAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	methods := rpc.Serve(control, g.follower.Methods())
+	methods := rpc.Serve(control, g.controlMethods())
 	defer methods.Close()
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -96,6 +96,9 @@
 	return nil
 }
 
+// controlMethods returns the methods that the gateway serves on its control address, by name.
+func (g *Gateway) controlMethods() map[string]rpc.Method { return g.follower.Methods() }
+
 func (g *Gateway) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
 		g.logger.Error().Err(err).Str("address", listener.Addr().String()).Msg("listener failed")
--- /dev/null
+++ b/internal/gateway/stated_rate_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/lovageglade/lovageglade/internal/rpc"
+	"github.com/lovageglade/lovageglade/platform"
+)
+
+// maxArrivals returns the most requests that an endpoint may get in four seconds once it states the rate.
+func maxArrivals(perSecond float64) int { return int(1.5*4*perSecond) + 5 }
+
+// newGatewayGroup returns gateways with the fixture's view whose control addresses are the delegates of all of them.
+func newGatewayGroup(fx *fixture, size int) []*Gateway {
+	fx.t.Helper()
+	config := fx.gateway.settings
+	var listeners []net.Listener
+	for range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			fx.t.Fatal(err)
+		}
+		listeners = append(listeners, listener)
+		config.Delegates = append(config.Delegates, listener.Addr().String())
+	}
+	var gateways []*Gateway
+	for _, listener := range listeners {
+		config.ControlAddress = listener.Addr().String()
+		g := New(config, platform.Headers{}, fx.gateway.follower, &log.Logger{Level: log.PanicLevel})
+		server := rpc.Serve(listener, g.controlMethods())
+		fx.t.Cleanup(func() { server.Close() })
+		gateways = append(gateways, g)
+	}
+	return gateways
+}
+
+func TestGatewaysTogetherKeepToAStatedRate(t *testing.T) {
+	const perSecond, callers, length = 2, 4, 2 * time.Second
+	fx := newFixture(t)
+	busy := fx.startBackend("r1", "e")
+	busy.SetRate(perSecond)
+	gateways := newGatewayGroup(fx, 6)
+	for _, g := range gateways { // each passes on an answer that states the rate
+		fx.callThrough(g, pathIdempotent)
+	}
+	told := len(busy.Runs())
+	var tasks sync.WaitGroup
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, g := range gateways {
+			tasks.Go(func() { fx.callThrough(g, pathIdempotent) })
+		}
+	}
+	tasks.Wait()
+	if got := len(busy.Runs()) - told; got > maxArrivals(perSecond) || got < perSecond {
+		t.Errorf("%d requests reached the endpoint in %v, want from %d to %d", got, length, perSecond, maxArrivals(perSecond))
+	}
+}
+
+func TestDirectRequestsRespectAStatedRate(t *testing.T) {
+	const perSecond = 1
+	fx := newFixture(t)
+	busy := fx.startBackend("r1", "e")
+	busy.SetRate(perSecond)
+	for range 40 { // one after another, past a sidecar that is away
+		fx.mustCall(pathModel, nil)
+	}
+	if got := len(busy.Runs()) - 1; got > maxArrivals(perSecond) {
+		t.Errorf("%d requests reached the endpoint after it stated its rate, want at most %d", got, maxArrivals(perSecond))
+	}
+}
+
+func TestRequestsGoElsewhereOrAreRefusedAtOnceAtAStatedRate(t *testing.T) {
+	fx := newFixture(t)
+	busy := fx.startBackend("r1", "e")
+	busy.SetRate(0.1)
+	fx.mustCall(pathAtMostOnce, nil)
+	got := fx.mustCall(pathAtMostOnce, nil)
+	if seconds := retryAfter(t, got); got.status != http.StatusServiceUnavailable || seconds < 5 || seconds > 15 {
+		t.Errorf("status %d with Retry-After %v, want a refusal until the endpoint takes a request again", got.status, seconds)
+	}
+	other := fx.startBackend("r2", "w")
+	for range 5 {
+		if got := fx.mustCall(pathAtMostOnce, nil); got.status != http.StatusOK {
+			t.Errorf("status %d although another endpoint states no rate", got.status)
+		}
+	}
+	if len(other.Runs()) != 5 {
+		t.Errorf("%d requests reached the other endpoint, want 5", len(other.Runs()))
+	}
+}
