Requests to an endpoint keep to the request rate that it states

Callers saw nothing; endpoints in trouble got up to 20 requests in 4 s at a stated 1.3 a second (13 allowed), as many as any other.

Cause: no process read the rate. Placement goes by load, and an endpoint in need looks like a free one.

Change: the sidecar spaces out the requests of all gateways to its engine and tells refused gateways when to come back. Past a sidecar that is away, an engine that states a rate gets none, as no gateway knows what the others send. For endpoints without a sidecar a delegate, chosen by the endpoint's id, grants each request; a gateway that reaches no delegate uses a 32nd of the rate. Endpoints at their rate do not use up the attempts of a call, and Retry-After tells when the first takes requests again.

With the allowance in endpointLimit removed, TestCallPassesOverEndpointsAtTheirStatedRate fails.

--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -33,6 +33,8 @@
 	{"engine is cold", "engines had just started and were sent no more than their request rate while cold"},
 	{"engine is leaving", "engines were shutting down"},
 	{"wants no requests", "endpoints had asked for no requests for some time"},
+	{"request rate that it states", "endpoints in trouble had stated how many requests a second they take, and had been sent as many"},
+	{"it states a request rate", "the sidecar of an engine that states a request rate could not be reached, and no gateway knows how much of the rate the others use"},
 	{"its sidecar is away", "sidecars could not be reached and the gateway's share past them was in use"},
 	{"connection reset", "an endpoint or the network reset the connection after the request was sent"},
 	{"ended inside an event", "an endpoint ended its stream in the middle of an event, as one that crashes does"},
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -34,6 +34,7 @@
 	chunked bool // an answer of unknown length is sent in chunks; false for HTTP/1.0
 
 	tried             map[catalog.EndpointID]bool
+	heldOffCount      int  // tried endpoints that wanted no requests at the time
 	possibleRuns      int  // endpoints that have run the call or may have
 	sendCount         int  // endpoints that may have received the call, including those that stated that they did not run it
 	certainlyNotRun   bool // no endpoint has run the call or will run it; true exactly while possibleRuns is 0
@@ -99,12 +100,13 @@
 }
 
 // endpointLimit returns how many endpoints the call may be offered to. A call that may have started gets more of them,
-// since work has been spent on it.
+// since work has been spent on it. Those that want no requests count only from maxEndpoints of them on.
 func (f *forwarder) endpointLimit() int {
+	limit := maxEndpoints + min(f.heldOffCount, maxEndpoints)
 	if f.possibleRuns > 0 {
-		return maxEndpoints + extraEndpointsAfterPossibleRun
+		limit += extraEndpointsAfterPossibleRun
 	}
-	return maxEndpoints
+	return limit
 }
 
 // logAnswered logs a call that an endpoint answered, and counts it in the metrics.
@@ -203,7 +205,10 @@
 func (f *forwarder) recordNoAnswer(endpoint *catalog.Endpoint, err error) {
 	f.lastErr = err
 	f.recordPickOutcome(err)
-	if isRefusal(err) {
+	if refusal := asRefusal(err); refusal != nil {
+		if refusal.heldOff {
+			f.heldOffCount++
+		}
 		return
 	}
 	if f.ctx.Err() == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,7 @@
 	pool              *dispatch.Pool
 	placer            *placement.Placer
 	sidecars          *sidecarTracker
+	rates             *rateShare
 	start             time.Time
 	draining          atomic.Bool
 	lastReportedReady atomic.Bool // the last answer to the load balancer's readiness check
@@ -53,6 +54,7 @@
 		pool:         dispatch.NewPool(),
 		placer:       placement.NewPlacer(),
 		sidecars:     newSidecarTracker(),
+		rates:        newRateShare(config.ControlAddress, config.Delegates),
 		start:        time.Now(),
 		retryBudgets: make(map[core.Service]*retry.Budget),
 	}
@@ -92,12 +94,19 @@
 	stop()
 	tasks.Wait()
 	g.pool.Close()
+	g.rates.peers.Close()
 	g.logger.Info().Msg("gateway stopped")
 	return nil
 }
 
 // controlMethods returns the methods that the gateway serves on its control address, by name.
-func (g *Gateway) controlMethods() map[string]rpc.Method { return g.follower.Methods() }
+func (g *Gateway) controlMethods() map[string]rpc.Method {
+	methods := g.follower.Methods()
+	methods[methodTakeRate] = rpc.Handle(func(_ context.Context, request takeRateRequest) (takeRateResponse, error) {
+		return g.rates.grant(request, g.now()), nil
+	})
+	return methods
+}
 
 func (g *Gateway) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
--- a/internal/gateway/pick_record.go
+++ b/internal/gateway/pick_record.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -41,9 +40,9 @@
 // recordPickOutcome records why the last pick gave no answer. A nil outcome changes nothing.
 func (f *forwarder) recordPickOutcome(outcome error) {
 	pick := &f.picks[len(f.picks)-1]
-	var refusal *refusalError
+	refusal := asRefusal(outcome)
 	switch {
-	case errors.As(outcome, &refusal):
+	case refusal != nil:
 		pick.outcome = refusal.reason
 	case outcome != nil:
 		pick.outcome = outcome.Error()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -19,23 +19,30 @@
 
 // refusalError reports that a sidecar, or the gateway itself while the sidecar is unreachable, refused to send the request
 // to the endpoint.
-type refusalError struct{ reason string }
+type refusalError struct {
+	reason  string
+	heldOff bool // the endpoint wants no requests now; other endpoints are as good as without it
+}
 
 // Error implements error.
 func (e *refusalError) Error() string {
 	return "the request was refused before it reached the endpoint (" + e.reason + "); send it to another endpoint"
 }
 
-func isRefusal(err error) bool {
+// asRefusal returns the refusal in err, nil if there is none.
+func asRefusal(err error) *refusalError {
 	var refusal *refusalError
-	return errors.As(err, &refusal)
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return nil
 }
 
 // send sends the call to the endpoint, through the endpoint's sidecar if there is one and it is reachable.
 func (f *forwarder) send(ctx context.Context, endpoint *catalog.Endpoint) (*dispatch.Response, call.ResponseInfo, error) {
 	request := f.newRequest(endpoint)
 	if !f.route.Generates {
-		return f.exchange(ctx, endpoint, request)
+		return f.sendAtStatedRate(ctx, endpoint, request)
 	}
 	now := f.g.now()
 	if f.g.sidecars.reachable(endpoint.ID, now) {
@@ -64,7 +71,7 @@
 
 // setFirstEventBound asks the sidecar to refuse the call if it expects the first event after the bound.
 func (f *forwarder) setFirstEventBound(header http.Header) {
-	picks := len(f.tried)
+	picks := len(f.tried) - f.heldOffCount
 	if f.route.Objective == 0 || picks > len(firstEventShares) || f.possibleRuns > 0 {
 		return
 	}
@@ -79,8 +86,21 @@
 	}
 }
 
-// sendDirect sends the call to an engine whose sidecar is unreachable. It refuses calls to a cold engine: such an engine
-// takes only a few requests per second, and no gateway knows how many the others send.
+// sendAtStatedRate sends the call to an endpoint without a sidecar, unless that would exceed the request rate that the endpoint
+// states.
+func (f *forwarder) sendAtStatedRate(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
+	if rate, stated := f.g.placer.StatedRate(endpoint, f.g.now()); stated {
+		wait, granted := f.g.rates.take(ctx, takeRateRequest{Endpoint: endpoint.ID, Born: endpoint.Born, PerSecond: rate}, f.g.now())
+		if !granted {
+			f.g.placer.RecordHoldOff(endpoint, f.g.now(), wait)
+			return nil, call.ResponseInfo{}, &refusalError{reason: "it has reached the request rate that it states", heldOff: true}
+		}
+	}
+	return f.exchange(ctx, endpoint, request)
+}
+
+// sendDirect sends the call to an engine whose sidecar is unreachable. It refuses calls to an engine that is cold or states a
+// request rate: such an engine takes only a few requests per second, and no gateway knows how many the others send.
 func (f *forwarder) sendDirect(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
 	if !placement.ShowsVersion(endpoint, f.lastQuery) {
 		return nil, call.ResponseInfo{}, &refusalError{reason: "its sidecar is away and its entry does not show the version"}
@@ -88,6 +108,9 @@
 	if endpoint.IsCold(bootclock.Now()) {
 		return nil, call.ResponseInfo{}, &refusalError{reason: "its sidecar is away and it is cold"}
 	}
+	if _, stated := f.g.placer.StatedRate(endpoint, f.g.now()); stated {
+		return nil, call.ResponseInfo{}, &refusalError{reason: "its sidecar is away and it states a request rate"}
+	}
 	if !f.g.sidecars.acquireDirectSlot(endpoint.ID) {
 		return nil, call.ResponseInfo{}, &refusalError{reason: "its sidecar is away and this gateway's share of it is in use"}
 	}
@@ -160,7 +183,7 @@
 	}
 	f.g.recordWithdrawal(endpoint, answer.Header.Get(wire.HeaderLeaving) != "", time.Duration(holdOff)*time.Millisecond)
 	drainAndClose(answer)
-	return nil, info, &refusalError{reason: reason}
+	return nil, info, &refusalError{reason: reason, heldOff: holdOff > 0}
 }
 
 // parseLoad parses the load that a sidecar reports as "running,queued,limit".
--- a/internal/gateway/sidecars_test.go
+++ b/internal/gateway/sidecars_test.go
@@ -19,11 +19,11 @@
 	fx := newFixture(t)
 	f := &forwarder{g: fx.gateway}
 	engine := &catalog.Endpoint{ID: "i-1", Address: "127.0.0.1:1", ColdUntil: bootclock.Now() + time.Hour}
-	if _, _, err := f.sendDirect(context.Background(), engine, &dispatch.Request{}); !isRefusal(err) {
+	if _, _, err := f.sendDirect(context.Background(), engine, &dispatch.Request{}); asRefusal(err) == nil {
 		t.Errorf("a cold engine was sent a direct request: %v", err)
 	}
 	engine.ColdUntil = 0
-	if _, _, err := f.sendDirect(context.Background(), engine, &dispatch.Request{Method: "GET", Target: "/"}); isRefusal(err) {
+	if _, _, err := f.sendDirect(context.Background(), engine, &dispatch.Request{Method: "GET", Target: "/"}); asRefusal(err) != nil {
 		t.Errorf("a direct request to a warm engine was refused: %v", err)
 	}
 }
--- a/internal/gateway/stated_rate_test.go
+++ b/internal/gateway/stated_rate_test.go
@@ -94,3 +94,54 @@
 		t.Errorf("%d requests reached the other endpoint, want 5", len(other.Runs()))
 	}
 }
+
+func TestGatewayWithoutDelegatesUsesASmallShareOfAStatedRate(t *testing.T) {
+	share := newRateShare("127.0.0.1:1", []string{closedAddress(t)})
+	request := takeRateRequest{Endpoint: "a", PerSecond: 32}
+	taken := 0
+	for now := time.Millisecond; now < 10*time.Second; now += 50 * time.Millisecond {
+		wait, ok := share.take(t.Context(), request, now)
+		if ok {
+			taken++
+		}
+		if wait > takeRateRetryDelay {
+			t.Fatalf("delegates are not asked again for %v", wait)
+		}
+	}
+	if taken < 8 || taken > 10 {
+		t.Errorf("%d requests in ten seconds, want a share of one a second", taken)
+	}
+}
+
+func TestNextDelegateGrantsAfterOneThatDoesNotAnswer(t *testing.T) {
+	fx := newFixture(t)
+	gateways := newGatewayGroup(fx, 2)
+	answering := gateways[0].settings.ControlAddress
+	closed := closedAddress(t)
+	for _, delegates := range [][]string{{closed, answering}, {answering, closed}} { // the endpoint's id selects the first
+		share := newRateShare("127.0.0.1:1", delegates)
+		request := takeRateRequest{Endpoint: "a", PerSecond: 100}
+		deadline := time.Now().Add(testTimeout)
+		for granted := false; !granted; time.Sleep(time.Millisecond) {
+			if _, granted = share.take(t.Context(), request, time.Second); time.Now().After(deadline) {
+				t.Fatal("no delegate granted a request")
+			}
+		}
+	}
+}
+
+// More endpoints than a call is offered to are at their rate; they must not use up its attempts.
+func TestCallPassesOverEndpointsAtTheirStatedRate(t *testing.T) {
+	fx := newFixture(t)
+	for _, id := range []string{"r1", "r2", "r3", "r4", "r5", "r6"} {
+		fx.startBackend(id, "e")
+	}
+	rate := 0.1
+	for _, endpoint := range fx.gateway.follower.View().AvailableEndpoints("plain") {
+		fx.gateway.placer.RecordRate(endpoint, &rate, 0, fx.gateway.now())
+	}
+	fx.startBackend("free", "w")
+	if got := fx.mustCall(pathAtMostOnce, nil); got.status != http.StatusOK {
+		t.Errorf("status %d although an endpoint takes requests", got.status)
+	}
+}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -26,6 +26,7 @@
 	refusedUnreachable    = "engine cannot be reached"
 	refusedLeaving        = "engine is leaving"
 	refusedHeldOff        = "engine wants no requests for some time"
+	refusedRate           = "engine has reached the request rate that it states"
 )
 
 const (
@@ -82,6 +83,11 @@
 		s.refuse(w, c, refusedCold, nil)
 		return
 	}
+	if !s.takeRate() {
+		s.gate.ReleaseUnmeasured()
+		s.refuse(w, c, refusedRate, nil)
+		return
+	}
 	complete := false
 	defer func() { s.gate.Release(complete) }()
 	a := &admittedCall{call: c, arrived: arrived, prompt: prompt, estimate: estimate, running: s.gate.Load().Running, version: s.servingVersion.Load()}
@@ -207,6 +213,8 @@
 		return refusedLeaving
 	case holdOff > 0:
 		return refusedHeldOff
+	case s.rateWait() > 0:
+		return refusedRate
 	}
 	return ""
 }
@@ -262,6 +270,7 @@
 // setWithdrawalHeaders tells a gateway that the engine wants no requests, from any gateway.
 func (s *Sidecar) setWithdrawalHeaders(header http.Header) {
 	leaving, holdOff := s.withdrawal.state(bootclock.Now())
+	holdOff = max(holdOff, s.rateWait())
 	if leaving {
 		header.Set(wire.HeaderLeaving, "1")
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -56,6 +56,7 @@
 	coldRate       admission.ColdRateLimiter
 	withdrawal     withdrawal
 	statedRate     admission.StatedRate
+	rateLimiter    admission.RateLimiter
 	pool           *dispatch.Pool
 	peerClient     *rpc.Client
 	store          *weights.Store
