Sidecars log crashes of their engine and the prompt parts of requests

After a crash all answers of an engine break off and nothing listens at its address; a single broken answer leaves it listening. No log told the two apart, or what the crashed requests have in common.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -22,9 +22,10 @@
 	ResumeAfter  string // id of the last event of a stream that the caller has received; "" for none
 	Model        core.Model
 	PromptTokens int
-	OutputTokens int         // limit on the tokens of the response
-	OutputHint   int         // the caller's estimate of the tokens of the response; 0 for none
-	Forward      http.Header // headers that are sent to the endpoint unchanged
+	SharedParts  []core.PromptPart // parts of the prompt that other requests may have too, in order
+	OutputTokens int               // limit on the tokens of the response
+	OutputHint   int               // the caller's estimate of the tokens of the response; 0 for none
+	Forward      http.Header       // headers that are sent to the endpoint unchanged
 	Body         []byte
 }
 
--- a/internal/core/names.go
+++ b/internal/core/names.go
@@ -36,6 +36,9 @@
 // RequestID identifies a caller's request across all its attempts.
 type RequestID string
 
+// PromptPart identifies a part of a prompt. Requests whose prompts contain the same text share it.
+type PromptPart string
+
 // Incarnation identifies one run of a process. It is drawn at random at start, so it distinguishes two runs at the
 // same address but does not order them.
 type Incarnation uint64
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -21,7 +21,7 @@
 	"version served changed", "engine ordered to load", "configuration taken over", "readiness changed", "gateway started", "gateway draining",
 	"endpoint says that it is leaving", "endpoint wants no requests", "engine's readiness for requests changed", "store was restored from a copy",
 	"endpoint's stated request rate changed", "engine's stated request rate changed",
-	"sidecar started", "sidecar draining", "log lines dropped; the output is not read or the bound is reached",
+	"engine crashed", "sidecar started", "sidecar draining", "log lines dropped; the output is not read or the bound is reached",
 }
 
 // causes maps texts in a request's log fields to explanations. The patterns also match lines that earlier builds wrote.
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -136,7 +136,16 @@
 
 // logAdmitted logs an admitted request with the inputs of its admission.
 func (s *Sidecar) logAdmitted(a *admittedCall) {
-	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
+	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Strs("prompt_parts", promptParts(a.call)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
+}
+
+// promptParts returns the parts of the call's prompt that other requests may have too, for logs.
+func promptParts(c *call.Call) []string {
+	parts := make([]string, 0, len(c.SharedParts))
+	for _, part := range c.SharedParts {
+		parts = append(parts, string(part))
+	}
+	return parts
 }
 
 // canServe reports whether the engine may run a request that needs at least the version. It checks the serve deadline
@@ -189,6 +198,7 @@
 		return true
 	}
 	if err != nil {
+		s.recordBroken(r, a)
 		s.logger.Info().Str("request", string(c.ID)).Err(err).Msg("engine gave no answer")
 		panic(http.ErrAbortHandler) // a closed connection tells the gateway that the outcome is unknown
 	}
@@ -202,10 +212,22 @@
 	if info.RequestRate != nil || info.Signed {
 		s.recordRate(info.RequestRate, sentAt)
 	}
-	s.copyAnswer(w, a, answer)
+	s.copyAnswer(w, r, a, answer)
 	return true
 }
 
+// recordBroken records that the engine gave no answer to the call or broke it off, unless the gateway gave the call up.
+func (s *Sidecar) recordBroken(r *http.Request, a *admittedCall) {
+	if r.Context().Err() != nil {
+		return
+	}
+	broken := brokenCall{request: a.call.ID, parts: a.call.SharedParts}
+	if a.answerBegun {
+		broken.wroteFor = time.Since(a.arrived) - a.firstByteAfter
+	}
+	s.crashes.record(broken)
+}
+
 // withdrawnReason returns the reason of a refusal while the engine wants no requests, and otherwise "".
 func (s *Sidecar) withdrawnReason() string {
 	switch leaving, holdOff := s.withdrawal.state(bootclock.Now()); {
@@ -225,7 +247,7 @@
 	s.logger.Info().Bool("leaving", leaving).Dur("hold_off", holdOff).Msg("engine's readiness for requests changed")
 }
 
-func (s *Sidecar) copyAnswer(w http.ResponseWriter, a *admittedCall, answer *dispatch.Response) {
+func (s *Sidecar) copyAnswer(w http.ResponseWriter, r *http.Request, a *admittedCall, answer *dispatch.Response) {
 	header := w.Header()
 	for name, values := range s.codec.CallerHeader(answer.Header) {
 		header[name] = values
@@ -248,9 +270,13 @@
 			flusher.Flush()
 		}
 		if err == io.EOF {
+			if a.framing == dispatch.Unframed {
+				s.recordBroken(r, a) // a crash ends such an answer like this, too
+			}
 			return
 		}
 		if err != nil {
+			s.recordBroken(r, a)
 			s.logger.Info().Str("request", string(a.call.ID)).Str("framing", string(a.framing)).Err(err).Msg("engine's answer broken off")
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -57,6 +57,7 @@
 	withdrawal     withdrawal
 	statedRate     admission.StatedRate
 	rateLimiter    admission.RateLimiter
+	crashes        *crashDetector
 	pool           *dispatch.Pool
 	peerClient     *rpc.Client
 	store          *weights.Store
@@ -96,6 +97,7 @@
 		LinkBytesPerS: int64(config.LinkMbps * bytesPerMbit * weightsLinkShare),
 		Seed:          rand.Uint64(),
 	})
+	s.crashes = &crashDetector{address: config.EngineAddress, onCrash: s.engineCrashed}
 	follower.OnChange = s.viewChanged
 	return s
 }
