--- a/systemtest/soak/answers_test.go
+++ b/systemtest/soak/answers_test.go
@@ -58,6 +58,9 @@
 			return
 		}
 		time.Sleep(rand.N(maxProcessingTime))
+		if b.engine != nil && s.crashingPrompts.isCrashing(run) {
+			s.crashEngine(b, rw, run)
+		}
 		if draw < rejectedShare+lostShare {
 			platformtest.AbortConnection()
 		}
--- a/systemtest/soak/clients_test.go
+++ b/systemtest/soak/clients_test.go
@@ -32,7 +32,8 @@
 	status      int // 0 if there was no answer
 	signature   string
 	body        string
-	err         error // also set after a status if the body was cut off
+	err         error  // also set after a status if the body was cut off
+	part        string // part of the prompt after the one that all prompts share; "" for one of the request alone
 }
 
 // requestLog holds the requests of all clients with their answers. It is safe for concurrent use.
@@ -99,6 +100,7 @@
 	if r.route == "stream" {
 		httpRequest.Header.Set(platformtest.HeaderModel, testWeights.Model)
 		httpRequest.Header.Set(platformtest.HeaderTokens, "500,40")
+		httpRequest.Header.Set(platformtest.HeaderPrompt, promptOf(r))
 	}
 	r.sent = time.Now()
 	defer func() { r.ended = time.Now() }()
--- a/systemtest/soak/proxy_test.go
+++ b/systemtest/soak/proxy_test.go
@@ -31,10 +31,11 @@
 
 // proxy forwards TCP connections from one loopback address to another and can disturb them.
 type proxy struct {
-	listener net.Listener
-	target   string
+	target string
 
 	mu          sync.Mutex
+	listener    net.Listener
+	closed      bool
 	mode        proxyMode
 	connections map[*proxiedConnection]bool
 }
@@ -52,16 +53,41 @@
 		t.Fatal(err)
 	}
 	p := &proxy{listener: listener, target: target, connections: make(map[*proxiedConnection]bool)}
-	go p.accept()
+	go p.accept(listener)
 	t.Cleanup(p.close)
 	return p
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
+
+// stopListening resets all connections and closes the listening socket, as a crash of the target does, for the given time.
+func (p *proxy) stopListening(duration time.Duration) {
+	address := p.address()
+	p.mu.Lock()
+	p.listener.Close()
+	for c := range p.connections {
+		reset(c.client)
+		reset(c.server)
+	}
+	p.mu.Unlock()
+	time.Sleep(duration)
+	listener, err := net.Listen("tcp", address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil || p.closed {
+		return // the test has ended
+	}
+	p.listener = listener
+	go p.accept(listener)
+}
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return // closed
 		}
@@ -153,9 +179,10 @@
 }
 
 func (p *proxy) close() {
-	p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
+	p.listener.Close()
 	for c := range p.connections {
 		c.client.Close()
 		c.server.Close()
--- a/systemtest/soak/system_test.go
+++ b/systemtest/soak/system_test.go
@@ -76,6 +76,8 @@
 	replacementMu sync.Mutex // held while a back end is replaced
 	replacements  int
 
+	crashingPrompts crashingPrompts
+
 	requestLog requestLog
 	probeCount atomic.Int64
 }
@@ -99,6 +101,7 @@
 	entryState   atomic.Value // state in its entry, a string; "" after it was removed
 	holdsOff     atomic.Bool  // it refuses requests and asks for no more of them
 	withdrawals  withdrawalLog
+	crashMu      sync.Mutex // held while the engine is down after a crash
 }
 
 // recordedWrite is a change that an operator or a back end wrote. Later runs must respect it.
