Requests with a prompt part that crashes engines are refused

Callers saw most kinds of request of the engines fail for a minute: engine after engine crashed as it began to answer requests with one part in their prompts, 69 in all, and each new request with it went to the next engine.

Cause: nothing remembered what ended an engine. Retries are bounded by request, but these requests are all different.

Change: a sidecar (or a gateway past it) that sees its engine crash tells the delegates which requests it had just begun to answer; all processes read from them. A part is quarantined after three crashes under different requests since the last whole answer with it; crashes that one part explains do not count against others, and of equal suspects the one that fewest requests share is taken. Answers at other engines clear the common parts within 300 ms. Requests with a quarantined part are refused at gateways and sidecars; a trial now and then shows whether it still crashes.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -38,6 +38,7 @@
 	NotReady            = Namespace.NewType("not_ready")
 	DeadlinePassed      = Namespace.NewType("deadline_passed")
 	SuspectRequest      = Namespace.NewType("suspect_request")
+	QuarantinedPrompt   = Namespace.NewType("quarantined_prompt")
 	IdempotencyConflict = Namespace.NewType("idempotency_conflict")
 	WrongIncarnation    = Namespace.NewType("wrong_incarnation")
 	Tombstoned          = Namespace.NewType("tombstoned")
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -45,6 +45,9 @@
 		return false
 	}
 	f.g.recordSuccess(endpoint)
+	if answer.Status == http.StatusOK && len(body) < maxBufferedBytes {
+		f.recordWholeAnswer()
+	}
 	if slices.Contains(notRunStatuses, answer.Status) && f.route.Repeat != catalog.Idempotent {
 		f.lastErr = fault.New(fault.EndpointFault, "the endpoint answered "+strconv.Itoa(answer.Status)+" without stating that the request has not run", "check the endpoint's logs")
 		f.recordPickOutcome(f.lastErr)
@@ -66,6 +69,7 @@
 	if f.ctx.Err() == nil {
 		f.g.recordFailure(endpoint)
 	}
+	f.recordDirectBreak(endpoint)
 	f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Str("framing", string(f.framing)).Err(err).Msg("answer broken off")
 }
 
--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -19,17 +19,18 @@
 // statusOf maps error kinds to HTTP statuses. 503 and 429 state that the request has not run and will not run. With 502
 // and 504 it may have run.
 var statusOf = map[*errorx.Type]int{
-	fault.BadRequest:       http.StatusBadRequest,
-	fault.NotFound:         http.StatusNotFound,
-	fault.UnknownWorkspace: http.StatusUnauthorized,
-	fault.TooLarge:         http.StatusRequestEntityTooLarge,
-	fault.NotReady:         http.StatusServiceUnavailable,
-	fault.NoEndpoint:       http.StatusServiceUnavailable,
-	fault.Overloaded:       http.StatusServiceUnavailable,
-	fault.DeadlinePassed:   http.StatusServiceUnavailable,
-	fault.LostOutcome:      http.StatusBadGateway,
-	fault.EndpointFault:    http.StatusBadGateway,
-	fault.Interrupted:      http.StatusGatewayTimeout,
+	fault.BadRequest:        http.StatusBadRequest,
+	fault.NotFound:          http.StatusNotFound,
+	fault.UnknownWorkspace:  http.StatusUnauthorized,
+	fault.TooLarge:          http.StatusRequestEntityTooLarge,
+	fault.NotReady:          http.StatusServiceUnavailable,
+	fault.NoEndpoint:        http.StatusServiceUnavailable,
+	fault.Overloaded:        http.StatusServiceUnavailable,
+	fault.QuarantinedPrompt: http.StatusServiceUnavailable,
+	fault.DeadlinePassed:    http.StatusServiceUnavailable,
+	fault.LostOutcome:       http.StatusBadGateway,
+	fault.EndpointFault:     http.StatusBadGateway,
+	fault.Interrupted:       http.StatusGatewayTimeout,
 }
 
 const (
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -34,6 +34,8 @@
 	chunked bool // an answer of unknown length is sent in chunks; false for HTTP/1.0
 
 	tried             map[catalog.EndpointID]bool
+	trial             bool // it may pass although a part of its prompt is quarantined
+	quarantined       bool // a part of its prompt is quarantined
 	heldOffCount      int  // tried endpoints that wanted no requests at the time
 	possibleRuns      int  // endpoints that have run the call or may have
 	sendCount         int  // endpoints that may have received the call, including those that stated that they did not run it
@@ -81,7 +83,7 @@
 func (f *forwarder) run() {
 	defer f.cancel()
 	f.g.retryBudget(f.service).Deposit()
-	for len(f.tried) < f.endpointLimit() {
+	for len(f.tried) < f.endpointLimit() && !f.quarantined && !f.isQuarantined() {
 		endpoint := f.pick()
 		if endpoint == nil {
 			break
@@ -146,7 +148,7 @@
 // mayRetry reports whether another endpoint may be tried after an attempt that gave the caller no answer. It takes a token
 // of the retry budget if an endpoint may have received the call already.
 func (f *forwarder) mayRetry() bool {
-	if f.possibleRuns > 0 && f.route.Repeat != catalog.Idempotent {
+	if f.possibleRuns > 0 && (f.trial || f.route.Repeat != catalog.Idempotent) {
 		return false
 	}
 	if f.possibleRuns >= max(1, f.route.MaxAttempts) {
@@ -209,11 +211,15 @@
 		if refusal.heldOff {
 			f.heldOffCount++
 		}
+		f.quarantined = refusal.quarantined
 		return
 	}
 	if f.ctx.Err() == nil {
 		f.g.recordFailure(endpoint)
 	}
+	if !dispatch.NotSent(err) {
+		f.recordDirectBreak(endpoint)
+	}
 	f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Bool("not_sent", dispatch.NotSent(err)).Err(err).Msg("endpoint gave no answer")
 	if dispatch.NotSent(err) {
 		return
@@ -241,6 +247,8 @@
 // finalError returns the error for the caller. Its kind tells whether the call may have run.
 func (f *forwarder) finalError() error {
 	switch {
+	case f.certainlyNotRun && f.quarantined:
+		return fault.New(fault.QuarantinedPrompt, "a part of the prompt has crashed engines", "change the prompt, or come back later")
 	case f.certainlyNotRun && f.sendCount == 0 && f.lastErr == nil:
 		return fault.New(fault.NoEndpoint, "no endpoint of "+string(f.service)+" may run the request now", "come back later")
 	case f.certainlyNotRun:
@@ -268,6 +276,9 @@
 	if f == nil {
 		return minRetryAfter
 	}
+	if f.quarantined && f.certainlyNotRun {
+		return quarantineRetryAfter
+	}
 	query := f.lastQuery
 	query.Now = f.g.now()
 	holdOff, _ := f.g.placer.HoldOff(f.g.follower.View().AvailableEndpoints(f.service), query)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -15,12 +16,14 @@
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/follow"
 	"github.com/lovageglade/lovageglade/internal/placement"
+	"github.com/lovageglade/lovageglade/internal/quarantine"
 	"github.com/lovageglade/lovageglade/internal/retry"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
@@ -36,6 +39,9 @@
 	placer            *placement.Placer
 	sidecars          *sidecarTracker
 	rates             *rateShare
+	quarantine        *quarantine.Ledger
+	spreader          *quarantine.Spreader
+	directCrashes     *crashDetectors
 	start             time.Time
 	draining          atomic.Bool
 	lastReportedReady atomic.Bool // the last answer to the load balancer's readiness check
@@ -46,17 +52,22 @@
 
 // New returns a gateway that has not started. Run runs the follower as well.
 func New(config settings.Gateway, codec call.Codec, follower *follow.Follower, logger *log.Logger) *Gateway {
+	ledger := quarantine.NewLedger(config.Host, bootclock.Now)
+	ledger.OnVerdict = quarantine.LogVerdicts(logger)
 	return &Gateway{
-		settings:     config,
-		codec:        codec,
-		follower:     follower,
-		logger:       logger,
-		pool:         dispatch.NewPool(),
-		placer:       placement.NewPlacer(),
-		sidecars:     newSidecarTracker(),
-		rates:        newRateShare(config.ControlAddress, config.Delegates),
-		start:        time.Now(),
-		retryBudgets: make(map[core.Service]*retry.Budget),
+		quarantine:    ledger,
+		spreader:      quarantine.NewSpreader(ledger, config.ControlAddress, config.Delegates, logger),
+		directCrashes: newCrashDetectors(ledger, logger),
+		settings:      config,
+		codec:         codec,
+		follower:      follower,
+		logger:        logger,
+		pool:          dispatch.NewPool(),
+		placer:        placement.NewPlacer(),
+		sidecars:      newSidecarTracker(),
+		rates:         newRateShare(config.ControlAddress, config.Delegates),
+		start:         time.Now(),
+		retryBudgets:  make(map[core.Service]*retry.Budget),
 	}
 }
 
@@ -83,6 +94,7 @@
 	defer stop()
 	var tasks conc.WaitGroup
 	tasks.Go(func() { g.follower.Run(runCtx) })
+	tasks.Go(func() { g.spreader.Run(runCtx) })
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: readyTimeout}
 	tasks.Go(func() { g.serve(readiness, ready) })
 	server := g.frontServer()
@@ -102,6 +114,7 @@
 // controlMethods returns the methods that the gateway serves on its control address, by name.
 func (g *Gateway) controlMethods() map[string]rpc.Method {
 	methods := g.follower.Methods()
+	maps.Copy(methods, g.spreader.Methods())
 	methods[methodTakeRate] = rpc.Handle(func(_ context.Context, request takeRateRequest) (takeRateResponse, error) {
 		return g.rates.grant(request, g.now()), nil
 	})
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/lovageglade/lovageglade/internal/catalog"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/dispatch"
+	"github.com/lovageglade/lovageglade/internal/quarantine"
+)
+
+// quarantineRetryAfter is what callers of requests with a quarantined part are told at least. A retry with the same prompt is of no
+// use before the next trial of the part.
+const quarantineRetryAfter = 30 * time.Second
+
+// isQuarantined reports whether the call must not be sent to an engine because of a quarantined part of its prompt. A call that
+// may pass as a trial of the part is marked as such.
+func (f *forwarder) isQuarantined() bool {
+	if f.trial {
+		return false
+	}
+	part, blocked := f.g.quarantine.Blocked(f.call.SharedParts)
+	if !blocked {
+		return false
+	}
+	if f.certainlyNotRun && f.g.keepsTrialsOf(part) && f.g.quarantine.TakeTrial(part) {
+		f.trial = true
+		f.g.logger.Info().Str("request", string(f.call.ID)).Str("part", string(part)).Msg("trial of a quarantined prompt part")
+		return false
+	}
+	f.quarantined = true
+	return true
+}
+
+// keepsTrialsOf reports whether this gateway lets trials of the part pass: one of the delegates does, selected by the part, so
+// that there are few of them however many gateways there are.
+func (g *Gateway) keepsTrialsOf(part core.PromptPart) bool {
+	delegates := g.settings.Delegates
+	if len(delegates) == 0 {
+		return true
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(part)) // never fails
+	return delegates[hash.Sum32()%uint32(len(delegates))] == g.settings.ControlAddress
+}
+
+// recordDirectBreak records that an engine gave no answer to a direct request or broke it off.
+func (f *forwarder) recordDirectBreak(endpoint *catalog.Endpoint) {
+	if f.releaseDirectSlot == nil || f.ctx.Err() != nil {
+		return // a sidecar sees crashes of its engine itself
+	}
+	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: f.call.ID, Parts: f.call.SharedParts}}
+	if f.stream != nil && !f.stream.attemptBegan.IsZero() {
+		broken.WroteFor = time.Since(f.stream.attemptBegan)
+	}
+	f.g.directCrashes.of(endpoint).Record(broken)
+}
+
+// recordWholeAnswer records that the call did not crash its engine. An unframed answer may end with a crash.
+func (f *forwarder) recordWholeAnswer() {
+	if f.framing != dispatch.Unframed {
+		f.g.quarantine.RecordAnswer(f.call.SharedParts)
+	}
+}
+
+// maxCrashDetectors bounds the detectors for addresses of engines that may be gone.
+const maxCrashDetectors = 1000
+
+// crashDetectors holds a detector for each engine that was sent direct requests. It is safe for concurrent use.
+type crashDetectors struct {
+	ledger *quarantine.Ledger
+	logger *log.Logger
+
+	mu        sync.Mutex
+	byAddress map[string]*quarantine.Detector
+}
+
+func newCrashDetectors(ledger *quarantine.Ledger, logger *log.Logger) *crashDetectors {
+	return &crashDetectors{ledger: ledger, logger: logger, byAddress: make(map[string]*quarantine.Detector)}
+}
+
+func (c *crashDetectors) of(endpoint *catalog.Endpoint) *quarantine.Detector {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	detector := c.byAddress[endpoint.Address]
+	if detector == nil {
+		if len(c.byAddress) >= maxCrashDetectors {
+			clear(c.byAddress) // checks under way end by themselves
+		}
+		address := endpoint.Address
+		detector = quarantine.NewDetector(address, func(suspects []quarantine.Suspect, broken int) {
+			c.logger.Warn().Str("address", address).Int("broken_off", broken).Msg("engine crashed")
+			c.ledger.RecordCrash(suspects)
+		})
+		c.byAddress[address] = detector
+	}
+	return detector
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -20,8 +20,9 @@
 // refusalError reports that a sidecar, or the gateway itself while the sidecar is unreachable, refused to send the request
 // to the endpoint.
 type refusalError struct {
-	reason  string
-	heldOff bool // the endpoint wants no requests now; other endpoints are as good as without it
+	reason      string
+	heldOff     bool // the endpoint wants no requests now; other endpoints are as good as without it
+	quarantined bool // all endpoints refuse the request because of a part of its prompt
 }
 
 // Error implements error.
@@ -49,6 +50,9 @@
 		request.Address = f.g.relayAddress(endpoint)
 		f.setFirstEventBound(request.Header)
 		f.setMinVersion(request.Header)
+		if f.trial {
+			request.Header.Set(wire.HeaderTrial, "1")
+		}
 		answer, info, err := f.exchange(ctx, endpoint, request)
 		if err == nil {
 			return f.readSidecarAnswer(endpoint, answer, info)
@@ -62,6 +66,7 @@
 	}
 	request.Header.Del(wire.HeaderFirstEvent)
 	request.Header.Del(wire.HeaderMinVersion)
+	request.Header.Del(wire.HeaderTrial)
 	return f.sendDirect(ctx, endpoint, request)
 }
 
@@ -183,7 +188,7 @@
 	}
 	f.g.recordWithdrawal(endpoint, answer.Header.Get(wire.HeaderLeaving) != "", time.Duration(holdOff)*time.Millisecond)
 	drainAndClose(answer)
-	return nil, info, &refusalError{reason: reason, heldOff: holdOff > 0}
+	return nil, info, &refusalError{reason: reason, heldOff: holdOff > 0, quarantined: answer.Header.Get(wire.HeaderQuarantined) != ""}
 }
 
 // parseLoad parses the load that a sidecar reports as "running,queued,limit".
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,6 +23,7 @@
 	firstEvent   time.Duration // time from the request's arrival to the first event
 	longestPause time.Duration // longest pause between two events
 	lastEventAt  time.Time
+	attemptBegan time.Time // when the first event of the current attempt arrived
 }
 
 // recordEvent records that the event was sent to the caller, whose request came at arrived.
@@ -34,6 +35,9 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
+	if s.attemptBegan.IsZero() {
+		s.attemptBegan = now
+	}
 	s.lastEventID = eventIDOf(event, s.lastEventID)
 }
 
@@ -43,6 +47,7 @@
 	if f.stream == nil {
 		f.stream = &streamState{}
 	}
+	f.stream.attemptBegan = time.Time{}
 	if !info.Signed {
 		f.recordBrokenAnswer(endpoint, fault.New(fault.EndpointFault, "the stream has no signature", "check the endpoint's logs"))
 		return false
@@ -57,6 +62,7 @@
 		return true
 	}
 	f.g.recordSuccess(endpoint)
+	f.recordWholeAnswer()
 	f.sendStreamHeader(answer)
 	return true
 }
--- /dev/null
+++ b/internal/quarantine/evidence_test.go
@@ -0,0 +1,59 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+)
+
+// crashOf returns a crash under requests with the given prompts. Each prompt is a list of parts; each request has its own id.
+func crashOf(id int, prompts ...[]core.PromptPart) *Crash {
+	crash := &Crash{ID: CrashID(fmt.Sprint(id))}
+	for i, parts := range prompts {
+		crash.Suspects = append(crash.Suspects, Suspect{Request: core.RequestID(fmt.Sprintf("%d-%d", id, i)), Parts: parts})
+	}
+	return crash
+}
+
+type prompt = []core.PromptPart
+
+func TestOffenders(t *testing.T) {
+	repeated := []*Crash{crashOf(1, prompt{"c", "a"}), crashOf(2, prompt{"c", "a"}), crashOf(3, prompt{"c", "a"})}
+	for _, crash := range repeated {
+		crash.Suspects[0].Request = "the same"
+	}
+	cleared := []*Crash{crashOf(1, prompt{"c", "a"}), crashOf(2, prompt{"c", "a"}), crashOf(3, prompt{"c", "a"})}
+	cleared[0].Cleared = prompt{"a", "c"}
+	var two []*Crash
+	for id := range 6 {
+		crash := crashOf(id, prompt{"c", []core.PromptPart{"x", "y"}[id%2]})
+		crash.Cleared = prompt{"c"}
+		two = append(two, crash)
+	}
+	for _, test := range []struct {
+		name    string
+		crashes []*Crash
+		want    prompt
+	}{
+		{"no crash", nil, nil},
+		{"two crashes", []*Crash{crashOf(1, prompt{"c", "x"}), crashOf(2, prompt{"c", "x"})}, nil},
+		{"the part behind the common one", []*Crash{crashOf(1, prompt{"c", "x", "a"}), crashOf(2, prompt{"c", "x", "b"}), crashOf(3, prompt{"c", "x"})}, prompt{"x"}},
+		{"bystanders of explained crashes", []*Crash{
+			crashOf(1, prompt{"c", "x"}, prompt{"c", "s"}), crashOf(2, prompt{"c", "x"}, prompt{"c", "s"}), crashOf(3, prompt{"c", "x"}, prompt{"c", "s"}),
+			crashOf(4, prompt{"c", "x"}),
+		}, prompt{"x"}},
+		{"two parts, and answers with the common one", two, prompt{"x", "y"}},
+		{"the first part", []*Crash{crashOf(1, prompt{"x", "a"}), crashOf(2, prompt{"x", "b"}), crashOf(3, prompt{"x", "d"})}, prompt{"x"}},
+		{"one request that is repeated", repeated, nil},
+		{"an answer was completed after the first crash", cleared, nil},
+		{"crashes without a common part", []*Crash{crashOf(1, prompt{"a"}), crashOf(2, prompt{"b"}), crashOf(3, prompt{"d"})}, nil},
+	} {
+		got := offenders(test.crashes)
+		slices.Sort(got)
+		if !slices.Equal(got, test.want) {
+			t.Errorf("%s: the offenders are %v, want %v", test.name, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/quarantine/exchange.go
@@ -0,0 +1,96 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Report is what one process tells another of crashes.
+type Report struct {
+	Crashes []AgedCrash `json:"crashes,omitempty"`
+}
+
+// AgedCrash is a crash with its age, as the clocks of processes differ.
+type AgedCrash struct {
+	Crash
+	AgeMs int64 `json:"age_ms"`
+}
+
+// reportSince returns the crashes that have changed since the version, and the version that it includes.
+func (l *Ledger) reportSince(version uint64) (Report, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.collect(func(r *record) bool { return r.version > version }), l.version
+}
+
+// takeOwn returns the crashes that this process has seen or cleared parts of since the last call.
+func (l *Ledger) takeOwn() Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	report := l.collect(func(r *record) bool { return r.own })
+	for _, r := range l.records {
+		r.own = false
+	}
+	return report
+}
+
+// collect returns the crashes that the condition selects. The caller holds l.mu.
+func (l *Ledger) collect(selects func(*record) bool) Report {
+	var report Report
+	now := l.now()
+	for _, r := range l.records {
+		if selects(r) {
+			crash := r.Crash
+			crash.Cleared = slices.Clone(r.Cleared)
+			report.Crashes = append(report.Crashes, AgedCrash{Crash: crash, AgeMs: (now - r.at).Milliseconds()})
+		}
+	}
+	return report
+}
+
+// merge takes over what is new in a report of another process.
+func (l *Ledger) merge(report Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := false
+	for _, theirs := range report.Crashes {
+		changed = l.mergeCrash(theirs) || changed
+	}
+	if changed {
+		l.update()
+	}
+}
+
+// mergeCrash takes over one crash and returns whether anything of it was new. The caller holds l.mu.
+func (l *Ledger) mergeCrash(theirs AgedCrash) bool {
+	age := time.Duration(theirs.AgeMs) * time.Millisecond
+	i := slices.IndexFunc(l.records, func(r *record) bool { return r.ID == theirs.ID })
+	if i < 0 {
+		if age > crashRetention {
+			return false
+		}
+		l.add(&record{Crash: theirs.Crash, at: l.now() - age})
+		return true
+	}
+	changed := false
+	for _, part := range theirs.Cleared {
+		if r := l.records[i]; !slices.Contains(r.Cleared, part) {
+			r.Cleared = append(slices.Clip(r.Cleared), part)
+			r.version = l.version + 1
+			changed = true
+		}
+	}
+	return changed
+}
+
+// waitForChange returns a channel that is closed at the next change after the version; it is closed already if there was one.
+func (l *Ledger) waitForChange(version uint64) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.version == version {
+		return l.changed
+	}
+	closed := make(chan struct{})
+	close(closed)
+	return closed
+}
--- /dev/null
+++ b/internal/quarantine/ledger.go
@@ -0,0 +1,200 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+)
+
+// trialDelays are the times from a verdict at which one request with the part may pass, since no answer can clear a part that is
+// quarantined. After the last of them, trials pass at its multiples. A crash under a trial counts as any other.
+var trialDelays = []time.Duration{2 * time.Second, 30 * time.Second, 10 * time.Minute}
+
+// trialDelay returns the time from the verdict to the trial after the given number of them.
+func trialDelay(trials int) time.Duration {
+	if last := len(trialDelays) - 1; trials > last {
+		return trialDelays[last] * time.Duration(trials-last+1)
+	}
+	return trialDelays[trials]
+}
+
+// record is a crash as this process knows it.
+type record struct {
+	Crash
+	at      time.Duration // by this process's clock
+	version uint64        // of the ledger at the last change
+	own     bool          // changed by this process and not yet told to the delegates
+}
+
+// verdict is a quarantined part.
+type verdict struct {
+	since  time.Duration
+	trials int // that have passed here
+}
+
+// Ledger holds what a process knows of crashes and the parts that it has quarantined. It is safe for concurrent use.
+type Ledger struct {
+	origin string // prefix of the ids of crashes that this process has seen
+	now    func() time.Duration
+	// OnVerdict, if set, is called with each part that is quarantined or no longer is. It must not block or use the ledger.
+	OnVerdict func(part core.PromptPart, quarantined bool, crashes int)
+
+	mu       sync.Mutex
+	records  []*record // oldest first
+	verdicts map[core.PromptPart]*verdict
+	judgeAt  time.Duration // when the next crash begins or ceases to count; 0 for none
+	seen     int           // crashes that this process has seen
+	version  uint64        // rises with each change
+	changed  chan struct{} // closed and replaced at each change
+}
+
+// NewLedger returns an empty ledger of the host. Its clock must count the time in which the machine is suspended.
+func NewLedger(host core.HostID, now func() time.Duration) *Ledger {
+	origin := string(host) + "/" + strconv.FormatUint(rand.Uint64(), 36) + "/"
+	return &Ledger{origin: origin, now: now, verdicts: make(map[core.PromptPart]*verdict), version: 1, changed: make(chan struct{})}
+}
+
+// RecordCrash records a crash that this process has seen, with the requests that the engine had just begun to answer or not yet.
+func (l *Ledger) RecordCrash(suspects []Suspect) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen++
+	crash := Crash{ID: CrashID(l.origin + strconv.Itoa(l.seen)), Suspects: suspects[:min(len(suspects), maxSuspects)]}
+	l.add(&record{Crash: crash, at: l.now(), own: true})
+	l.update()
+}
+
+// RecordAnswer records that an answer to a request with the parts was completed, or has gone on for long enough that the request
+// cannot crash its engine by being begun.
+func (l *Ledger) RecordAnswer(parts []core.PromptPart) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cleared := false
+	for _, r := range l.records {
+		for _, part := range parts {
+			if r.has(part) {
+				r.Cleared = append(slices.Clip(r.Cleared), part)
+				r.own, r.version = true, l.version+1
+				cleared = true
+			}
+		}
+	}
+	if cleared {
+		l.update()
+	}
+}
+
+// Blocked returns a quarantined part among the parts, and false if there is none.
+func (l *Ledger) Blocked(parts []core.PromptPart) (core.PromptPart, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.judgeIfDue()
+	for _, part := range parts {
+		if l.verdicts[part] != nil {
+			return part, true
+		}
+	}
+	return "", false
+}
+
+// TakeTrial returns true if a request with the blocked part may pass now to find out whether the part still crashes engines. Only
+// one process of a deployment may use it for a part.
+func (l *Ledger) TakeTrial(part core.PromptPart) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.verdicts[part]
+	if v == nil || l.now()-v.since < trialDelay(v.trials) {
+		return false
+	}
+	v.trials++
+	return true
+}
+
+// add adds a record. The caller holds l.mu and calls update.
+func (l *Ledger) add(r *record) {
+	r.version = l.version + 1
+	l.records = append(l.records, r)
+	if len(l.records) > maxCrashes {
+		oldest := max(0, slices.IndexFunc(l.records, func(r *record) bool { return !l.supportsVerdict(r) }))
+		l.records = slices.Delete(l.records, oldest, oldest+1)
+	}
+}
+
+// supportsVerdict reports whether the crash speaks against a quarantined part. The caller holds l.mu.
+func (l *Ledger) supportsVerdict(r *record) bool {
+	for part := range l.verdicts {
+		if r.has(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// update judges anew and wakes those that wait for a change. The caller holds l.mu.
+func (l *Ledger) update() {
+	l.version++
+	close(l.changed)
+	l.changed = make(chan struct{})
+	l.judge()
+}
+
+func (l *Ledger) judgeIfDue() {
+	if l.judgeAt > 0 && l.now() >= l.judgeAt {
+		l.judge()
+	}
+}
+
+// judge brings the verdicts up to date with the crashes that are old enough. The caller holds l.mu.
+func (l *Ledger) judge() {
+	now := l.now()
+	l.records = slices.DeleteFunc(l.records, func(r *record) bool { return now-r.at > crashRetention })
+	l.judgeAt = 0
+	var counted []*Crash
+	for _, r := range l.records {
+		due := r.at + verdictDelay
+		if now >= due {
+			counted = append(counted, &r.Crash)
+			due = r.at + crashRetention + 1
+		}
+		if l.judgeAt == 0 || due < l.judgeAt {
+			l.judgeAt = due
+		}
+	}
+	found := offenders(counted)
+	for _, part := range found {
+		if l.verdicts[part] == nil {
+			l.verdicts[part] = &verdict{since: now}
+			l.report(part, true, counted)
+		}
+	}
+	for part := range l.verdicts {
+		if !slices.Contains(found, part) {
+			delete(l.verdicts, part)
+			l.report(part, false, counted)
+		}
+	}
+}
+
+func (l *Ledger) report(part core.PromptPart, quarantined bool, counted []*Crash) {
+	if l.OnVerdict == nil {
+		return
+	}
+	crashes := 0
+	for _, crash := range counted {
+		if crash.has(part) {
+			crashes++
+		}
+	}
+	l.OnVerdict(part, quarantined, crashes)
+}
+
+// Crashes returns the number of crashes that count or soon will.
+func (l *Ledger) Crashes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
--- /dev/null
+++ b/internal/quarantine/ledger_test.go
@@ -0,0 +1,101 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+)
+
+// newTestLedger returns a ledger with a clock that the test sets.
+func newTestLedger() (l *Ledger, clock *time.Duration) {
+	clock = new(time.Duration)
+	*clock = time.Hour
+	return NewLedger("host", func() time.Duration { return *clock }), clock
+}
+
+// crashThree records three crashes under requests with the part x behind the common part c.
+func crashThree(l *Ledger) {
+	for id := range minCrashes {
+		l.RecordCrash(crashOf(id, prompt{"c", "x"}).Suspects)
+	}
+}
+
+func isBlocked(l *Ledger, parts prompt) bool {
+	_, blocked := l.Blocked(parts)
+	return blocked
+}
+
+func TestPartIsQuarantinedOnceItsCrashesCount(t *testing.T) {
+	l, clock := newTestLedger()
+	crashThree(l)
+	if isBlocked(l, prompt{"c", "x"}) {
+		t.Error("the part is quarantined before answers of other engines could clear it")
+	}
+	*clock += verdictDelay
+	if !isBlocked(l, prompt{"c", "x"}) || isBlocked(l, prompt{"c", "y"}) {
+		t.Error("not only requests with the part are blocked")
+	}
+	*clock += crashRetention + 1
+	if isBlocked(l, prompt{"x"}) {
+		t.Error("crashes count for ever")
+	}
+}
+
+func TestAnswersClearTheirParts(t *testing.T) {
+	l, clock := newTestLedger()
+	crashThree(l)
+	l.RecordAnswer(prompt{"c", "x"})
+	*clock += verdictDelay
+	if isBlocked(l, prompt{"c", "x"}) {
+		t.Error("a part is quarantined although an answer with it was completed since")
+	}
+	crashThree(l) // again
+	*clock += verdictDelay
+	if !isBlocked(l, prompt{"x"}) {
+		t.Fatal("an answer clears later crashes")
+	}
+	l.RecordAnswer(prompt{"x"}) // of a trial
+	if isBlocked(l, prompt{"x"}) {
+		t.Error("an answer does not end the quarantine")
+	}
+}
+
+func TestTrialsOfAQuarantinedPartAreRare(t *testing.T) {
+	l, clock := newTestLedger()
+	crashThree(l)
+	*clock += verdictDelay
+	if !isBlocked(l, prompt{"x"}) || l.TakeTrial("x") {
+		t.Error("a trial passes at once")
+	}
+	trials := 0
+	for range 600 {
+		*clock += time.Second
+		if l.TakeTrial("x") {
+			trials++
+		}
+	}
+	if trials != len(trialDelays) {
+		t.Errorf("%d trials in ten minutes, want %d", trials, len(trialDelays))
+	}
+	if l.TakeTrial("other") {
+		t.Error("a trial of a part that is not quarantined")
+	}
+}
+
+func TestLedgerKeepsABoundedNumberOfCrashes(t *testing.T) {
+	l, clock := newTestLedger()
+	crashThree(l)
+	*clock += verdictDelay
+	if !isBlocked(l, prompt{"x"}) {
+		t.Fatal("the part is not quarantined")
+	}
+	for id := range 3 * maxCrashes {
+		l.RecordCrash(crashOf(100+id, prompt{"c", core.PromptPart(fmt.Sprint(id))}).Suspects)
+		l.RecordAnswer(prompt{"c"})
+	}
+	if len(l.records) != maxCrashes || !isBlocked(l, prompt{"x"}) {
+		t.Errorf("%d crashes are kept; the first part is quarantined: %v", len(l.records), isBlocked(l, prompt{"x"}))
+	}
+}
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -1,95 +1,68 @@
 package sidecar
 
 import (
-	"context"
-	"errors"
-	"net"
-	"sync"
-	"syscall"
+	"net/http"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/dispatch"
+	"github.com/lovageglade/lovageglade/internal/quarantine"
+	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
-const (
-	// crashSettleTime is how long after a broken answer the engine is checked: the other answers break off meanwhile, and its
-	// listening socket is closed. It is checked a second time after as long again.
-	crashSettleTime  = 30 * time.Millisecond
-	crashDialTimeout = 300 * time.Millisecond
-	// beginWindow is the time from the first byte of an answer in which a request may crash the engine by being begun.
-	beginWindow = 500 * time.Millisecond
-)
-
-// brokenCall is a call whose answer broke off, or that got none.
-type brokenCall struct {
-	request  core.RequestID
-	parts    []core.PromptPart
-	wroteFor time.Duration // from the first byte of the answer until it broke off; 0 if there was none
+// isQuarantined reports whether a part of the call's prompt is quarantined, unless the request is a trial of it.
+func (s *Sidecar) isQuarantined(r *http.Request, c *call.Call) bool {
+	_, blocked := s.quarantine.Blocked(c.SharedParts)
+	return blocked && r.Header.Get(wire.HeaderTrial) == ""
 }
 
-// justBegun reports whether the engine had not yet begun to answer the call or had just begun.
-func (b brokenCall) justBegun() bool { return b.wroteFor < beginWindow }
-
-// crashDetector tells a crash of the engine from a single broken answer: after a crash nothing listens at its address for some
-// time. It is safe for concurrent use.
-type crashDetector struct {
-	address string
-	onCrash func([]brokenCall)
-
-	mu       sync.Mutex
-	broken   []brokenCall // not yet checked
-	checking bool
+// engineCrashed records a crash of the engine and the requests that may have caused it.
+func (s *Sidecar) engineCrashed(suspects []quarantine.Suspect, broken int) {
+	var requests, parts []string
+	for _, suspect := range suspects {
+		requests = append(requests, string(suspect.Request))
+		parts = append(parts, partNames(suspect.Parts)...)
+	}
+	s.logger.Warn().Int("broken_off", broken).Strs("just_begun", requests).Strs("prompt_parts", parts).Msg("engine crashed")
+	s.quarantine.RecordCrash(suspects)
 }
 
-// record records a broken call and starts a check unless one is under way.
-func (d *crashDetector) record(call brokenCall) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.broken = append(d.broken, call)
-	if d.checking {
-		return
+// partNames returns the parts for a log line.
+func partNames(parts []core.PromptPart) []string {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, string(part))
 	}
-	d.checking = true
-	go d.check() // ends after two dials at the latest
+	return names
 }
 
-func (d *crashDetector) check() {
-	crashed := false
-	for attempt := 0; attempt < 2 && !crashed; attempt++ {
-		time.Sleep(crashSettleTime)
-		crashed = d.refusesConnections()
-	}
-	d.mu.Lock()
-	broken := d.broken
-	d.broken, d.checking = nil, false
-	d.mu.Unlock()
-	if crashed {
-		d.onCrash(broken)
+// recordProgress records once that the answer has gone on for so long that the call cannot have crashed the engine.
+func (s *Sidecar) recordProgress(a *admittedCall) {
+	if !a.cleared && time.Since(a.arrived)-a.firstByteAfter > quarantine.BeginWindow {
+		a.cleared = true
+		s.quarantine.RecordAnswer(a.call.SharedParts)
 	}
 }
 
-// refusesConnections reports whether nothing listens at the engine's address. A host that is silent proves nothing.
-func (d *crashDetector) refusesConnections() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), crashDialTimeout)
-	defer cancel()
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", d.address)
-	if err == nil {
-		_ = conn.Close()
+// recordEnd records the end of an answer whose connection was not broken. An unframed answer ends like this in a crash, too.
+func (s *Sidecar) recordEnd(r *http.Request, a *admittedCall, answer *dispatch.Response) {
+	switch {
+	case answer.Framing == dispatch.Unframed:
+		s.recordBroken(r, a)
+	case answer.Status == http.StatusOK && a.answerBegun:
+		s.quarantine.RecordAnswer(a.call.SharedParts)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// engineCrashed logs a crash of the engine and the requests that may have caused it.
-func (s *Sidecar) engineCrashed(broken []brokenCall) {
-	var requests, parts []string
-	for _, b := range broken {
-		if !b.justBegun() {
-			continue
-		}
-		requests = append(requests, string(b.request))
-		for _, part := range b.parts {
-			parts = append(parts, string(part))
-		}
+// recordBroken records that the engine gave no answer to the call or broke it off, unless the gateway gave the call up.
+func (s *Sidecar) recordBroken(r *http.Request, a *admittedCall) {
+	if r.Context().Err() != nil {
+		return
+	}
+	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: a.call.ID, Parts: a.call.SharedParts}}
+	if a.answerBegun {
+		broken.WroteFor = time.Since(a.arrived) - a.firstByteAfter
 	}
-	s.logger.Warn().Int("broken_off", len(broken)).Strs("just_begun", requests).Strs("prompt_parts", parts).Msg("engine crashed")
+	s.crashes.Record(broken)
 }
--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -1,36 +1,93 @@
 package sidecar
 
 import (
-	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
+
+	"github.com/lovageglade/lovageglade/internal/call"
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/quarantine"
+	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
-func TestCrashIsToldFromABrokenAnswer(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	crashes := make(chan []brokenCall, 10)
-	detector := &crashDetector{address: listener.Addr().String(), onCrash: func(broken []brokenCall) { crashes <- broken }}
-	detector.record(brokenCall{request: "cut"})
-	waitFor(t, "the first check", func() bool {
-		detector.mu.Lock()
-		defer detector.mu.Unlock()
-		return !detector.checking
+// promptCodec reads a request's id and the shared part of its prompt from two headers.
+type promptCodec struct{ passThroughCodec }
+
+func (c promptCodec) DecodeForwarded(r *http.Request) (*call.Call, error) {
+	decoded, err := c.passThroughCodec.DecodeForwarded(r)
+	if err == nil {
+		decoded.ID = core.RequestID(r.Header.Get("ID"))
+		decoded.SharedParts = []core.PromptPart{core.PromptPart(r.Header.Get("Part"))}
+	}
+	return decoded, err
+}
+
+// newPromptSidecar returns a sidecar of an engine that breaks off its answers to requests with the part "bad".
+func newPromptSidecar(t *testing.T) *Sidecar {
+	t.Helper()
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Part") == "bad" {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte("ok"))
+	})
+	engine := &fakeEngine{staged: make(map[int][]byte), corruptChunk: -1, version: 1}
+	s := newSidecar(t, engine, &fakeOrigin{}, &fakeSource{}, address)
+	s.codec = promptCodec{}
+	waitFor(t, "version 1", func() bool { return s.servingVersion.Load() == 1 })
+	return s
+}
+
+// relayPrompt sends a request with the part and returns the answer, or nil if the sidecar broke it off.
+func relayPrompt(s *Sidecar, id, part string, header ...string) (answer *httptest.ResponseRecorder) {
+	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+	request.Header.Set("ID", id)
+	request.Header.Set("Part", part)
+	for _, name := range header {
+		request.Header.Set(name, "1")
+	}
+	recorder := httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			answer = nil
+		}
+	}()
+	s.serveRelay(recorder, request)
+	return recorder
+}
+
+func TestSidecarRefusesQuarantinedPartsButTrials(t *testing.T) {
+	s := newPromptSidecar(t)
+	for _, id := range []core.RequestID{"r1", "r2", "r3"} {
+		s.quarantine.RecordCrash([]quarantine.Suspect{{Request: id, Parts: []core.PromptPart{"mended"}}})
+	}
+	waitFor(t, "the quarantine", func() bool {
+		_, blocked := s.quarantine.Blocked([]core.PromptPart{"mended"})
+		return blocked
 	})
-	if len(crashes) != 0 {
-		t.Error("a broken answer of an engine that accepts connections counts as a crash")
-	}
-	_ = listener.Close()
-	detector.record(brokenCall{request: "begun", wroteFor: time.Millisecond})
-	detector.record(brokenCall{request: "long", wroteFor: beginWindow})
-	select {
-	case broken := <-crashes:
-		if len(broken) != 2 || !broken[0].justBegun() || broken[1].justBegun() {
-			t.Errorf("the crash has the calls %+v, want one that was just begun and one that was not", broken)
+	answer := relayPrompt(s, "r4", "mended")
+	if answer.Code != http.StatusServiceUnavailable || answer.Header().Get(wire.HeaderQuarantined) != "1" {
+		t.Errorf("a request with a quarantined part was answered with %d, %v", answer.Code, answer.Header())
+	}
+	if answer := relayPrompt(s, "r5", "mended", wire.HeaderTrial); answer.Code != http.StatusOK {
+		t.Errorf("a trial was answered with %d", answer.Code)
+	}
+	if answer := relayPrompt(s, "r6", "mended"); answer.Code != http.StatusOK {
+		t.Errorf("a request after a whole answer to a trial was answered with %d", answer.Code)
+	}
+}
+
+func TestBrokenAnswersOfALivingEngineQuarantineNothing(t *testing.T) {
+	s := newPromptSidecar(t)
+	for _, id := range []string{"r1", "r2", "r3", "r4"} {
+		if answer := relayPrompt(s, id, "bad"); answer != nil {
+			t.Fatalf("a broken answer was relayed with %d", answer.Code)
 		}
-	case <-time.After(testTimeout):
-		t.Fatal("a crash was not noticed")
+		time.Sleep(100 * time.Millisecond) // longer than the check after a broken answer
+	}
+	if s.quarantine.Crashes() != 0 {
+		t.Errorf("%d crashes of an engine that lives", s.quarantine.Crashes())
 	}
 }
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -27,6 +27,7 @@
 	refusedLeaving        = "engine is leaving"
 	refusedHeldOff        = "engine wants no requests for some time"
 	refusedRate           = "engine has reached the request rate that it states"
+	refusedQuarantined    = "a part of the prompt has crashed engines"
 )
 
 const (
@@ -50,6 +51,11 @@
 		s.refuse(w, c, reason, nil)
 		return
 	}
+	if s.isQuarantined(r, c) {
+		w.Header().Set(wire.HeaderQuarantined, "1")
+		s.refuse(w, c, refusedQuarantined, nil)
+		return
+	}
 	if !s.canServe(minVersionOf(r)) {
 		s.refuse(w, c, refusedLoading, nil)
 		return
@@ -71,6 +77,7 @@
 	bound := firstEventBound(r)
 	c.Forward.Del(wire.HeaderFirstEvent)
 	c.Forward.Del(wire.HeaderMinVersion)
+	c.Forward.Del(wire.HeaderTrial)
 	prompt, estimate := s.prompts.Admit(c.PromptTokens, bound)
 	if prompt == nil {
 		s.gate.ReleaseUnmeasured()
@@ -119,6 +126,7 @@
 	prompt         *admission.Prompt
 	estimate       time.Duration    // estimated time to the first event
 	answerBegun    bool             // the first part of the answer has arrived
+	cleared        bool             // the parts of its prompt are recorded as not crashing the engine
 	firstByteAfter time.Duration    // time from arrival to the first part of the answer
 	running        int              // requests at the engine on admission, including this one
 	version        int64            // version of the weights
@@ -136,16 +144,7 @@
 
 // logAdmitted logs an admitted request with the inputs of its admission.
 func (s *Sidecar) logAdmitted(a *admittedCall) {
-	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Strs("prompt_parts", promptParts(a.call)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
-}
-
-// promptParts returns the parts of the call's prompt that other requests may have too, for logs.
-func promptParts(c *call.Call) []string {
-	parts := make([]string, 0, len(c.SharedParts))
-	for _, part := range c.SharedParts {
-		parts = append(parts, string(part))
-	}
-	return parts
+	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Strs("prompt_parts", partNames(a.call.SharedParts)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
 }
 
 // canServe reports whether the engine may run a request that needs at least the version. It checks the serve deadline
@@ -216,18 +215,6 @@
 	return true
 }
 
-// recordBroken records that the engine gave no answer to the call or broke it off, unless the gateway gave the call up.
-func (s *Sidecar) recordBroken(r *http.Request, a *admittedCall) {
-	if r.Context().Err() != nil {
-		return
-	}
-	broken := brokenCall{request: a.call.ID, parts: a.call.SharedParts}
-	if a.answerBegun {
-		broken.wroteFor = time.Since(a.arrived) - a.firstByteAfter
-	}
-	s.crashes.record(broken)
-}
-
 // withdrawnReason returns the reason of a refusal while the engine wants no requests, and otherwise "".
 func (s *Sidecar) withdrawnReason() string {
 	switch leaving, holdOff := s.withdrawal.state(bootclock.Now()); {
@@ -264,15 +251,14 @@
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			s.recordFirstByte(a)
+			s.recordProgress(a)
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				panic(http.ErrAbortHandler)
 			}
 			flusher.Flush()
 		}
 		if err == io.EOF {
-			if a.framing == dispatch.Unframed {
-				s.recordBroken(r, a) // a crash ends such an answer like this, too
-			}
+			s.recordEnd(r, a, answer)
 			return
 		}
 		if err != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,12 +19,14 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lovageglade/lovageglade/internal/admission"
+	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/follow"
+	"github.com/lovageglade/lovageglade/internal/quarantine"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
 	"github.com/lovageglade/lovageglade/internal/weights"
@@ -57,7 +59,9 @@
 	withdrawal     withdrawal
 	statedRate     admission.StatedRate
 	rateLimiter    admission.RateLimiter
-	crashes        *crashDetector
+	crashes        *quarantine.Detector
+	quarantine     *quarantine.Ledger
+	spreader       *quarantine.Spreader
 	pool           *dispatch.Pool
 	peerClient     *rpc.Client
 	store          *weights.Store
@@ -97,7 +101,10 @@
 		LinkBytesPerS: int64(config.LinkMbps * bytesPerMbit * weightsLinkShare),
 		Seed:          rand.Uint64(),
 	})
-	s.crashes = &crashDetector{address: config.EngineAddress, onCrash: s.engineCrashed}
+	s.crashes = quarantine.NewDetector(config.EngineAddress, s.engineCrashed)
+	s.quarantine = quarantine.NewLedger(config.Host, bootclock.Now)
+	s.quarantine.OnVerdict = quarantine.LogVerdicts(logger)
+	s.spreader = quarantine.NewSpreader(s.quarantine, "", config.Delegates, logger)
 	follower.OnChange = s.viewChanged
 	return s
 }
@@ -170,6 +177,7 @@
 	tasks.Go(func() { s.follower.Run(runCtx) })
 	tasks.Go(func() { s.distributor.Run(runCtx) })
 	tasks.Go(func() { s.runUpdater(runCtx) })
+	tasks.Go(func() { s.spreader.Run(runCtx) })
 	tasks.Go(func() {
 		s.logListenerEnd("chunks", app.Listener(chunks, fiber.ListenConfig{DisableStartupMessage: true}))
 	})
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -12,9 +12,10 @@
 
 // The metrics of gateways and sidecars, and the count of dropped log lines.
 var (
-	answers             = expvar.NewMap("lovage_answers")        // requests by route and outcome
-	admissionRejections = expvar.NewMap("lovage_turned_away")    // requests that a sidecar did not admit, by reason
-	answerFramings      = expvar.NewMap("lovage_answer_framing") // answers of endpoints, by how their end is marked
+	answers             = expvar.NewMap("lovage_answers")           // requests by route and outcome
+	admissionRejections = expvar.NewMap("lovage_turned_away")       // requests that a sidecar did not admit, by reason
+	answerFramings      = expvar.NewMap("lovage_answer_framing")    // answers of endpoints, by how their end is marked
+	quarantinedParts    = expvar.NewInt("lovage_quarantined_parts") // parts of prompts that are quarantined now
 	logDropped          = expvar.NewInt("lovage_log_dropped")
 	latencies           = newHistograms()
 )
@@ -34,6 +35,15 @@
 // AnswerReceived counts an endpoint's answer by its framing.
 func AnswerReceived(framing string) { answerFramings.Add(framing, 1) }
 
+// PromptQuarantined counts a part of a prompt that is quarantined, or one whose quarantine has ended.
+func PromptQuarantined(quarantined bool) {
+	if quarantined {
+		quarantinedParts.Add(1)
+		return
+	}
+	quarantinedParts.Add(-1)
+}
+
 const (
 	maxLatencyMs             = 60_000 // higher latencies are recorded as this value
 	latencySignificantDigits = 2
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -18,6 +18,11 @@
 	HeaderHoldOff = "Lovage-Hold-Off-Ms"
 	// HeaderChanging is set to "1" by a sidecar on refusals because of a change of weights, which its load does not show.
 	HeaderChanging = "Lovage-Changing-Weights"
+	// HeaderQuarantined is set to "1" by a sidecar on refusals of requests whose prompt has a quarantined part. Other endpoints
+	// refuse them as well.
+	HeaderQuarantined = "Lovage-Quarantined"
+	// HeaderTrial is set to "1" on the one request with a quarantined part that may run to show whether it still crashes engines.
+	HeaderTrial = "Lovage-Trial"
 	// HeaderFraming is set by a sidecar on the engine's response to how its end is marked, which the sidecar's own framing
 	// does not show. Its values are those of dispatch.Framing.
 	HeaderFraming = "Lovage-Framing"
