The head of a response is bounded

An endpoint in trouble may send bytes without end where the head of a response is due. net/http's ReadResponse has no bound, so a gateway or sidecar read them into memory until the caller's time was over. Each connection now reads at most 256 KiB for the head of a response and the informational responses before it.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -20,12 +21,14 @@
 	defaultIdleTimeout = 4 * time.Second        // for servers that announce no Keep-Alive timeout
 	maxIdlePerAddress  = 32                     // twice the slots of an endpoint
 	readBufferBytes    = 4 << 10
+	maxHeadBytes       = 256 << 10 // of a response, with the informational responses before it
 )
 
 // conn is a connection with its read buffer.
 type conn struct {
 	net.Conn
 	reader       *bufio.Reader
+	head         *headLimiter
 	reused       bool      // it has carried an exchange before
 	idleDeadline time.Time // the server may close it after this time
 }
@@ -65,7 +68,34 @@
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
-	return &conn{Conn: socket, reader: bufio.NewReaderSize(socket, readBufferBytes)}, nil
+	head := &headLimiter{source: socket}
+	return &conn{Conn: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
+}
+
+// headLimiter limits how much is read from a connection while the head of a response is due, which has no bound of its own.
+type headLimiter struct {
+	source    io.Reader
+	limited   bool
+	remaining int
+}
+
+// expectHead limits what is read from now on to maxHeadBytes.
+func (h *headLimiter) expectHead() { h.limited, h.remaining = true, maxHeadBytes }
+
+// headRead lifts the limit, for the body.
+func (h *headLimiter) headRead() { h.limited = false }
+
+// Read returns errHeadTooLong once the limit is reached.
+func (h *headLimiter) Read(buf []byte) (int, error) {
+	if !h.limited {
+		return h.source.Read(buf)
+	}
+	if h.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.source.Read(buf[:min(len(buf), h.remaining)])
+	h.remaining -= n
+	return n, err
 }
 
 // takeIdle returns the most recently used connection that is still usable, or nil, and closes unusable ones on the way.
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -39,6 +39,9 @@
 	return errors.As(err, &unsent)
 }
 
+// errHeadTooLong is returned for an endpoint that sends bytes without end where the head of a response is due.
+var errHeadTooLong = errors.New("the head of the response is too long; check what the endpoint sends")
+
 var errOnlyStrayResponses = errors.New("received only responses to other requests on the connection; it was closed")
 
 // Request is one request to one endpoint.
@@ -181,8 +184,13 @@
 
 // readHeader returns the next response, skipping informational ones.
 func readHeader(c *conn, req *http.Request) (*http.Response, error) {
+	c.head.expectHead()
+	defer c.head.headRead()
 	for {
 		resp, err := http.ReadResponse(c.reader, req)
+		if err != nil && c.head.remaining <= 0 {
+			return nil, errHeadTooLong // instead of an error about the part that was read
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -39,6 +39,7 @@
 	{"its sidecar is away", "sidecars could not be reached and the gateway's share past them was in use"},
 	{"connection reset", "an endpoint or the network reset the connection after the request was sent"},
 	{"ended inside an event", "an endpoint ended its stream in the middle of an event, as one that crashes does"},
+	{"head of the response is too long", "an endpoint sent bytes without end instead of an answer"},
 	{"before any event", "an endpoint closed the connection before its stream's first event, as one that crashes does"},
 	{"EOF", "an endpoint or its sidecar closed the connection before its answer was complete"},
 	{"use of closed network connection", "the gateway gave the exchange up: the caller left, or its time or the route's time-out was over"},
