--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -4,6 +4,7 @@
 package quarantine
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 	// verdictDelay is the age from which a crash counts. Answers that are completed at other engines meanwhile clear the parts
 	// that they share with the crashed requests.
 	verdictDelay = 300 * time.Millisecond
+	// simultaneity is the time within which crashes of several engines count as one. Requests crash engines one after another; a
+	// common cause, such as the loss of a rack, ends many at the same moment.
+	simultaneity = 100 * time.Millisecond
 	// crashRetention is how long a crash counts.
 	crashRetention = time.Hour
 	// maxCrashes bounds the crashes that are kept. The oldest of those that no quarantine rests on is dropped.
@@ -41,6 +45,12 @@
 	Cleared  []core.PromptPart `json:"c,omitempty"` // parts of which an answer was completed since
 }
 
+// timedCrash is a crash and when it happened, by this process's clock.
+type timedCrash struct {
+	*Crash
+	at time.Duration
+}
+
 // has reports whether the part is under suspicion because of the crash.
 func (c *Crash) has(part core.PromptPart) bool {
 	return !slices.Contains(c.Cleared, part) && slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return slices.Contains(s.Parts, part) })
@@ -48,17 +58,28 @@
 
 // evidence is what speaks against one part.
 type evidence struct {
-	crashes  int
+	times    []time.Duration // of the crashes
 	requests map[core.RequestID]bool
 	depth    int // the part's position in prompts; parts behind it are shared by fewer requests
 }
 
-// count returns the number of crashes, of which those under one repeated request count once.
-func (e *evidence) count() int { return min(e.crashes, len(e.requests)) }
+// count returns the number of crashes, of which simultaneous ones and those under one repeated request count once.
+func (e *evidence) count() int {
+	slices.Sort(e.times)
+	separate := 0
+	last := time.Duration(math.MinInt64 / 2)
+	for _, at := range e.times {
+		if at-last > simultaneity {
+			separate++
+			last = at
+		}
+	}
+	return min(separate, len(e.requests))
+}
 
 // offenders returns the parts that the crashes speak against. The part with the most evidence is taken first, and of equal ones
 // the one that fewest requests share. The crashes that it explains do not count against others.
-func offenders(crashes []*Crash) []core.PromptPart {
+func offenders(crashes []timedCrash) []core.PromptPart {
 	var found []core.PromptPart
 	for {
 		part := strongest(crashes)
@@ -66,12 +87,12 @@
 			return found
 		}
 		found = append(found, part)
-		crashes = slices.DeleteFunc(slices.Clone(crashes), func(c *Crash) bool { return c.has(part) })
+		crashes = slices.DeleteFunc(slices.Clone(crashes), func(c timedCrash) bool { return c.has(part) })
 	}
 }
 
 // strongest returns the part with the most evidence, or "" if there is too little against each.
-func strongest(crashes []*Crash) core.PromptPart {
+func strongest(crashes []timedCrash) core.PromptPart {
 	var best core.PromptPart
 	all := gather(crashes)
 	for part, e := range all {
@@ -87,7 +108,7 @@
 }
 
 // gather returns the evidence against each part that is not cleared.
-func gather(crashes []*Crash) map[core.PromptPart]*evidence {
+func gather(crashes []timedCrash) map[core.PromptPart]*evidence {
 	all := make(map[core.PromptPart]*evidence)
 	for _, crash := range crashes {
 		seen := make(map[core.PromptPart]bool)
@@ -103,7 +124,7 @@
 				}
 				if !seen[part] {
 					seen[part] = true
-					e.crashes++
+					e.times = append(e.times, crash.at)
 				}
 				e.requests[suspect.Request] = true
 				e.depth = max(e.depth, depth)
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -153,11 +153,11 @@
 	now := l.now()
 	l.records = slices.DeleteFunc(l.records, func(r *record) bool { return now-r.at > crashRetention })
 	l.judgeAt = 0
-	var counted []*Crash
+	var counted []timedCrash
 	for _, r := range l.records {
 		due := r.at + verdictDelay
 		if now >= due {
-			counted = append(counted, &r.Crash)
+			counted = append(counted, timedCrash{&r.Crash, r.at})
 			due = r.at + crashRetention + 1
 		}
 		if l.judgeAt == 0 || due < l.judgeAt {
@@ -179,7 +179,7 @@
 	}
 }
 
-func (l *Ledger) report(part core.PromptPart, quarantined bool, counted []*Crash) {
+func (l *Ledger) report(part core.PromptPart, quarantined bool, counted []timedCrash) {
 	if l.OnVerdict == nil {
 		return
 	}
--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -61,6 +61,7 @@
 func TestSidecarRefusesQuarantinedPartsButTrials(t *testing.T) {
 	s := newPromptSidecar(t)
 	for _, id := range []core.RequestID{"r1", "r2", "r3"} {
+		time.Sleep(200 * time.Millisecond) // simultaneous crashes count as one
 		s.quarantine.RecordCrash([]quarantine.Suspect{{Request: id, Parts: []core.PromptPart{"mended"}}})
 	}
 	waitFor(t, "the quarantine", func() bool {
