A request that crashes its endpoints again and again is remembered

A request now has an identity, by its method, target, prompt and body, that counts as the last and most specific part of its prompt. Answers clear only parts that one more crash would quarantine, so that the loss of many endpoints at once causes no messages.

TestRequestThatCrashesItsEndpointsIsRefused failed before: no crash of a plain endpoint was noticed.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -22,6 +22,7 @@
 	ResumeAfter  string // id of the last event of a stream that the caller has received; "" for none
 	Model        core.Model
 	PromptTokens int
+	Prompt       string            // the parts of the prompt as the caller stated them
 	SharedParts  []core.PromptPart // parts of the prompt that other requests may have too, in order
 	OutputTokens int               // limit on the tokens of the response
 	OutputHint   int               // the caller's estimate of the tokens of the response; 0 for none
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -21,7 +21,7 @@
 	"version served changed", "engine ordered to load", "configuration taken over", "readiness changed", "gateway started", "gateway draining",
 	"endpoint says that it is leaving", "endpoint wants no requests", "engine's readiness for requests changed", "store was restored from a copy",
 	"endpoint's stated request rate changed", "engine's stated request rate changed",
-	"engine crashed", "prompt part quarantined", "quarantine of a prompt part ended", "sidecar started", "sidecar draining", "log lines dropped; the output is not read or the bound is reached",
+	"engine crashed", "endpoint crashed", "prompt part quarantined", "quarantine of a prompt part ended", "sidecar started", "sidecar draining", "log lines dropped; the output is not read or the bound is reached",
 }
 
 // causes maps texts in a request's log fields to explanations. The patterns also match lines that earlier builds wrote.
@@ -35,7 +35,7 @@
 	{"wants no requests", "endpoints had asked for no requests for some time"},
 	{"request rate that it states", "endpoints in trouble had stated how many requests a second they take, and had been sent as many"},
 	{"it states a request rate", "the sidecar of an engine that states a request rate could not be reached, and no gateway knows how much of the rate the others use"},
-	{"part of the prompt has crashed engines", "a part of the prompt is quarantined: engines crashed as they began to answer requests with it; see the lines on crashes"},
+	{"part of its prompt has crashed e", "the request or a part of its prompt is quarantined: endpoints crashed as they began to answer requests with it; see the lines on crashes"},
 	{"its sidecar is away", "sidecars could not be reached and the gateway's share past them was in use"},
 	{"connection reset", "an endpoint or the network reset the connection after the request was sent"},
 	{"ended inside an event", "an endpoint ended its stream in the middle of an event, as one that crashes does"},
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -69,7 +69,7 @@
 	if f.ctx.Err() == nil {
 		f.g.recordFailure(endpoint)
 	}
-	f.recordDirectBreak(endpoint)
+	f.recordBreak(endpoint)
 	f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Str("framing", string(f.framing)).Err(err).Msg("answer broken off")
 }
 
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/catalog"
+	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/placement"
+	"github.com/lovageglade/lovageglade/internal/quarantine"
 	"github.com/lovageglade/lovageglade/internal/routing"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
@@ -31,7 +33,8 @@
 	ctx     context.Context // ends when the caller disconnects or its timeout expires
 	cancel  context.CancelFunc
 	regions catalog.Regions
-	chunked bool // an answer of unknown length is sent in chunks; false for HTTP/1.0
+	parts   []core.PromptPart // by which requests that crash endpoints are recognized
+	chunked bool              // an answer of unknown length is sent in chunks; false for HTTP/1.0
 
 	tried             map[catalog.EndpointID]bool
 	trial             bool // it may pass although a part of its prompt is quarantined
@@ -57,6 +60,7 @@
 		w:               w,
 		arrived:         arrived,
 		regions:         catalog.AllowedRegions(a.route, a.workspace),
+		parts:           quarantine.PartsOf(a.call),
 		tried:           make(map[catalog.EndpointID]bool),
 		certainlyNotRun: true,
 		chunked:         r.ProtoAtLeast(1, 1),
@@ -218,7 +222,7 @@
 		f.g.recordFailure(endpoint)
 	}
 	if !dispatch.NotSent(err) {
-		f.recordDirectBreak(endpoint)
+		f.recordBreak(endpoint)
 	}
 	f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Bool("not_sent", dispatch.NotSent(err)).Err(err).Msg("endpoint gave no answer")
 	if dispatch.NotSent(err) {
@@ -248,7 +252,7 @@
 func (f *forwarder) finalError() error {
 	switch {
 	case f.certainlyNotRun && f.quarantined:
-		return fault.New(fault.QuarantinedPrompt, "a part of the prompt has crashed engines", "change the prompt, or come back later")
+		return fault.New(fault.QuarantinedPrompt, "the request or a part of its prompt has crashed endpoints", "change the request, or come back later")
 	case f.certainlyNotRun && f.sendCount == 0 && f.lastErr == nil:
 		return fault.New(fault.NoEndpoint, "no endpoint of "+string(f.service)+" may run the request now", "come back later")
 	case f.certainlyNotRun:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,7 +41,7 @@
 	rates             *rateShare
 	quarantine        *quarantine.Ledger
 	spreader          *quarantine.Spreader
-	directCrashes     *crashDetectors
+	crashes           *crashDetectors
 	start             time.Time
 	draining          atomic.Bool
 	lastReportedReady atomic.Bool // the last answer to the load balancer's readiness check
@@ -55,19 +55,19 @@
 	ledger := quarantine.NewLedger(config.Host, bootclock.Now)
 	ledger.OnVerdict = quarantine.LogVerdicts(logger)
 	return &Gateway{
-		quarantine:    ledger,
-		spreader:      quarantine.NewSpreader(ledger, config.ControlAddress, config.Delegates, logger),
-		directCrashes: newCrashDetectors(ledger, logger),
-		settings:      config,
-		codec:         codec,
-		follower:      follower,
-		logger:        logger,
-		pool:          dispatch.NewPool(),
-		placer:        placement.NewPlacer(),
-		sidecars:      newSidecarTracker(),
-		rates:         newRateShare(config.ControlAddress, config.Delegates),
-		start:         time.Now(),
-		retryBudgets:  make(map[core.Service]*retry.Budget),
+		quarantine:   ledger,
+		spreader:     quarantine.NewSpreader(ledger, config.ControlAddress, config.Delegates, logger),
+		crashes:      newCrashDetectors(ledger, logger),
+		settings:     config,
+		codec:        codec,
+		follower:     follower,
+		logger:       logger,
+		pool:         dispatch.NewPool(),
+		placer:       placement.NewPlacer(),
+		sidecars:     newSidecarTracker(),
+		rates:        newRateShare(config.ControlAddress, config.Delegates),
+		start:        time.Now(),
+		retryBudgets: make(map[core.Service]*retry.Budget),
 	}
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -17,13 +17,13 @@
 // use before the next trial of the part.
 const quarantineRetryAfter = 30 * time.Second
 
-// isQuarantined reports whether the call must not be sent to an engine because of a quarantined part of its prompt. A call that
-// may pass as a trial of the part is marked as such.
+// isQuarantined reports whether the call must not be sent to an endpoint because a part of its prompt, or the request itself, is
+// quarantined. A call that may pass as a trial is marked as such.
 func (f *forwarder) isQuarantined() bool {
 	if f.trial {
 		return false
 	}
-	part, blocked := f.g.quarantine.Blocked(f.call.SharedParts)
+	part, blocked := f.g.quarantine.Blocked(f.parts)
 	if !blocked {
 		return false
 	}
@@ -48,29 +48,30 @@
 	return delegates[hash.Sum32()%uint32(len(delegates))] == g.settings.ControlAddress
 }
 
-// recordDirectBreak records that an engine gave no answer to a direct request or broke it off.
-func (f *forwarder) recordDirectBreak(endpoint *catalog.Endpoint) {
-	if f.releaseDirectSlot == nil || f.ctx.Err() != nil {
-		return // a sidecar sees crashes of its engine itself
+// recordBreak records that an endpoint gave no answer to the call or broke it off. Crashes behind a sidecar are seen by it.
+func (f *forwarder) recordBreak(endpoint *catalog.Endpoint) {
+	throughSidecar := f.route.Generates && f.releaseDirectSlot == nil
+	if throughSidecar || f.ctx.Err() != nil {
+		return
 	}
-	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: f.call.ID, Parts: f.call.SharedParts}}
+	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: f.call.ID, Parts: f.parts}}
 	if f.stream != nil && !f.stream.attemptBegan.IsZero() {
 		broken.WroteFor = time.Since(f.stream.attemptBegan)
 	}
-	f.g.directCrashes.of(endpoint).Record(broken)
+	f.g.crashes.of(endpoint).Record(broken)
 }
 
 // recordWholeAnswer records that the call did not crash its engine. An unframed answer may end with a crash.
 func (f *forwarder) recordWholeAnswer() {
 	if f.framing != dispatch.Unframed {
-		f.g.quarantine.RecordAnswer(f.call.SharedParts)
+		f.g.quarantine.RecordAnswer(f.parts)
 	}
 }
 
-// maxCrashDetectors bounds the detectors for addresses of engines that may be gone.
+// maxCrashDetectors bounds the detectors for addresses of endpoints that may be gone.
 const maxCrashDetectors = 1000
 
-// crashDetectors holds a detector for each engine that was sent direct requests. It is safe for concurrent use.
+// crashDetectors holds a detector for each endpoint that broke off an answer to this gateway. It is safe for concurrent use.
 type crashDetectors struct {
 	ledger *quarantine.Ledger
 	logger *log.Logger
@@ -93,7 +94,7 @@
 		}
 		address := endpoint.Address
 		detector = quarantine.NewDetector(address, func(suspects []quarantine.Suspect, broken int) {
-			c.logger.Warn().Str("address", address).Int("broken_off", broken).Msg("engine crashed")
+			c.logger.Warn().Str("address", address).Int("broken_off", broken).Msg("endpoint crashed")
 			c.ledger.RecordCrash(suspects)
 		})
 		c.byAddress[address] = detector
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +92,41 @@
 	fx.mustCall(pathModel, withPrompt("bad"))
 	fx.waitFor("a crash", func() bool { return fx.gateway.quarantine.Crashes() == 1 })
 }
+
+// The same request comes again and again, each time with another id, and ends every endpoint that runs it.
+func TestRequestThatCrashesItsEndpointsIsRefused(t *testing.T) {
+	fx := newFixture(t)
+	fx.gateway.settings.Delegates = []string{"127.0.0.1:1"} // keeps the trials
+	attempts := 0
+	repeat := func(body string) callResult {
+		attempts++
+		return fx.mustCall(pathAtMostOnce, func(r *http.Request) {
+			r.Header.Set(platformtest.HeaderAttempt, "attempt-"+strconv.Itoa(attempts))
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+		})
+	}
+	for _, id := range []string{"r1", "r2", "r3"} {
+		time.Sleep(200 * time.Millisecond) // simultaneous crashes count as one
+		backend := fx.startBackend(id, "e")
+		backend.SetHandler(func(http.ResponseWriter, platformtest.Run) {
+			go backend.Close()
+			platformtest.AbortConnection()
+		})
+		for len(backend.Runs()) == 0 {
+			repeat("fatal")
+		}
+
+	}
+	fx.waitFor("all crashes", func() bool { return fx.gateway.quarantine.Crashes() == 3 })
+	time.Sleep(400 * time.Millisecond) // until they count
+	last := fx.startBackend("r4", "e")
+	for range 10 {
+		repeat("fatal")
+	}
+	if len(last.Runs()) > 0 {
+		t.Errorf("the request reached another endpoint %d times after it had ended three", len(last.Runs()))
+	}
+	if got := repeat("another"); got.status != http.StatusOK {
+		t.Errorf("another request was answered with %d", got.status)
+	}
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -46,10 +46,11 @@
 	mu       sync.Mutex
 	records  []*record // oldest first
 	verdicts map[core.PromptPart]*verdict
-	judgeAt  time.Duration // when the next crash begins or ceases to count; 0 for none
-	seen     int           // crashes that this process has seen
-	version  uint64        // rises with each change
-	changed  chan struct{} // closed and replaced at each change
+	watched  map[core.PromptPart]bool // parts of which answers matter: one more crash would quarantine them
+	judgeAt  time.Duration            // when the next crash begins or ceases to count; 0 for none
+	seen     int                      // crashes that this process has seen
+	version  uint64                   // rises with each change
+	changed  chan struct{}            // closed and replaced at each change
 }
 
 // NewLedger returns an empty ledger of the host. Its clock must count the time in which the machine is suspended.
@@ -74,8 +75,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	cleared := false
-	for _, r := range l.records {
-		for _, part := range parts {
+	for _, part := range parts {
+		if !l.watched[part] {
+			continue
+		}
+		for _, r := range l.records {
 			if r.has(part) {
 				r.Cleared = append(slices.Clip(r.Cleared), part)
 				r.own, r.version = true, l.version+1
@@ -153,8 +157,9 @@
 	now := l.now()
 	l.records = slices.DeleteFunc(l.records, func(r *record) bool { return now-r.at > crashRetention })
 	l.judgeAt = 0
-	var counted []timedCrash
+	var counted, all []timedCrash
 	for _, r := range l.records {
+		all = append(all, timedCrash{&r.Crash, r.at})
 		due := r.at + verdictDelay
 		if now >= due {
 			counted = append(counted, timedCrash{&r.Crash, r.at})
@@ -164,6 +169,10 @@
 			l.judgeAt = due
 		}
 	}
+	l.watched = make(map[core.PromptPart]bool)
+	for part, e := range gather(all) {
+		l.watched[part] = e.count() >= minCrashes-1
+	}
 	found := offenders(counted)
 	for _, part := range found {
 		if l.verdicts[part] == nil {
--- /dev/null
+++ b/internal/quarantine/parts.go
@@ -0,0 +1,27 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+
+	"github.com/lovageglade/lovageglade/internal/call"
+	"github.com/lovageglade/lovageglade/internal/core"
+)
+
+const (
+	requestPrefix   = "request/" // of the part that stands for a whole request
+	requestHashSize = 8          // bytes
+)
+
+// PartsOf returns what a call may share with others that crash engines: the shared parts of its prompt and, last, the request as a
+// whole, which is the same if a caller repeats it under another id. The body must have been read.
+func PartsOf(c *call.Call) []core.PromptPart {
+	hash := sha256.New()
+	for _, text := range []string{c.Method, c.Host, c.Target, string(c.Model), c.Prompt} {
+		_, _ = hash.Write(append([]byte(text), 0)) // never fails
+	}
+	_, _ = hash.Write(c.Body)
+	request := requestPrefix + hex.EncodeToString(hash.Sum(nil)[:requestHashSize])
+	return append(slices.Clip(c.SharedParts), core.PromptPart(request))
+}
--- /dev/null
+++ b/internal/quarantine/parts_test.go
@@ -0,0 +1,32 @@
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/lovageglade/lovageglade/internal/call"
+	"github.com/lovageglade/lovageglade/internal/core"
+)
+
+func TestPartsOfARepeatedRequestAreTheSame(t *testing.T) {
+	c := call.Call{ID: "1", Method: "POST", Host: "h", Target: "/x", Prompt: "c:1,x:2,own:3", SharedParts: []core.PromptPart{"c", "x"}, Body: []byte("body")}
+	parts := PartsOf(&c)
+	if len(parts) != 3 || parts[0] != "c" || parts[1] != "x" || len(c.SharedParts) != 2 {
+		t.Fatalf("the parts are %v", parts)
+	}
+	repeated := c
+	repeated.ID, repeated.Timeout = "2", 5
+	if PartsOf(&repeated)[2] != parts[2] {
+		t.Error("a repeated request is another one")
+	}
+	for name, change := range map[string]func(*call.Call){
+		"path":   func(c *call.Call) { c.Target = "/y" },
+		"body":   func(c *call.Call) { c.Body = []byte("other") },
+		"prompt": func(c *call.Call) { c.Prompt = "c:1,x:2,other:3" },
+	} {
+		other := c
+		change(&other)
+		if PartsOf(&other)[2] == parts[2] {
+			t.Errorf("a request with another %s is the same", name)
+		}
+	}
+}
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -22,7 +22,7 @@
 const (
 	// readWait is the longest time for which a delegate holds a read without a change. A connection that has become silent is
 	// noticed after it.
-	readWait = 3 * time.Second
+	readWait = 5 * time.Second
 	// gatherTime is how long a delegate holds a change, so that one response carries what follows at once.
 	gatherTime     = 40 * time.Millisecond
 	requestTimeout = 500 * time.Millisecond // many round trips between regions; added to readWait for a read
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -4,16 +4,15 @@
 	"net/http"
 	"time"
 
-	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 	"github.com/lovageglade/lovageglade/internal/quarantine"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
-// isQuarantined reports whether a part of the call's prompt is quarantined, unless the request is a trial of it.
-func (s *Sidecar) isQuarantined(r *http.Request, c *call.Call) bool {
-	_, blocked := s.quarantine.Blocked(c.SharedParts)
+// isQuarantined reports whether a part of the request's prompt, or the request itself, is quarantined. Trials are not.
+func (s *Sidecar) isQuarantined(r *http.Request, parts []core.PromptPart) bool {
+	_, blocked := s.quarantine.Blocked(parts)
 	return blocked && r.Header.Get(wire.HeaderTrial) == ""
 }
 
@@ -41,7 +40,7 @@
 func (s *Sidecar) recordProgress(a *admittedCall) {
 	if !a.cleared && time.Since(a.arrived)-a.firstByteAfter > quarantine.BeginWindow {
 		a.cleared = true
-		s.quarantine.RecordAnswer(a.call.SharedParts)
+		s.quarantine.RecordAnswer(a.parts)
 	}
 }
 
@@ -51,7 +50,7 @@
 	case answer.Framing == dispatch.Unframed:
 		s.recordBroken(r, a)
 	case answer.Status == http.StatusOK && a.answerBegun:
-		s.quarantine.RecordAnswer(a.call.SharedParts)
+		s.quarantine.RecordAnswer(a.parts)
 	}
 }
 
@@ -60,7 +59,7 @@
 	if r.Context().Err() != nil {
 		return
 	}
-	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: a.call.ID, Parts: a.call.SharedParts}}
+	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: a.call.ID, Parts: a.parts}}
 	if a.answerBegun {
 		broken.WroteFor = time.Since(a.arrived) - a.firstByteAfter
 	}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -10,7 +10,9 @@
 	"github.com/lovageglade/lovageglade/internal/admission"
 	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/call"
+	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
+	"github.com/lovageglade/lovageglade/internal/quarantine"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
@@ -27,7 +29,7 @@
 	refusedLeaving        = "engine is leaving"
 	refusedHeldOff        = "engine wants no requests for some time"
 	refusedRate           = "engine has reached the request rate that it states"
-	refusedQuarantined    = "a part of the prompt has crashed engines"
+	refusedQuarantined    = "the request or a part of its prompt has crashed engines"
 )
 
 const (
@@ -51,7 +53,8 @@
 		s.refuse(w, c, reason, nil)
 		return
 	}
-	if s.isQuarantined(r, c) {
+	parts := quarantine.PartsOf(c)
+	if s.isQuarantined(r, parts) {
 		w.Header().Set(wire.HeaderQuarantined, "1")
 		s.refuse(w, c, refusedQuarantined, nil)
 		return
@@ -97,7 +100,7 @@
 	}
 	complete := false
 	defer func() { s.gate.Release(complete) }()
-	a := &admittedCall{call: c, arrived: arrived, prompt: prompt, estimate: estimate, running: s.gate.Load().Running, version: s.servingVersion.Load()}
+	a := &admittedCall{call: c, parts: parts, arrived: arrived, prompt: prompt, estimate: estimate, running: s.gate.Load().Running, version: s.servingVersion.Load()}
 	defer s.logAdmitted(a)
 	complete = s.forward(w, r, a)
 }
@@ -122,6 +125,7 @@
 // admittedCall is a call that was admitted to the engine.
 type admittedCall struct {
 	call           *call.Call
+	parts          []core.PromptPart // by which requests that crash engines are recognized
 	arrived        time.Time
 	prompt         *admission.Prompt
 	estimate       time.Duration    // estimated time to the first event
@@ -144,7 +148,7 @@
 
 // logAdmitted logs an admitted request with the inputs of its admission.
 func (s *Sidecar) logAdmitted(a *admittedCall) {
-	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Strs("prompt_parts", partNames(a.call.SharedParts)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
+	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Strs("prompt_parts", partNames(a.parts)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
 }
 
 // canServe reports whether the engine may run a request that needs at least the version. It checks the serve deadline
