--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -28,6 +29,24 @@
 	at      time.Duration // by this process's clock
 	version uint64        // of the ledger at the last change
 	own     bool          // changed by this process and not yet told to the delegates
+	// answered holds parts that an answer here clears, and that others are not told of while they are not watched.
+	answered map[core.PromptPart]bool
+}
+
+// clear makes a cleared part known to the other processes with the given version of the ledger.
+func (r *record) clear(part core.PromptPart, version uint64) {
+	r.Cleared = append(slices.Clip(r.Cleared), part)
+	r.own, r.version = true, version
+}
+
+// effective returns the crash without the parts that were answered here.
+func (r *record) effective() *Crash {
+	if len(r.answered) == 0 {
+		return &r.Crash
+	}
+	crash := r.Crash
+	crash.Cleared = slices.AppendSeq(slices.Clone(r.Cleared), maps.Keys(r.answered))
+	return &crash
 }
 
 // verdict is a quarantined part.
@@ -75,15 +94,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	cleared := false
-	for _, part := range parts {
-		if !l.watched[part] {
-			continue
-		}
-		for _, r := range l.records {
-			if r.has(part) {
-				r.Cleared = append(slices.Clip(r.Cleared), part)
-				r.own, r.version = true, l.version+1
+	for _, r := range l.records {
+		for _, part := range parts {
+			switch {
+			case !r.has(part) || r.answered[part]:
+			case l.watched[part]:
+				r.clear(part, l.version+1)
 				cleared = true
+			default:
+				if r.answered == nil {
+					r.answered = make(map[core.PromptPart]bool)
+				}
+				r.answered[part] = true
 			}
 		}
 	}
@@ -140,12 +162,34 @@
 
 // update judges anew and wakes those that wait for a change. The caller holds l.mu.
 func (l *Ledger) update() {
+	l.watch()
 	l.version++
 	close(l.changed)
 	l.changed = make(chan struct{})
 	l.judge()
 }
 
+// watch finds the parts that one more crash would quarantine, and clears those that were answered here for the other processes
+// as well. The caller holds l.mu.
+func (l *Ledger) watch() {
+	var all []timedCrash
+	for _, r := range l.records {
+		all = append(all, timedCrash{&r.Crash, r.at})
+	}
+	l.watched = make(map[core.PromptPart]bool)
+	for part, e := range gather(all) {
+		l.watched[part] = e.count() >= minCrashes-1
+	}
+	for _, r := range l.records {
+		for part := range r.answered {
+			if l.watched[part] {
+				delete(r.answered, part)
+				r.clear(part, l.version+1)
+			}
+		}
+	}
+}
+
 func (l *Ledger) judgeIfDue() {
 	if l.judgeAt > 0 && l.now() >= l.judgeAt {
 		l.judge()
@@ -157,22 +201,17 @@
 	now := l.now()
 	l.records = slices.DeleteFunc(l.records, func(r *record) bool { return now-r.at > crashRetention })
 	l.judgeAt = 0
-	var counted, all []timedCrash
+	var counted []timedCrash
 	for _, r := range l.records {
-		all = append(all, timedCrash{&r.Crash, r.at})
 		due := r.at + verdictDelay
 		if now >= due {
-			counted = append(counted, timedCrash{&r.Crash, r.at})
+			counted = append(counted, timedCrash{r.effective(), r.at})
 			due = r.at + crashRetention + 1
 		}
 		if l.judgeAt == 0 || due < l.judgeAt {
 			l.judgeAt = due
 		}
 	}
-	l.watched = make(map[core.PromptPart]bool)
-	for part, e := range gather(all) {
-		l.watched[part] = e.count() >= minCrashes-1
-	}
 	found := offenders(counted)
 	for _, part := range found {
 		if l.verdicts[part] == nil {
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -100,3 +100,25 @@
 		t.Errorf("%d crashes are kept; the first part is quarantined: %v", len(l.records), isBlocked(l, prompt{"x"}))
 	}
 }
+
+// An answer between the first crash and the next is kept to itself until the part is under suspicion, and then told to others.
+func TestEarlyAnswersClearTheirPartsOnceItMatters(t *testing.T) {
+	l, clock := newTestLedger()
+	l.RecordCrash(crashOf(1, prompt{"c", "x"}).Suspects)
+	l.takeOwn()
+	l.RecordAnswer(prompt{"c", "x"})
+	if report := l.takeOwn(); len(report.Crashes) > 0 {
+		t.Errorf("others are told of an answer after a single crash: %+v", report)
+	}
+	for id := range minCrashes - 1 {
+		*clock += simultaneity + 1
+		l.RecordCrash(crashOf(10+id, prompt{"c", "x"}).Suspects)
+	}
+	if report := l.takeOwn(); len(report.Crashes) != minCrashes || len(report.Crashes[0].Cleared) != 2 {
+		t.Errorf("others are not told of the answer: %+v", report)
+	}
+	*clock += verdictDelay
+	if isBlocked(l, prompt{"c", "x"}) {
+		t.Error("a part is quarantined after two crashes since its last answer")
+	}
+}
