Tests wait until a suspended process has stopped

TestReadIsHedgedAroundASuspendedAgent failed once beside load: the read was refused at its deadline after one attempt. Its log line has status 200, which is set only when the head of an answer arrives, so the agent answered the head after the signal was sent and stopped before the body; an entry hedges until the first byte. The test is about a suspended agent, so it now waits until all threads have stopped, as do the other tests that suspend a process; nothing else changes.

--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -4,6 +4,7 @@
 package systemtest
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -222,6 +223,27 @@
 	c.must(c.nodes[id].command.Process.Signal(signal))
 }
 
+// suspend stops a node and waits until all its threads have stopped. On a busy machine some of them go on for a while after the
+// signal was sent.
+func (c *cluster) suspend(id core.HostID) {
+	c.t.Helper()
+	c.signal(id, syscall.SIGSTOP)
+	tasks := fmt.Sprintf("/proc/%d/task", c.nodes[id].command.Process.Pid)
+	c.await(string(id)+" is stopped", func() bool {
+		threads, err := os.ReadDir(tasks)
+		c.must(err)
+		for _, thread := range threads {
+			status, err := os.ReadFile(filepath.Join(tasks, thread.Name(), "stat"))
+			c.must(err)
+			fields := strings.Fields(string(status[bytes.LastIndexByte(status, ')')+1:])) // the state follows the name
+			if fields[0] != "T" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // kill sends SIGKILL to a node and waits until its process has ended.
 func (c *cluster) kill(id core.HostID) {
 	c.t.Helper()
--- a/systemtest/connection_loss_test.go
+++ b/systemtest/connection_loss_test.go
@@ -189,7 +189,7 @@
 			t.Fatalf("a read was refused: %s", kind)
 		}
 	}
-	c.signal("plain-a", syscall.SIGSTOP)
+	c.suspend("plain-a")
 	if kind := c.readProfile(client, entry, "hedged"); kind != "" {
 		t.Errorf("the read was refused: %s", kind)
 	}
--- a/systemtest/domain_test.go
+++ b/systemtest/domain_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"syscall"
 	"testing"
 	"time"
 
@@ -87,7 +86,7 @@
 
 func TestDomainOutNamesHostsThatDoNotConfirm(t *testing.T) {
 	c := newTwoDomainCluster(t)
-	c.signal("entry-a", syscall.SIGSTOP)
+	c.suspend("entry-a")
 	_, err := c.runOperator(4*time.Second, func(ctx context.Context, operator *operate.Operator) error {
 		if err := operator.SetDomain(ctx, "b", true); err != nil {
 			return err
--- a/systemtest/propagation_test.go
+++ b/systemtest/propagation_test.go
@@ -75,7 +75,7 @@
 func TestResumedEntryRefreshesItsConfigurationBeforeDispatching(t *testing.T) {
 	c := newTwoDomainCluster(t)
 	c.awaitAnswers()
-	c.signal("entry-b", syscall.SIGSTOP)
+	c.suspend("entry-b")
 	suspendedAt := time.Now()
 	_, err := c.runOperator(awaitTimeout, func(ctx context.Context, operator *operate.Operator) error { return operator.SetDomain(ctx, "b", true) })
 	c.must(err)
