Reads of crashes notice a suspended delegate within two seconds

A process that reads from a suspended delegate learned of crashes up to 5.5 s late, later than requests with the part may still reach engines.

--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// readWait is the longest time for which a delegate holds a read without a change. A connection that has become silent is
-	// noticed after it.
-	readWait = 5 * time.Second
+	// readWait is the longest time for which a delegate holds a read without a change. A delegate that is suspended, or a connection
+	// that has become silent, is noticed after it, in time for crashes of the last seconds to be learned from another delegate.
+	readWait = 1500 * time.Millisecond
 	// gatherTime is how long a delegate holds a change, so that one response carries what follows at once.
 	gatherTime     = 40 * time.Millisecond
 	requestTimeout = 500 * time.Millisecond // many round trips between regions; added to readWait for a read
