A cancelled attempt keeps its slot until its engine has stopped

The agent released the slot of a cancelled attempt at once, but an engine goes on until it writes to the closed connection a second time, and the next request came on top.

TestEngineIsSentNoMoreWhileItStopsACancelledRequest shows it: on the code before the request after two cancelled ones was answered 503. Cancelled attempts now keep their slot for 100 ms, twice the target between tokens.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -42,11 +42,15 @@
 	return nil
 }
 
+// cancelSettleTime is how long a cancelled attempt keeps its slot. An engine notices that its connection was closed when it writes
+// the second token after it, and tokens are 51 ms apart at the target.
+const cancelSettleTime = 100 * time.Millisecond
+
 // releaseSlot releases the gate's slot of an attempt that has ended. The failure of an attempt that its caller
-// cancelled is not counted, because it says nothing about the back end.
+// cancelled is not counted, because it says nothing about the back end, which goes on with it for a moment.
 func (a *Agent) releaseSlot(ctx context.Context, err error) {
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
-		a.gate.ReleaseUnmeasured()
+		time.AfterFunc(cancelSettleTime, a.gate.ReleaseUnmeasured)
 		return
 	}
 	a.gate.Release(err == nil)
