Soak plays stated rates, prompts that crash engines and bytes without end

Each run begins with a rate of an engine, one of a plain back end, or prompts that crash engines, as these take longer than other faults; all are drawn later as well. Faulty back ends send bytes without end in a head or an unsigned body, and the memory of all processes is watched. Checks count the requests of undisturbed processes against the platform's bounds.

--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -23,6 +23,9 @@
 ignores-restores|configuration in force:|platform/store.go|s/return before > 0 \&\& after > 0 \&\& after != before/return false/
 ignores-leaving|leaving back ends:|internal/placement/withdrawal.go|s/\(r.leaving \|\| now < r.heldOffUntil\)/(now < r.heldOffUntil)/
 ignores-hold-offs|held off:|internal/placement/withdrawal.go|s/\(r.leaving \|\| now < r.heldOffUntil\)/(r.leaving)/
+ignores-stated-rates|stated rates:|internal/admission/stated_rate.go|s/return s.perSecond, s.stated/return s.perSecond, false/
+forgets-crashes|crashing prompts:|internal/quarantine/evidence.go|s/minCrashes = 3$/minCrashes = 3000/
+reads-heads-without-end|memory:|internal/dispatch/conn.go|s/if !h.limited \{/if true {/
 passes-keys-on|unasked:|platform/headers.go|s/headerPriority, headerKey, headerDeadline/headerPriority, headerDeadline/
 '
 
--- a/systemtest/soak/answers_test.go
+++ b/systemtest/soak/answers_test.go
@@ -44,6 +44,7 @@
 // truncates some answers while back ends are faulty.
 func (s *system) backendHandler(b *backend) func(http.ResponseWriter, platformtest.Run) {
 	return func(rw http.ResponseWriter, run platformtest.Run) {
+		b.rates.add(run)
 		if b.holdsOff.Load() {
 			b.withdrawals.addRefused(run)
 			b.Reject(rw, run)
@@ -64,6 +65,10 @@
 		if draw < rejectedShare+lostShare {
 			platformtest.AbortConnection()
 		}
+		if draw > 1-endlessShare && draw < 1 {
+			sendEndlessly(rw)
+			return
+		}
 		truncate := draw < rejectedShare+lostShare+truncatedShare
 		if b.engine != nil {
 			b.sendStream(rw, run, truncate)
--- a/systemtest/soak/checks_test.go
+++ b/systemtest/soak/checks_test.go
@@ -42,6 +42,8 @@
 	}
 	s.checkWrites(all)
 	s.checkWithdrawals(requests, all)
+	s.checkRates(requests)
+	s.checkCrashingPrompts(requests)
 	s.checkConfigurationOrder(all)
 	s.checkEngines()
 	s.t.Logf("%d requests, %d runs, %d disruptions, answers by status: %s", len(requests), len(all), len(s.disruptions.list), s.statusCounts(requests))
--- a/systemtest/soak/crashing_prompt_test.go
+++ b/systemtest/soak/crashing_prompt_test.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// crashByPrompts sends requests with a new part that crashes engines for settleTime and the given time.
+func (s *system) crashByPrompts(pick int, duration time.Duration) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), settleTime+duration)
+	defer cancel()
+	s.sendCrashingPrompts(ctx, fmt.Sprintf("%s-%d-%d", crashingPrefix, pick, time.Now().UnixNano()))
+}
+
 // checkCrashingPrompts checks that few requests with a part reach engines once it has crashed crashesUntilKnown of them.
 func (s *system) checkCrashingPrompts(requests map[string]*request) {
 	for part, crashes := range s.crashingPrompts.crashes {
@@ -115,7 +122,10 @@
 		late := 0
 		for _, a := range s.crashingPrompts.arrivals {
 			r := requests[a.request]
-			if a.part == part && a.at.After(known) && r != nil && s.disruptions.undisturbed(s.gateways[r.gateway].name, a.at) {
+			if a.part != part || !a.at.After(known) || r == nil {
+				continue
+			}
+			if s.disruptions.undisturbed(s.gateways[r.gateway].name, a.at) && s.disruptions.undisturbed(s.senderOf(a.backend, r).name, a.at) {
 				late++
 			}
 		}
--- a/systemtest/soak/faults_test.go
+++ b/systemtest/soak/faults_test.go
@@ -63,14 +63,30 @@
 	{"back end replaced", func(s *system, pick int, _ time.Duration) { s.replacePlainBackend(pick) }},
 	{"back end leaves", (*system).leavePlainBackend},
 	{"back end holds requests off", (*system).holdRequestsOff},
+	{"back end states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.plainBackends, pick, duration) }},
+	{"engine states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.engines, pick, duration) }},
+	{"prompts crash engines", (*system).crashByPrompts},
 }
 
+// openings are faults of which each run begins with one, as they take longer than the others.
+var openings = []fault{
+	{"engine states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.engines, pick, duration) }},
+	{"prompts crash engines", (*system).crashByPrompts},
+	{"back end states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.plainBackends, pick, duration) }},
+}
+
+// openingDuration is long enough for crashes to be known, see crashesUntilKnown, and for further requests.
+const openingDuration = 4 * time.Second
+
 // injectFaults starts faults, drawn from the seed, for the given time and returns when all of them have ended.
 func (s *system) injectFaults(length time.Duration) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	end := time.Now().Add(length)
 	time.Sleep(firstFaultDelay)
+	opening := openings[s.seed%uint64(len(openings))]
+	s.t.Logf("%6.2f s: %s", time.Since(s.started).Seconds(), opening.name)
+	running.Go(func() { opening.run(s, int(s.seed), openingDuration) })
 	for time.Now().Before(end) {
 		drawn := faults[s.faultRandom.IntN(len(faults))]
 		pick := s.faultRandom.IntN(1 << 16)
--- a/systemtest/soak/soak_test.go
+++ b/systemtest/soak/soak_test.go
@@ -76,9 +76,12 @@
 	for number := range clientCount {
 		clients.Go(func() { s.runClient(trafficCtx, number) })
 	}
+	done := make(chan struct{})
+	clients.Go(func() { s.watchMemory(done) })
 	s.injectFaults(faultDuration)
 	s.checkRecovery(ctx)
 	stopTraffic()
+	close(done)
 	clients.Wait()
 	s.checkRuns()
 }
--- a/systemtest/soak/system_test.go
+++ b/systemtest/soak/system_test.go
@@ -46,6 +46,7 @@
 // system is the system under test: its processes, and the platform's stand-ins that they use.
 type system struct {
 	t             testing.TB
+	seed          uint64
 	faultRandom   *rand.Rand    // used only to draw faults
 	gapFactor     time.Duration // multiplies the time between faults
 	networkPrefix string
@@ -101,6 +102,8 @@
 	entryState   atomic.Value // state in its entry, a string; "" after it was removed
 	holdsOff     atomic.Bool  // it refuses requests and asks for no more of them
 	withdrawals  withdrawalLog
+	rates        rateLog
+	rateMu       sync.Mutex // held while it states a rate
 	crashMu      sync.Mutex // held while the engine is down after a crash
 }
 
@@ -119,6 +122,7 @@
 	number := int(networkNumber.Add(1)) + os.Getpid()*16
 	s := &system{
 		t:             t,
+		seed:          seed,
 		faultRandom:   rand.New(rand.NewPCG(seed, 0)),
 		gapFactor:     1,
 		networkPrefix: fmt.Sprintf("127.%d.%d", 20+number%200, number/200%250),
