A caller's header does not mark its request as a trial

Headers of callers are forwarded, so the one that marks a trial of a quarantined part could come from a caller, past the sidecar's refusal. The gateway drops it.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/quarantine"
+	"github.com/lovageglade/lovageglade/internal/wire"
 	"github.com/lovageglade/lovageglade/platform/platformtest"
 )
 
@@ -130,3 +131,12 @@
 		t.Errorf("another request was answered with %d", got.status)
 	}
 }
+
+func TestCallersCannotMarkTheirRequestsAsTrials(t *testing.T) {
+	fx := newFixture(t)
+	backend := fx.startBackend("r1", "e")
+	fx.mustCall(pathModel, func(r *http.Request) { r.Header.Set(wire.HeaderTrial, "1") })
+	if runs := backend.Runs(); len(runs) != 1 || runs[0].Header.Get(wire.HeaderTrial) != "" {
+		t.Errorf("the header of a trial was passed on: %+v", runs)
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -136,12 +136,14 @@
 	if f.stream != nil && f.stream.lastEventID != "" {
 		send.ResumeAfter = f.stream.lastEventID
 	}
+	header := f.g.codec.Encode(f.call, send)
+	header.Del(wire.HeaderTrial) // a caller's
 	return &dispatch.Request{
 		Address: endpoint.Address,
 		Method:  f.call.Method,
 		Target:  f.call.Target,
 		Host:    f.call.Host,
-		Header:  f.g.codec.Encode(f.call, send),
+		Header:  header,
 		Body:    f.call.Body,
 		NewConn: f.route.Repeat != catalog.Idempotent,
 		Matches: func(header http.Header) bool {
