The test of a caller's trial header takes a path on which it was passed on

On the path to an engine past its sidecar the header was dropped already, so the test passed without the change; to a plain endpoint it was passed on.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -135,7 +135,7 @@
 func TestCallersCannotMarkTheirRequestsAsTrials(t *testing.T) {
 	fx := newFixture(t)
 	backend := fx.startBackend("r1", "e")
-	fx.mustCall(pathModel, func(r *http.Request) { r.Header.Set(wire.HeaderTrial, "1") })
+	fx.mustCall(pathIdempotent, func(r *http.Request) { r.Header.Set(wire.HeaderTrial, "1") })
 	if runs := backend.Runs(); len(runs) != 1 || runs[0].Header.Get(wire.HeaderTrial) != "" {
 		t.Errorf("the header of a trial was passed on: %+v", runs)
 	}
