Parts that were answered before are suspected after others

Both crashed under it, so it had the most evidence and was taken first; nothing with it could be answered, and the crashes of the storm counted as trials, so that no further one was due for minutes. The stream route was refused 12 s after the last fault and longer.

A reporter now states the parts with which answers were completed before; these are taken only for crashes that no other part explains, and need six of them. Only crashes later than 1.5 s after a verdict count as trials, a trial whose request reached no endpoint is taken again, and a request with two quarantined parts is no trial.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -37,12 +37,12 @@
 	chunked bool              // an answer of unknown length is sent in chunks; false for HTTP/1.0
 
 	tried             map[catalog.EndpointID]bool
-	trial             bool // it may pass although a part of its prompt is quarantined
-	quarantined       bool // a part of its prompt is quarantined
-	heldOffCount      int  // tried endpoints that wanted no requests at the time
-	possibleRuns      int  // endpoints that have run the call or may have
-	sendCount         int  // endpoints that may have received the call, including those that stated that they did not run it
-	certainlyNotRun   bool // no endpoint has run the call or will run it; true exactly while possibleRuns is 0
+	trialOf           core.PromptPart // quarantined part with which it may pass nevertheless; "" for none
+	quarantined       bool            // a part of its prompt is quarantined
+	heldOffCount      int             // tried endpoints that wanted no requests at the time
+	possibleRuns      int             // endpoints that have run the call or may have
+	sendCount         int             // endpoints that may have received the call, including those that stated that they did not run it
+	certainlyNotRun   bool            // no endpoint has run the call or will run it; true exactly while possibleRuns is 0
 	stream            *streamState
 	fallback          *fallbackAnswer  // answer for the caller if all further attempts fail; nil if there is none
 	lastQuery         placement.Query  // query of the last pick
@@ -102,6 +102,7 @@
 			break
 		}
 	}
+	f.returnUnusedTrial()
 	f.answerFailure()
 }
 
@@ -152,7 +153,7 @@
 // mayRetry reports whether another endpoint may be tried after an attempt that gave the caller no answer. It takes a token
 // of the retry budget if an endpoint may have received the call already.
 func (f *forwarder) mayRetry() bool {
-	if f.possibleRuns > 0 && (f.trial || f.route.Repeat != catalog.Idempotent) {
+	if f.possibleRuns > 0 && (f.trialOf != "" || f.route.Repeat != catalog.Idempotent) {
 		return false
 	}
 	if f.possibleRuns >= max(1, f.route.MaxAttempts) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -21,22 +21,29 @@
 // isQuarantined reports whether the call must not be sent to an endpoint because a part of its prompt, or the request itself, is
 // quarantined. A call that may pass as a trial is marked as such.
 func (f *forwarder) isQuarantined() bool {
-	if f.trial {
+	if f.trialOf != "" {
 		return false
 	}
-	part, blocked := f.g.quarantine.Blocked(f.parts)
-	if !blocked {
+	blocked := f.g.quarantine.Blocked(f.parts)
+	if len(blocked) == 0 {
 		return false
 	}
-	if f.certainlyNotRun && f.g.keepsTrialsOf(part) && f.g.quarantine.TakeTrial(part) {
-		f.trial = true
-		f.g.logger.Info().Str("request", string(f.call.ID)).Str("part", string(part)).Msg("trial of a quarantined prompt part")
+	if len(blocked) == 1 && f.certainlyNotRun && f.g.keepsTrialsOf(blocked[0]) && f.g.quarantine.TakeTrial(blocked[0]) {
+		f.trialOf = blocked[0]
+		f.g.logger.Info().Str("request", string(f.call.ID)).Str("part", string(f.trialOf)).Msg("trial of a quarantined prompt part")
 		return false
 	}
 	f.quarantined = true
 	return true
 }
 
+// returnUnusedTrial lets another request be the trial if this one reached no endpoint.
+func (f *forwarder) returnUnusedTrial() {
+	if f.trialOf != "" && f.sendCount == 0 {
+		f.g.quarantine.ReturnTrial(f.trialOf)
+	}
+}
+
 // keepsTrialsOf reports whether this gateway lets trials of the part pass: one of the delegates does, selected by the part, so
 // that there are few of them however many gateways there are.
 func (g *Gateway) keepsTrialsOf(part core.PromptPart) bool {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -50,7 +50,7 @@
 		request.Address = f.g.relayAddress(endpoint)
 		f.setFirstEventBound(request.Header)
 		f.setMinVersion(request.Header)
-		if f.trial {
+		if f.trialOf != "" {
 			request.Header.Set(wire.HeaderTrial, "1")
 		}
 		answer, info, err := f.exchange(ctx, endpoint, request)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -4,7 +4,6 @@
 package quarantine
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -15,6 +14,9 @@
 	// minCrashes is the number of crashes after which a part is quarantined if no answer to a request with it was completed
 	// since.
 	minCrashes = 3
+	// minProvenCrashes is the same for a part with which answers were completed before, such as the first part of most prompts. It
+	// has to explain crashes that no other part does.
+	minProvenCrashes = 2 * minCrashes
 	// verdictDelay is the age from which a crash counts. Answers that are completed at other engines meanwhile clear the parts
 	// that they share with the crashed requests.
 	verdictDelay = 300 * time.Millisecond
@@ -35,7 +37,8 @@
 // Suspect is a request that an engine had just begun to answer, or not yet, when it crashed.
 type Suspect struct {
 	Request core.RequestID    `json:"r"`
-	Parts   []core.PromptPart `json:"p"` // that other requests may have too, in order
+	Parts   []core.PromptPart `json:"p"`           // that other requests may have too, in order
+	Proven  []core.PromptPart `json:"k,omitempty"` // parts with which an answer was completed before, as far as the reporter knows
 }
 
 // Crash is a crash of an engine.
@@ -60,25 +63,28 @@
 type evidence struct {
 	times    []time.Duration // of the crashes
 	requests map[core.RequestID]bool
-	depth    int // the part's position in prompts; parts behind it are shared by fewer requests
+	depth    int  // the part's position in prompts; parts behind it are shared by fewer requests
+	proven   bool // an answer with the part was completed before
 }
 
-// count returns the number of crashes, of which simultaneous ones and those under one repeated request count once.
-func (e *evidence) count() int {
+// separate returns the times of the crashes in order, without those that were simultaneous with an earlier one.
+func (e *evidence) separate() []time.Duration {
 	slices.Sort(e.times)
-	separate := 0
-	last := time.Duration(math.MinInt64 / 2)
+	var separate []time.Duration
 	for _, at := range e.times {
-		if at-last > simultaneity {
-			separate++
-			last = at
+		if len(separate) == 0 || at-separate[len(separate)-1] > simultaneity {
+			separate = append(separate, at)
 		}
 	}
-	return min(separate, len(e.requests))
+	return separate
 }
 
-// offenders returns the parts that the crashes speak against. The part with the most evidence is taken first, and of equal ones
-// the one that fewest requests share. The crashes that it explains do not count against others.
+// count returns the number of crashes, of which simultaneous ones and those under one repeated request count once.
+func (e *evidence) count() int { return min(len(e.separate()), len(e.requests)) }
+
+// offenders returns the parts that the crashes speak against. Parts with which no answer was ever completed are taken first, of
+// these the one with the most evidence, and of equal ones the one that fewest requests share. The crashes that it explains do not
+// count against others.
 func offenders(crashes []timedCrash) []core.PromptPart {
 	var found []core.PromptPart
 	for {
@@ -96,17 +102,32 @@
 	var best core.PromptPart
 	all := gather(crashes)
 	for part, e := range all {
-		if e.count() < minCrashes {
-			continue
-		}
-		b := all[best]
-		if b == nil || e.count() > b.count() || e.count() == b.count() && (e.depth > b.depth || e.depth == b.depth && part < best) {
+		if e.isEnough() && (best == "" || e.isStronger(all[best]) || !all[best].isStronger(e) && part < best) {
 			best = part
 		}
 	}
 	return best
 }
 
+// isEnough reports whether the evidence suffices for a quarantine.
+func (e *evidence) isEnough() bool {
+	if e.proven {
+		return e.count() >= minProvenCrashes
+	}
+	return e.count() >= minCrashes
+}
+
+// isStronger reports whether the evidence is stronger than other evidence that suffices.
+func (e *evidence) isStronger(other *evidence) bool {
+	switch {
+	case e.proven != other.proven:
+		return other.proven
+	case e.count() != other.count():
+		return e.count() > other.count()
+	}
+	return e.depth > other.depth
+}
+
 // gather returns the evidence against each part that is not cleared.
 func gather(crashes []timedCrash) map[core.PromptPart]*evidence {
 	all := make(map[core.PromptPart]*evidence)
@@ -127,6 +148,7 @@
 					e.times = append(e.times, crash.at)
 				}
 				e.requests[suspect.Request] = true
+				e.proven = e.proven || slices.Contains(suspect.Proven, part)
 				e.depth = max(e.depth, depth)
 			}
 		}
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -52,6 +52,13 @@
 		crash.Cleared = prompt{"c"}
 		two = append(two, crash)
 	}
+	var provenTwo, provenAlone []*Crash
+	for id := range minProvenCrashes {
+		provenTwo = append(provenTwo, crashOf(id, prompt{"c", []core.PromptPart{"x", "y"}[id%2]}))
+		provenAlone = append(provenAlone, crashOf(id, prompt{"c", core.PromptPart(fmt.Sprint("own", id))}))
+		provenTwo[id].Suspects[0].Proven = prompt{"c"}
+		provenAlone[id].Suspects[0].Proven = prompt{"c"}
+	}
 	for _, test := range []struct {
 		name    string
 		crashes []*Crash
@@ -65,6 +72,9 @@
 			crashOf(4, prompt{"c", "x"}),
 		}, prompt{"x"}},
 		{"two parts, and answers with the common one", two, prompt{"x", "y"}},
+		{"two parts, and answers with the common one before the crashes", provenTwo, prompt{"x", "y"}},
+		{"too few crashes under a part that was answered before", provenTwo[:4], nil},
+		{"the only common part, although it was answered before", provenAlone, prompt{"c"}},
 		{"the first part", []*Crash{crashOf(1, prompt{"x", "a"}), crashOf(2, prompt{"x", "b"}), crashOf(3, prompt{"x", "d"})}, prompt{"x"}},
 		{"one request that is repeated", repeated, nil},
 		{"an answer was completed after the first crash", cleared, nil},
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -49,15 +49,33 @@
 	return &crash
 }
 
+// inFlightTime is how long after a verdict requests may still crash engines that were under way. Later ones are trials.
+const inFlightTime = 1500 * time.Millisecond
+
 // verdict is a quarantined part.
 type verdict struct {
-	since   time.Duration
-	crashes int // that speak against it
-	trials  int // that have passed here
+	since   time.Duration // by the evidence, so that it is the same after a restart
+	crashed int           // trials that have crashed an engine, here or elsewhere
+	trials  int           // that have passed here
+}
+
+// newVerdict returns the verdict on a part with the evidence.
+func newVerdict(e *evidence) *verdict {
+	times := e.separate()
+	v := &verdict{since: times[min(minCrashes, len(times))-1] + verdictDelay}
+	v.update(e)
+	return v
 }
 
-// trialsSoFar returns the number of trials. Crashes beyond those that led to the verdict count as trials, also of an earlier process.
-func (v *verdict) trialsSoFar() int { return max(v.trials, v.crashes-minCrashes) }
+// update counts the trials that have crashed engines.
+func (v *verdict) update(e *evidence) {
+	v.crashed = 0
+	for _, at := range e.separate() {
+		if at > v.since+inFlightTime {
+			v.crashed++
+		}
+	}
+}
 
 // Ledger holds what a process knows of crashes and the parts that it has quarantined. It is safe for concurrent use.
 type Ledger struct {
@@ -67,6 +85,7 @@
 	OnVerdict func(part core.PromptPart, quarantined bool, crashes int)
 
 	mu       sync.Mutex
+	proven   provenParts
 	records  []*record // oldest first
 	verdicts map[core.PromptPart]*verdict
 	watched  map[core.PromptPart]bool // parts of which answers matter: one more crash would quarantine them
@@ -79,7 +98,7 @@
 // NewLedger returns an empty ledger of the host. Its clock must count the time in which the machine is suspended.
 func NewLedger(host core.HostID, now func() time.Duration) *Ledger {
 	origin := string(host) + "/" + strconv.FormatUint(rand.Uint64(), 36) + "/"
-	return &Ledger{origin: origin, now: now, verdicts: make(map[core.PromptPart]*verdict), version: 1, changed: make(chan struct{})}
+	return &Ledger{origin: origin, now: now, proven: newProvenParts(), verdicts: make(map[core.PromptPart]*verdict), version: 1, changed: make(chan struct{})}
 }
 
 // RecordCrash records a crash that this process has seen, with the requests that the engine had just begun to answer or not yet.
@@ -87,7 +106,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.seen++
-	crash := Crash{ID: CrashID(l.origin + strconv.Itoa(l.seen)), Suspects: suspects[:min(len(suspects), maxSuspects)]}
+	crash := Crash{ID: CrashID(l.origin + strconv.Itoa(l.seen)), Suspects: slices.Clone(suspects[:min(len(suspects), maxSuspects)])}
+	for i := range crash.Suspects {
+		crash.Suspects[i].Proven = l.proven.among(crash.Suspects[i].Parts)
+	}
 	l.add(&record{Crash: crash, at: l.now(), own: true})
 	l.update()
 }
@@ -97,6 +119,7 @@
 func (l *Ledger) RecordAnswer(parts []core.PromptPart) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.proven.add(parts)
 	cleared := false
 	for _, r := range l.records {
 		for _, part := range parts {
@@ -118,17 +141,18 @@
 	}
 }
 
-// Blocked returns a quarantined part among the parts, and false if there is none.
-func (l *Ledger) Blocked(parts []core.PromptPart) (core.PromptPart, bool) {
+// Blocked returns the quarantined parts among the parts.
+func (l *Ledger) Blocked(parts []core.PromptPart) []core.PromptPart {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.judgeIfDue()
+	var blocked []core.PromptPart
 	for _, part := range parts {
 		if l.verdicts[part] != nil {
-			return part, true
+			blocked = append(blocked, part)
 		}
 	}
-	return "", false
+	return blocked
 }
 
 // TakeTrial returns true if a request with the blocked part may pass now to find out whether the part still crashes engines. Only
@@ -137,13 +161,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.verdicts[part]
-	if v == nil || l.now()-v.since < trialDelay(v.trialsSoFar()) {
+	if v == nil || l.now()-v.since < trialDelay(max(v.trials, v.crashed)) {
 		return false
 	}
 	v.trials++
 	return true
 }
 
+// ReturnTrial takes back a trial whose request reached no engine.
+func (l *Ledger) ReturnTrial(part core.PromptPart) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.verdicts[part]; v != nil && v.trials > 0 {
+		v.trials--
+	}
+}
+
 // add adds a record. The caller holds l.mu and calls update.
 func (l *Ledger) add(r *record) {
 	r.version = l.version + 1
@@ -220,10 +253,10 @@
 	all := gather(counted)
 	for _, part := range found {
 		if l.verdicts[part] == nil {
-			l.verdicts[part] = &verdict{since: now}
+			l.verdicts[part] = newVerdict(all[part])
 			l.report(part, true, all[part].count())
 		}
-		l.verdicts[part].crashes = all[part].count()
+		l.verdicts[part].update(all[part])
 	}
 	for part := range l.verdicts {
 		if !slices.Contains(found, part) {
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -12,8 +12,7 @@
 
 // isQuarantined reports whether a part of the request's prompt, or the request itself, is quarantined. Trials are not.
 func (s *Sidecar) isQuarantined(r *http.Request, parts []core.PromptPart) bool {
-	_, blocked := s.quarantine.Blocked(parts)
-	return blocked && r.Header.Get(wire.HeaderTrial) == ""
+	return len(s.quarantine.Blocked(parts)) > 0 && r.Header.Get(wire.HeaderTrial) == ""
 }
 
 // engineCrashed records a crash of the engine and the requests that may have caused it.
--- a/systemtest/soak/clients_test.go
+++ b/systemtest/soak/clients_test.go
@@ -60,7 +60,9 @@
 func (s *system) runClient(ctx context.Context, number int) {
 	keepAlive := &http.Transport{MaxIdleConnsPerHost: 2}
 	defer keepAlive.CloseIdleConnections()
+	s.mu.Lock()
 	keys := s.config.Keys
+	s.mu.Unlock()
 	for count := 0; ctx.Err() == nil; count++ {
 		r := &request{
 			id:      fmt.Sprintf("c%d-%d", number, count),
