--- a/systemtest/soak/faults_test.go
+++ b/systemtest/soak/faults_test.go
@@ -46,7 +46,7 @@
 		s.disturbBackendConnection(s.engines, pick, duration)
 	}},
 	{"connection to a back end disturbed", func(s *system, pick int, duration time.Duration) {
-		s.disturbBackendConnection(s.plainBackends, pick, duration)
+		s.disturbBackendConnection(s.currentPlainBackends(), pick, duration)
 	}},
 	{"store unavailable", (*system).makeStoreUnavailable},
 	{"store slow", (*system).slowDownStore},
@@ -63,7 +63,7 @@
 	{"back end replaced", func(s *system, pick int, _ time.Duration) { s.replacePlainBackend(pick) }},
 	{"back end leaves", (*system).leavePlainBackend},
 	{"back end holds requests off", (*system).holdRequestsOff},
-	{"back end states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.plainBackends, pick, duration) }},
+	{"back end states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.currentPlainBackends(), pick, duration) }},
 	{"engine states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.engines, pick, duration) }},
 	{"prompts crash engines", (*system).crashByPrompts},
 }
@@ -72,7 +72,7 @@
 var openings = []fault{
 	{"engine states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.engines, pick, duration) }},
 	{"prompts crash engines", (*system).crashByPrompts},
-	{"back end states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.plainBackends, pick, duration) }},
+	{"back end states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.currentPlainBackends(), pick, duration) }},
 }
 
 // openingDuration is long enough for crashes to be known, see crashesUntilKnown, and for further requests.
@@ -309,6 +309,6 @@
 	s.performWrite("drained", old.ID, 0, func() { s.register(old, "draining") })
 	time.Sleep(drainBound + entryReturnDelay)
 	s.unregister(old)
-	s.plainBackends[index] = replacement
+	s.setPlainBackend(index, replacement)
 	old.proxy.setMode(refused)
 }
--- a/systemtest/soak/system_test.go
+++ b/systemtest/soak/system_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -177,6 +178,19 @@
 	return b
 }
 
+// currentPlainBackends returns the plain back ends that have not been replaced.
+func (s *system) currentPlainBackends() []*backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.plainBackends)
+}
+
+func (s *system) setPlainBackend(index int, replacement *backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.plainBackends[index] = replacement
+}
+
 func (s *system) register(b *backend, state string) {
 	model, number := "", int64(0)
 	if b.engine != nil {
--- a/systemtest/soak/withdrawal_test.go
+++ b/systemtest/soak/withdrawal_test.go
@@ -54,13 +54,14 @@
 	old.withdrawals.setLeaving(time.Now().Add(leavingNotice))
 	time.Sleep(2 * drainBound)
 	s.unregister(old)
-	s.plainBackends[index] = replacement
+	s.setPlainBackend(index, replacement)
 	old.proxy.setMode(refused)
 }
 
 // holdRequestsOff makes a plain back end refuse all requests and ask for no more of them for some time.
 func (s *system) holdRequestsOff(pick int, duration time.Duration) {
-	b := s.plainBackends[pick%len(s.plainBackends)]
+	backends := s.currentPlainBackends()
+	b := backends[pick%len(backends)]
 	b.SetHoldOff(holdOffTime)
 	b.holdsOff.Store(true)
 	time.Sleep(duration)
