--- a/systemtest/soak/faults_test.go
+++ b/systemtest/soak/faults_test.go
@@ -63,7 +63,9 @@
 	{"back end replaced", func(s *system, pick int, _ time.Duration) { s.replacePlainBackend(pick) }},
 	{"back end leaves", (*system).leavePlainBackend},
 	{"back end holds requests off", (*system).holdRequestsOff},
-	{"back end states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.currentPlainBackends(), pick, duration) }},
+	{"back end states a request rate", func(s *system, pick int, duration time.Duration) {
+		s.stateRate(s.currentPlainBackends(), pick, duration)
+	}},
 	{"engine states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.engines, pick, duration) }},
 	{"prompts crash engines", (*system).crashByPrompts},
 }
@@ -72,7 +74,9 @@
 var openings = []fault{
 	{"engine states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.engines, pick, duration) }},
 	{"prompts crash engines", (*system).crashByPrompts},
-	{"back end states a request rate", func(s *system, pick int, duration time.Duration) { s.stateRate(s.currentPlainBackends(), pick, duration) }},
+	{"back end states a request rate", func(s *system, pick int, duration time.Duration) {
+		s.stateRate(s.currentPlainBackends(), pick, duration)
+	}},
 }
 
 // openingDuration is long enough for crashes to be known, see crashesUntilKnown, and for further requests.
