Followers log the source of their view and slow failures of delegates

Change: "view's source" (source, source_before, gap_ms, took_ms, waited_ms) when the source changes or after a gap longer than the wait plus 400 ms; "delegate did not answer" (delegate, took_ms) when a failed request took 500 ms or more.

--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -184,6 +184,7 @@
 	storeBackoff := backoff{retryAt: bootclock.Now() + startDelegateWait}
 	var operator, endpoints Cursor
 	session := delegateSession{follower: f, delegates: delegates}
+	news := newsLog{logger: f.logger, maxGap: f.intervals.OperatorWait + delegateResponseMargin}
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
 		response, err := session.read(ctx, f.readRequest(operator, endpoints))
@@ -196,9 +197,13 @@
 			session.syncedWith = nil
 			operator, endpoints, err = f.readStoreOnce(ctx, operator, endpoints, &outage)
 			storeBackoff.observe(err, bootclock.Now())
+			if err == nil {
+				news.observe(sourceStore, sent, bootclock.Now(), 0)
+			}
 			continue
 		}
 		storeBackoff = backoff{}
+		news.observe(session.answered, sent, bootclock.Now(), response.Waited)
 		outage.observe(nil, bootclock.Now())
 		operator, endpoints = response.Operator.Cursor, response.Endpoints.Cursor
 		f.loop.Post(ctx, response.toOperatorRead(sent))
@@ -245,6 +250,7 @@
 	follower   *Follower
 	delegates  []*delegate
 	syncedWith *delegate // the delegate that sent its full endpoint list over the connection that is still open, or nil
+	answered   string    // address of the delegate whose response read returned last
 }
 
 // read returns the response of the first delegate that has recent data. A process without any data accepts an old
@@ -253,13 +259,16 @@
 	err := error(fault.New(fault.Interrupted, "no delegate answers", "check the processes at the delegates' addresses; the store is read instead"))
 	for _, d := range orderDelegates(s.delegates, s.follower.delegates.Region, bootclock.Now()) {
 		var response readResponse
+		sent := bootclock.Now()
 		response, err = s.ask(ctx, d, request)
 		if err == nil {
-			d.region = response.Region
+			d.region, s.answered = response.Region, d.address
 			return response, nil
 		}
 		s.syncedWith = nil // a different process may respond at this address next time
-		d.retryAt = bootclock.Now() + retryDelay(err, request.Operator.Valid)
+		now := bootclock.Now()
+		logSlowFailure(s.follower.logger, d.address, now-sent, err)
+		d.retryAt = now + retryDelay(err, request.Operator.Valid)
 	}
 	return readResponse{}, err
 }
