Follower logs lapsed endpoints that it keeps

Question: does a gateway keep an endpoint that lapsed in an outage because no further read arrives, because the first read is late, or because the grace period starts again? Change: 'endpoints changed' has a state 'lapsed' with the rest of the grace period (kept_for). No decision depends on it.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -223,7 +223,7 @@
 	case confirmAsOf:
 		f.asOf.Store(max(f.asOf.Load(), int64(effect.asOf))) // the previous read may have come from a delegate that is further ahead
 	case logEndpointState:
-		f.logger.Info().Str("endpoint", string(effect.endpoint)).Str("state", effect.state).Int("count", effect.count).Msg("endpoints changed")
+		f.logger.Info().Str("endpoint", string(effect.endpoint)).Str("state", effect.state).Int("count", effect.count).Dur("kept_for", effect.keptFor).Msg("endpoints changed")
 	case logRestore:
 		f.logger.Warn().Str("table", effect.table).Uint64("era", effect.era).Uint64("era_before", effect.before).Int("kept", effect.kept).Msg("store was restored from a copy")
 	case logOperatorChange:
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -67,13 +67,14 @@
 	version int64
 }
 
-// logEndpointState is the effect that logs a new endpoint, a change of an endpoint's state, or a read of the complete
-// registry.
+// logEndpointState is the effect that logs a new endpoint, a change of an endpoint's state, a lapsed entry that is kept, or a
+// read of the complete registry.
 type logEndpointState struct {
 	reduce.IsEffect
 	endpoint catalog.EndpointID // "" for the complete registry
 	state    string
-	count    int // of entries in the complete registry
+	count    int           // of entries in the complete registry
+	keptFor  time.Duration // rest of the grace period of a lapsed entry
 }
 
 // state is the reducer's state.
@@ -216,6 +217,7 @@
 	for _, id := range lapsed {
 		if s.endpoints[id] != nil {
 			s.lapsed[id] = true
+			s.emit(logEndpointState{endpoint: id, state: "lapsed", keptFor: s.lapsedKeptUntil - event.receivedAt})
 		}
 	}
 	if event.receivedAt >= s.lapsedKeptUntil {
