Log the engine's accepted orders and start with orders and served versions

Change: an engine's report has OrdersAccepted and StartedAt; "engine ordered to load" and "version served changed" log those of the last report. No decision uses them.

--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/weights"
@@ -15,6 +16,9 @@
 	Queued   int
 	Slowdown float64 // slowdown against the published step times; above 1 for a slower engine
 	Leaving  bool    // the engine is shutting down and takes no new requests
+
+	OrdersAccepted int64     // orders that the engine has accepted since its start
+	StartedAt      time.Time // start of the engine's process on its own clock; zero if it is not stated
 }
 
 // LoadResult is an engine's answer to an order to load weights.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -474,6 +474,8 @@
 	for line, fields := range map[string][]string{
 		"request admitted":     {"request", "tokens", "version", "running", "estimated", "first_event", "framing", "took"},
 		"request not admitted": {"request", "reason", "version", "running", "limit"},
+
+		"version served changed": {"before", "version", "orders_accepted", "engine_started"},
 	} {
 		i := slices.IndexFunc(lines, func(text string) bool { return strings.Contains(text, `"`+line+`"`) })
 		if i < 0 {
--- a/internal/sidecar/staging.go
+++ b/internal/sidecar/staging.go
@@ -69,10 +69,10 @@
 	if err := u.verifyStaged(ctx, target); err != nil {
 		return err
 	}
-	s.setServing(0, true) // no new requests until the engine has loaded the version
+	s.setServing(0, true, u.report) // no new requests until the engine has loaded the version
 	outcome, err := s.engine.Load(ctx, u.model, target.version)
 	u.loading = err == nil && outcome == LoadStarted
-	s.logger.Info().Str("model", string(u.model)).Int64("version", target.version).Int("outcome", int(outcome)).Err(err).Msg("engine ordered to load")
+	s.logger.Info().Str("model", string(u.model)).Int64("version", target.version).Int("outcome", int(outcome)).Int64("orders_accepted", u.report.OrdersAccepted).Time("engine_started", u.report.StartedAt).Err(err).Msg("engine ordered to load")
 	return err
 }
 
--- a/internal/sidecar/updater.go
+++ b/internal/sidecar/updater.go
@@ -79,7 +79,8 @@
 	stagedChunks   map[int]bool     // chunks of that version that were staged and have not failed verification
 	peers          []core.Host      // peers that were submitted to the distributor
 	registryReadAt time.Duration
-	loading        bool // the engine was ordered to load and has not reported that it is done
+	loading        bool         // the engine was ordered to load and has not reported that it is done
+	report         EngineReport // last report that was received; for the log
 }
 
 // runUpdater reconciles the engine with the requested version until the context ends: at intervals, and when the view or the
@@ -131,12 +132,15 @@
 	}
 	s.prompts.SetSlowdown(report.Slowdown)
 	u.loading = report.Loading
+	if reportErr == nil {
+		u.report = report
+	}
 	loaded := report.Loaded[model]
 	u.setTargets(model, view.Rollouts[model], loaded)
 	deadline, replaced := view.Rollouts[model].Deadline(loaded, s.settings.VersionRolloutMs.Duration())
 	pastServeDeadline := replaced && bootclock.Now() > deadline-serveMargin
 	s.serveDeadline.Store(serveDeadline(deadline, replaced))
-	s.setServing(loaded, reportErr != nil || report.Loading || pastServeDeadline)
+	s.setServing(loaded, reportErr != nil || report.Loading || pastServeDeadline, u.report)
 	if reportErr != nil && !u.peerServesNewest(view) {
 		return reportErr // the engine may already have the weights when it can be reached
 	}
@@ -205,14 +209,15 @@
 	}
 }
 
-// setServing sets the version that the engine serves. If closed is true, the engine takes no requests.
-func (s *Sidecar) setServing(version int64, closed bool) {
+// setServing sets the version that the engine serves. If closed is true, the engine takes no requests. The engine's last
+// report is logged with a change.
+func (s *Sidecar) setServing(version int64, closed bool, report EngineReport) {
 	if closed {
 		version = 0
 	}
 	if before := s.servingVersion.Swap(version); before != version {
 		s.drainDeadline.Store(0) // it belonged to the change from the previous version
-		s.logger.Info().Int64("before", before).Int64("version", version).Msg("version served changed")
+		s.logger.Info().Int64("before", before).Int64("version", version).Int64("orders_accepted", report.OrdersAccepted).Time("engine_started", report.StartedAt).Msg("version served changed")
 	}
 }
 
