--- /dev/null
+++ b/internal/sidecar/unanswered_order_test.go
@@ -0,0 +1,171 @@
+package sidecar
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/fault"
+)
+
+const (
+	noPrecondition = -1
+	settledReports = 10 // reports after which a sidecar that holds a chunk has had the opportunity to stage it
+)
+
+type delayedOrder struct {
+	version      int64
+	precondition int64 // count of accepted orders that must match; noPrecondition for none
+}
+
+// delayingEngine leaves orders unanswered while delaying is set, and accepts them when the test calls acceptDelayed.
+type delayingEngine struct {
+	*fakeEngine
+	orders   sync.Mutex
+	delaying bool
+	delayed  []delayedOrder
+	accepted int64
+	reports  int
+	onDelay  func() // called without a lock before a delayed order times out
+}
+
+func newDelayingEngine() *delayingEngine {
+	return &delayingEngine{fakeEngine: &fakeEngine{staged: make(map[int][]byte), corruptChunk: -1}, delaying: true}
+}
+
+func (e *delayingEngine) Report(ctx context.Context) (EngineReport, error) {
+	e.orders.Lock()
+	e.reports++
+	e.orders.Unlock()
+	return e.fakeEngine.Report(ctx)
+}
+
+func (e *delayingEngine) Load(ctx context.Context, name core.Model, version int64) (LoadResult, error) {
+	e.orders.Lock()
+	delaying, onDelay := e.delaying, e.onDelay
+	if delaying {
+		e.delayed = append(e.delayed, delayedOrder{version: version, precondition: noPrecondition})
+	} else {
+		e.accepted++
+	}
+	e.orders.Unlock()
+	if !delaying {
+		return e.fakeEngine.Load(ctx, name, version)
+	}
+	if onDelay != nil {
+		onDelay()
+	}
+	return LoadRejected, fault.New(fault.Interrupted, "timeout", "order again")
+}
+
+// acceptDelayed carries out the first delayed order with what is staged now, if its precondition holds.
+func (e *delayingEngine) acceptDelayed(t *testing.T) {
+	t.Helper()
+	e.orders.Lock()
+	defer e.orders.Unlock()
+	order := e.delayed[0]
+	if order.precondition != noPrecondition && order.precondition != e.accepted {
+		return
+	}
+	e.accepted++
+	if _, err := e.fakeEngine.Load(context.Background(), model, order.version); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (e *delayingEngine) setDelaying(delaying bool) {
+	e.orders.Lock()
+	defer e.orders.Unlock()
+	e.delaying = delaying
+}
+
+func (e *delayingEngine) counts() (delayed, reports int) {
+	e.orders.Lock()
+	defer e.orders.Unlock()
+	return len(e.delayed), e.reports
+}
+
+func (e *delayingEngine) holdsAny(version int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for chunk := range chunkCount {
+		if slices.Equal(e.staged[chunk], chunkData(version, chunk)) {
+			return true
+		}
+	}
+	return false
+}
+
+// partialOrigin serves only one chunk of one version: the first that is requested.
+type partialOrigin struct {
+	fakeOrigin
+	partialVersion int64
+	served         sync.Mutex
+	servedChunk    int
+	servedAny      bool
+}
+
+func newPartialOrigin(version int64) *partialOrigin {
+	return &partialOrigin{fakeOrigin: fakeOrigin{corrupted: true}, partialVersion: version}
+}
+
+func (o *partialOrigin) Chunk(ctx context.Context, address string, name core.Model, version int64, chunk int) ([]byte, error) {
+	if version == o.partialVersion {
+		o.served.Lock()
+		defer o.served.Unlock()
+		if o.servedAny && chunk != o.servedChunk {
+			return nil, fault.New(fault.Interrupted, "unavailable", "retry later")
+		}
+		o.servedAny, o.servedChunk = true, chunk
+	}
+	return o.fakeOrigin.Chunk(ctx, address, name, version, chunk)
+}
+
+// waitUntilStagedOrSettled waits until the sidecar has staged a chunk of the version, or holds one and leaves it unstaged.
+func waitUntilStagedOrSettled(t *testing.T, s *Sidecar, engine *delayingEngine, origin *partialOrigin, version int64) {
+	t.Helper()
+	manifest, _ := origin.Manifest(context.Background(), "", model, version)
+	waitFor(t, "a chunk", func() bool { return len(s.store.Missing(manifest)) < chunkCount })
+	_, before := engine.counts()
+	waitFor(t, "the chunk to be staged or left", func() bool {
+		_, reports := engine.counts()
+		return engine.holdsAny(version) || reports >= before+settledReports
+	})
+}
+
+func TestUnansweredOrderDoesNotLoadAMixtureOfVersions(t *testing.T) {
+	engine, origin, source := newDelayingEngine(), newPartialOrigin(3), &fakeSource{version: 2}
+	ready := make(chan *Sidecar, 1)
+	engine.onDelay = func() {
+		s := <-ready
+		source.requestVersion(3)
+		waitFor(t, "version 3 to be requested", func() bool { return s.follower.View().Rollouts[model].Newest() == 3 })
+		engine.setDelaying(false)
+	}
+	s := newSidecar(t, engine, origin, source, "127.0.0.1:9")
+	ready <- s
+	waitFor(t, "the unanswered order", func() bool { delayed, _ := engine.counts(); return delayed > 0 })
+	waitUntilStagedOrSettled(t, s, engine, origin, 3)
+	engine.acceptDelayed(t)
+	if version, _, wrong := engine.state(); wrong != 0 {
+		t.Errorf("the engine loaded version %d with %d chunks of another version", version, wrong)
+	}
+}
+
+func TestUnansweredOrderOfAStoppedSidecarDoesNotLoadAMixtureOfVersions(t *testing.T) {
+	engine, origin, source := newDelayingEngine(), newPartialOrigin(3), &fakeSource{version: 2}
+	t.Run("predecessor", func(t *testing.T) {
+		newSidecar(t, engine, origin, source, "127.0.0.1:9")
+		waitFor(t, "the unanswered order", func() bool { delayed, _ := engine.counts(); return delayed > 0 })
+	})
+	engine.setDelaying(false)
+	source.requestVersion(3)
+	successor := newSidecar(t, engine, origin, source, "127.0.0.1:9")
+	waitUntilStagedOrSettled(t, successor, engine, origin, 3)
+	engine.acceptDelayed(t)
+	if version, _, wrong := engine.state(); wrong != 0 {
+		t.Errorf("the engine loaded version %d with %d chunks of another version", version, wrong)
+	}
+}
