Tests of late orders: report the accepted orders, stop a sidecar without a subtest

Cause: the passing subtest of a listed test was printed as fixed, and the engine's report lacked its count of accepted orders, which a sidecar may need to tell whether an order was carried out. Change: startSidecar returns the function that stops the sidecar. What the tests require is as before.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -202,22 +202,28 @@
 
 func newSidecarWithLogger(t *testing.T, engine Engine, origin Origin, source *fakeSource, engineAddress string, logger *log.Logger) *Sidecar {
 	t.Helper()
+	s, stop := startSidecar(engine, origin, source, engineAddress, logger)
+	t.Cleanup(stop)
+	return s
+}
+
+// startSidecar returns a running sidecar and a function that stops it and waits for its tasks.
+func startSidecar(engine Engine, origin Origin, source *fakeSource, engineAddress string, logger *log.Logger) (s *Sidecar, stop func()) {
 	source.address = engineAddress
 	config := settings.Sidecar{EngineAddress: engineAddress, Service: "s", VersionRolloutMs: 300, GraceMs: 1000}
 	config.Address, config.Region, config.FailureDomain = "127.0.0.1", "east", "x"
 	config.Ports = []int{1, 3}
 	follower := follow.New(source, follow.Intervals{EndpointsInterval: 20 * time.Millisecond}, follow.Delegates{}, logger)
-	s := New(config, passThroughCodec{}, follower, engine, origin, logger)
-	ctx, stop := context.WithCancel(context.Background())
+	s = New(config, passThroughCodec{}, follower, engine, origin, logger)
+	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	for _, run := range []func(context.Context){follower.Run, s.distributor.Run, s.runUpdater} {
 		tasks.Go(func() { run(ctx) })
 	}
-	t.Cleanup(func() {
-		stop()
+	return s, func() {
+		cancel()
 		tasks.Wait()
-	})
-	return s
+	}
 }
 
 func waitFor(t *testing.T, what string, condition func() bool) {
--- a/internal/sidecar/unanswered_order_test.go
+++ b/internal/sidecar/unanswered_order_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 
+	"github.com/phuslu/log"
+
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
@@ -38,8 +40,11 @@
 func (e *delayingEngine) Report(ctx context.Context) (EngineReport, error) {
 	e.orders.Lock()
 	e.reports++
+	accepted := e.accepted
 	e.orders.Unlock()
-	return e.fakeEngine.Report(ctx)
+	report, err := e.fakeEngine.Report(ctx)
+	report.OrdersAccepted = accepted
+	return report, err
 }
 
 func (e *delayingEngine) Load(ctx context.Context, name core.Model, version int64) (LoadResult, error) {
@@ -156,10 +161,10 @@
 
 func TestUnansweredOrderOfAStoppedSidecarDoesNotLoadAMixtureOfVersions(t *testing.T) {
 	engine, origin, source := newDelayingEngine(), newPartialOrigin(3), &fakeSource{version: 2}
-	t.Run("predecessor", func(t *testing.T) {
-		newSidecar(t, engine, origin, source, "127.0.0.1:9")
-		waitFor(t, "the unanswered order", func() bool { delayed, _ := engine.counts(); return delayed > 0 })
-	})
+	_, stopPredecessor := startSidecar(engine, origin, source, "127.0.0.1:9", &log.Logger{Level: log.PanicLevel})
+	t.Cleanup(stopPredecessor)
+	waitFor(t, "the unanswered order", func() bool { delayed, _ := engine.counts(); return delayed > 0 })
+	stopPredecessor()
 	engine.setDelaying(false)
 	source.requestVersion(3)
 	successor := newSidecar(t, engine, origin, source, "127.0.0.1:9")
