A later order without an answer cannot take chunks of another version

Cause: an order to load that timed out was taken as rejected.

Change: an order without an answer stays open until the engine has accepted an order or started again. Meanwhile nothing is staged over it and it is repeated. Each order states how many orders the engine has accepted, so only one of the repetitions is carried out, and none after a newer order. A sidecar that has just started does not replace staged chunks for 3 s, since an order of its predecessor may be open. While it drains, it begins no new orders.

The tests' fake engine now passes on and checks the number of accepted orders.

--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -40,10 +40,11 @@
 	StagedChunks(ctx context.Context, model core.Model) ([]int, error)
 	// StageChunk writes a chunk to the staging area.
 	StageChunk(ctx context.Context, model core.Model, chunk int, raw []byte) error
-	// ReadStagedChunk reads a chunk back from the staging area.
+	// ReadStagedChunk reads a chunk back from the staging area. It returns fault.NotFound if the chunk is not staged.
 	ReadStagedChunk(ctx context.Context, model core.Model, chunk int) ([]byte, error)
-	// Load orders the engine to load the staged chunks as the version.
-	Load(ctx context.Context, model core.Model, version int64) (LoadResult, error)
+	// Load orders the engine to load the staged chunks as the version. The engine rejects the order unless it has accepted
+	// the given number of orders. After an error it may have accepted it or may still do so.
+	Load(ctx context.Context, model core.Model, version, ordersAccepted int64) (LoadResult, error)
 }
 
 // Origin serves the weights of new versions.
--- /dev/null
+++ b/internal/sidecar/order.go
@@ -0,0 +1,71 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/bootclock"
+)
+
+// openOrder is an order to load a version that the engine has not answered. The engine may still accept it, and takes the
+// chunks that are staged at that moment, so they must not be replaced before.
+type openOrder struct {
+	target *targetVersion
+	report EngineReport // before the order was sent
+}
+
+// isOpen reports whether the engine that sent the report may still accept the order. An order states how many orders the
+// engine has accepted, so after another one it is rejected. An engine that has started again knows nothing of it.
+func (o *openOrder) isOpen(report EngineReport) bool {
+	return o != nil && !o.report.differs(report)
+}
+
+// differs reports whether the engine has accepted an order or started again between the two reports.
+func (r EngineReport) differs(later EngineReport) bool {
+	return !r.StartedAt.Equal(later.StartedAt) || r.OrdersAccepted != later.OrdersAccepted
+}
+
+// load verifies the staged chunks and orders the engine to load them. If the engine does not answer, the order stays open.
+func (u *updater) load(ctx context.Context, target *targetVersion) error {
+	s := u.sidecar
+	if err := u.verifyStaged(ctx, target); err != nil {
+		return err
+	}
+	s.setServing(0, true, u.report) // no new requests until the engine has loaded the version
+	outcome, err := s.engine.Load(ctx, u.model, target.version, u.report.OrdersAccepted)
+	u.loading = err == nil && outcome == LoadStarted
+	u.open = nil
+	if err != nil {
+		u.open = &openOrder{target: target, report: u.report}
+	}
+	s.logger.Info().Str("model", string(u.model)).Int64("version", target.version).Int("outcome", int(outcome)).Int64("orders_accepted", u.report.OrdersAccepted).Time("engine_started", u.report.StartedAt).Err(err).Msg("engine ordered to load")
+	return err
+}
+
+// repeatOpen sends the open order again, so that the engine accepts one of the two and rejects the other. It stages chunks
+// again that were lost meanwhile.
+func (u *updater) repeatOpen(ctx context.Context) error {
+	target := u.open.target
+	if err := u.stageArrived(ctx, target); err != nil {
+		return err
+	}
+	return u.load(ctx, target)
+}
+
+// recordReport records a report of the engine.
+func (u *updater) recordReport(report EngineReport) {
+	u.report = report
+	if u.firstReportAt == 0 {
+		u.firstReport, u.firstReportAt = report, bootclock.Now()
+	}
+}
+
+// inheritedOrderTime is how long after its start a sidecar does not replace staged chunks, as an order of its predecessor may
+// still be open. Most late orders were accepted within this time; a longer one would delay versions beyond their bound.
+const inheritedOrderTime = 3 * time.Second
+
+// mayReplaceStaged reports whether a staged chunk may be replaced by one with other content. If this process has just started,
+// the engine may still accept an order of its predecessor, unless it has accepted another one or started again since.
+func (u *updater) mayReplaceStaged() bool {
+	return bootclock.Now() >= u.firstReportAt+inheritedOrderTime || u.firstReport.differs(u.report)
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -54,7 +54,7 @@
 	if e.version > 0 {
 		loaded[model] = e.version
 	}
-	return EngineReport{Loaded: loaded}, nil
+	return EngineReport{Loaded: loaded, OrdersAccepted: int64(e.loads)}, nil
 }
 
 func (e *fakeEngine) StagedChunks(context.Context, core.Model) ([]int, error) {
@@ -87,9 +87,12 @@
 	return nil, fault.New(fault.NotFound, "not staged", "stage it")
 }
 
-func (e *fakeEngine) Load(_ context.Context, _ core.Model, version int64) (LoadResult, error) {
+func (e *fakeEngine) Load(_ context.Context, _ core.Model, version, ordersAccepted int64) (LoadResult, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if ordersAccepted != int64(e.loads) {
+		return LoadRejected, nil
+	}
 	for chunk := range chunkCount {
 		if string(e.staged[chunk]) != string(chunkData(version, chunk)) {
 			e.wrongChunks++
--- a/internal/sidecar/staging.go
+++ b/internal/sidecar/staging.go
@@ -49,6 +49,9 @@
 		if raw == nil {
 			continue
 		}
+		if !u.mayReplaceStaged() && u.holdsOther(ctx, chunk, digest) {
+			continue
+		}
 		if err := u.sidecar.engine.StageChunk(ctx, u.model, chunk, raw); err != nil {
 			return err
 		}
@@ -63,17 +66,13 @@
 	return nil
 }
 
-// load verifies the staged chunks and orders the engine to load them.
-func (u *updater) load(ctx context.Context, target *targetVersion) error {
-	s := u.sidecar
-	if err := u.verifyStaged(ctx, target); err != nil {
-		return err
+// holdsOther reports whether the engine may hold staged bytes of the chunk that do not match the digest.
+func (u *updater) holdsOther(ctx context.Context, chunk int, digest weights.Digest) bool {
+	raw, err := u.sidecar.engine.ReadStagedChunk(ctx, u.model, chunk)
+	if err != nil {
+		return !fault.Is(err, fault.NotFound)
 	}
-	s.setServing(0, true, u.report) // no new requests until the engine has loaded the version
-	outcome, err := s.engine.Load(ctx, u.model, target.version)
-	u.loading = err == nil && outcome == LoadStarted
-	s.logger.Info().Str("model", string(u.model)).Int64("version", target.version).Int("outcome", int(outcome)).Int64("orders_accepted", u.report.OrdersAccepted).Time("engine_started", u.report.StartedAt).Err(err).Msg("engine ordered to load")
-	return err
+	return weights.Sum(raw) != digest
 }
 
 // verifyStaged reads the staged chunks back and checks their digests, since they may be corrupted or lost with the engine's
--- a/internal/sidecar/unanswered_order_test.go
+++ b/internal/sidecar/unanswered_order_test.go
@@ -12,14 +12,12 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
-const (
-	noPrecondition = -1
-	settledReports = 10 // reports after which a sidecar that holds a chunk has had the opportunity to stage it
-)
+// settledReports is the number of reports after which a sidecar that holds a chunk has had the opportunity to stage it.
+const settledReports = 10
 
 type delayedOrder struct {
 	version      int64
-	precondition int64 // count of accepted orders that must match; noPrecondition for none
+	precondition int64 // count of accepted orders that must match
 }
 
 // delayingEngine leaves orders unanswered while delaying is set, and accepts them when the test calls acceptDelayed.
@@ -47,17 +45,17 @@
 	return report, err
 }
 
-func (e *delayingEngine) Load(ctx context.Context, name core.Model, version int64) (LoadResult, error) {
+func (e *delayingEngine) Load(ctx context.Context, name core.Model, version, ordersAccepted int64) (LoadResult, error) {
 	e.orders.Lock()
 	delaying, onDelay := e.delaying, e.onDelay
 	if delaying {
-		e.delayed = append(e.delayed, delayedOrder{version: version, precondition: noPrecondition})
-	} else {
+		e.delayed = append(e.delayed, delayedOrder{version: version, precondition: ordersAccepted})
+	} else if ordersAccepted == e.accepted {
 		e.accepted++
 	}
 	e.orders.Unlock()
 	if !delaying {
-		return e.fakeEngine.Load(ctx, name, version)
+		return e.fakeEngine.Load(ctx, name, version, ordersAccepted)
 	}
 	if onDelay != nil {
 		onDelay()
@@ -71,11 +69,11 @@
 	e.orders.Lock()
 	defer e.orders.Unlock()
 	order := e.delayed[0]
-	if order.precondition != noPrecondition && order.precondition != e.accepted {
+	if order.precondition != e.accepted {
 		return
 	}
 	e.accepted++
-	if _, err := e.fakeEngine.Load(context.Background(), model, order.version); err != nil {
+	if _, err := e.fakeEngine.Load(context.Background(), model, order.version, order.precondition); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/sidecar/updater.go
+++ b/internal/sidecar/updater.go
@@ -79,8 +79,11 @@
 	stagedChunks   map[int]bool     // chunks of that version that were staged and have not failed verification
 	peers          []core.Host      // peers that were submitted to the distributor
 	registryReadAt time.Duration
-	loading        bool         // the engine was ordered to load and has not reported that it is done
-	report         EngineReport // last report that was received; for the log
+	loading        bool          // the engine was ordered to load and has not reported that it is done
+	report         EngineReport  // last report that was received
+	firstReport    EngineReport  // first report that this process received
+	firstReportAt  time.Duration // when it was received, on the boot clock; 0 before
+	open           *openOrder    // the last order if the engine did not answer it, or nil
 }
 
 // runUpdater reconciles the engine with the requested version until the context ends: at intervals, and when the view or the
@@ -133,7 +136,7 @@
 	s.prompts.SetSlowdown(report.Slowdown)
 	u.loading = report.Loading
 	if reportErr == nil {
-		u.report = report
+		u.recordReport(report)
 	}
 	loaded := report.Loaded[model]
 	u.setTargets(model, view.Rollouts[model], loaded)
@@ -149,6 +152,13 @@
 		s.drainDeadline.Store(0)
 		return errors.Join(reportErr, fetchErr)
 	}
+	if u.open.isOpen(u.report) {
+		return errors.Join(fetchErr, u.repeatOpen(ctx))
+	}
+	u.open = nil
+	if s.draining.Load() {
+		return fetchErr // the next process could not know of an order that is not answered
+	}
 	return errors.Join(fetchErr, u.changeVersion(ctx, view, loaded, deadline))
 }
 
