The grace of a lapsed entry ends by the clock and is counted once

Cause: entries that a first read after an outage does not list are kept for 2.1 s, since live endpoints need so long to register again. The period began with the receipt of that read, however late, began again at each follower of a delegate, was extended for all entries by each further lapse, and its end took effect only with the next read. An engine that left after the outage was kept until then.

Change: each lapsed entry has its own end, set once, and a timer removes it. The period begins 0.7 s after the last failed read was sent if the first read comes later; delegates state how long it has run. It stops while the registry is unavailable again. A read that only finds its history gone no longer uses up the mark of the first read after an outage, which dropped live endpoints.

Calls of outage.observe in a test have a further argument.

--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -204,7 +204,7 @@
 		}
 		storeBackoff = backoff{}
 		news.observe(session.answered, sent, bootclock.Now(), response.Waited)
-		outage.observe(nil, bootclock.Now())
+		outage.observe(nil, sent, bootclock.Now())
 		operator, endpoints = response.Operator.Cursor, response.Endpoints.Cursor
 		f.loop.Post(ctx, response.toOperatorRead(sent))
 		f.loop.Post(ctx, endpointsRead{sentAt: sent, receivedAt: bootclock.Now(), changes: response.Endpoints})
@@ -350,17 +350,19 @@
 	sent := bootclock.Now()
 	changes, err := f.source.Operator(ctx, operator, 0)
 	if err != nil {
-		outage.observe(err, bootclock.Now())
+		outage.observe(err, sent, bootclock.Now())
+		f.postUnavailable(ctx, err)
 		return f.recover(ctx, operator, err), endpoints, err
 	}
 	f.loop.Post(ctx, operatorRead{sentAt: sent, asOf: sent, changes: changes})
 	sent = bootclock.Now()
 	endpointChanges, err := f.source.Endpoints(ctx, endpoints)
-	outage.observe(err, bootclock.Now())
+	outage.observe(err, sent, bootclock.Now())
 	if err != nil {
+		f.postUnavailable(ctx, err)
 		return changes.Cursor, f.recover(ctx, endpoints, err), err
 	}
-	endpointChanges.AfterOutage = outage.justEnded
+	endpointChanges.AfterOutage, endpointChanges.ReturnedBefore = outage.justEnded, outage.returnedBefore(bootclock.Now())
 	f.loop.Post(ctx, endpointsRead{sentAt: sent, receivedAt: bootclock.Now(), changes: endpointChanges})
 	f.sleep(ctx, min(f.intervals.OperatorWait, f.intervals.EndpointsInterval)-(bootclock.Now()-sent))
 	return changes.Cursor, endpointChanges.Cursor, nil
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,10 +48,22 @@
 	Removed   []catalog.EndpointID `json:"Gone"`
 	StoreTime time.Duration        // of the response, on the store's monotonic clock; 0 if unknown
 	Lapsed    []catalog.EndpointID // removed in a delegate's first read after an outage of the store, see AfterOutage
+	// LapsedAges are the times since that read, one for each entry of Lapsed; empty from delegates of earlier releases.
+	LapsedAges []time.Duration `json:",omitempty"`
 
 	// AfterOutage marks the first read after an outage of the store. The outage may be the only reason why the leases of
 	// removed entries expired.
 	AfterOutage bool
+	// ReturnedBefore is how long before such a read the grace period of the removed entries began.
+	ReturnedBefore time.Duration `json:"-"`
+}
+
+// lapsedAge returns the time since the read in which Lapsed[i] was removed; 0 if unknown.
+func (c *EndpointChanges) lapsedAge(i int) time.Duration {
+	if i >= len(c.LapsedAges) {
+		return 0
+	}
+	return c.LapsedAges[i]
 }
 
 // Source reads the platform's store. Both methods return ErrHistoryGone if the cursor is too old.
@@ -79,6 +91,7 @@
 	intervals Intervals
 	logger    *log.Logger
 	loop      *reduce.Loop
+	ctx       context.Context // of Run, for events that timers post
 	state     *state
 	view      atomic.Pointer[catalog.View]
 	asOf      atomic.Int64 // boot clock time up to which the view includes all operator changes, in nanoseconds; 0 before the first read
@@ -116,6 +129,7 @@
 
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.ctx = ctx
 	var tasks conc.WaitGroup
 	if f.readsStore {
 		tasks.Go(func() { f.readOperator(ctx) })
@@ -170,21 +184,29 @@
 		changes, err := f.source.Endpoints(ctx, cursor)
 		dependency.observe(err)
 		f.mirror.observe(tableEndpoints, err)
-		outage.observe(err, bootclock.Now())
+		outage.observe(err, sent, bootclock.Now())
 		if err != nil {
+			f.postUnavailable(ctx, err)
 			cursor = f.recover(ctx, cursor, err)
 			continue
 		}
 		cursor = changes.Cursor
 		f.clock.observeEra(cursor.Era)
 		f.clock.observe(sent, changes.StoreTime)
-		changes.AfterOutage = outage.justEnded
+		changes.AfterOutage, changes.ReturnedBefore = outage.justEnded, outage.returnedBefore(bootclock.Now())
 		f.mirror.addEndpoints(bootclock.Now(), changes)
 		f.loop.Post(ctx, endpointsRead{sentAt: sent, receivedAt: bootclock.Now(), changes: changes})
 		f.sleep(ctx, f.intervals.EndpointsInterval-(bootclock.Now()-sent))
 	}
 }
 
+// postUnavailable tells the reducer that the store did not answer a read.
+func (f *Follower) postUnavailable(ctx context.Context, err error) {
+	if !errors.Is(err, ErrHistoryGone) {
+		f.loop.Post(ctx, registryUnavailable{at: bootclock.Now()})
+	}
+}
+
 // recover returns the cursor for the read after a failed one. Unless the cursor was too old, it first sleeps
 // for retryInterval. After a restore of the store, the cursors of both tables are too old, so the registry is read again
 // without further delay.
@@ -220,6 +242,8 @@
 		if f.OnChange != nil {
 			f.OnChange(effect.view)
 		}
+	case wakeAt:
+		time.AfterFunc(effect.at-bootclock.Now(), func() { f.loop.Post(f.ctx, graceElapsed{at: max(effect.at, bootclock.Now())}) })
 	case confirmAsOf:
 		f.asOf.Store(max(f.asOf.Load(), int64(effect.asOf))) // the previous read may have come from a delegate that is further ahead
 	case logEndpointState:
@@ -236,22 +260,37 @@
 // process or a wait for a delegate, does not count as an outage.
 type outage struct {
 	lastSuccess time.Duration // time of the last successful read, on the boot clock
-	readFailed  bool          // a read has failed since then
+	failedAt    time.Duration // when the last failed read was sent
+	readFailed  bool          // a read has failed since the last successful one
 	justEnded   bool          // the last read was the first successful one after an outage
 }
 
-// observe records the result of a read. ErrHistoryGone counts as success, because the store answered.
-func (o *outage) observe(err error, now time.Duration) {
-	o.justEnded = false
-	if err != nil && !errors.Is(err, ErrHistoryGone) {
-		o.readFailed = true
+// observe records the result of a read that was sent at the given time. ErrHistoryGone counts as success, because the store
+// answered; the outage ends with the read after it, which has the changes.
+func (o *outage) observe(err error, sent, now time.Duration) {
+	historyGone := errors.Is(err, ErrHistoryGone)
+	if err != nil && !historyGone {
+		o.readFailed, o.justEnded, o.failedAt = true, false, sent
+		return
+	}
+	ended := o.readFailed && o.lastSuccess > 0 && now-o.lastSuccess > outageThreshold
+	o.justEnded = ended
+	if historyGone && ended {
 		return
 	}
-	o.justEnded = o.readFailed && o.lastSuccess > 0 && now-o.lastSuccess > outageThreshold
 	o.readFailed = false
 	o.lastSuccess = now
 }
 
+// returnedBefore returns how long before the first read after an outage the store may have returned, less maxReturnDelay. It
+// cannot have returned before the last failed read was sent.
+func (o *outage) returnedBefore(now time.Duration) time.Duration {
+	if !o.justEnded {
+		return 0
+	}
+	return max(0, now-o.failedAt-maxReturnDelay)
+}
+
 // dependency logs when a dependency of the process becomes unavailable and when it is available again.
 type dependency struct {
 	name        string
--- a/internal/follow/lapse_test.go
+++ b/internal/follow/lapse_test.go
@@ -78,3 +78,48 @@
 		t.Errorf("%s take new requests after the grace period that began at the delegate, want a", got)
 	}
 }
+
+func TestGraceStopsWhileTheRegistryIsUnavailable(t *testing.T) {
+	s := newState()
+	s.step(endpointsRead{receivedAt: time.Second, changes: EndpointChanges{Full: true, Present: []*catalog.Endpoint{endpoint("a")}}})
+	s.step(endpointsRead{receivedAt: 6 * time.Second, changes: EndpointChanges{AfterOutage: true, Removed: []catalog.EndpointID{"a"}}})
+	s.step(registryUnavailable{at: 7 * time.Second})
+	if view := lastView(s.step(graceElapsed{at: 6*time.Second + lapseGrace})); view != nil {
+		t.Errorf("during a second outage %q take new requests", ids(view))
+	}
+	s.step(endpointsRead{receivedAt: 17 * time.Second})
+	if view := lastView(s.step(graceElapsed{at: 16*time.Second + lapseGrace - 1})); view != nil {
+		t.Errorf("before the end of the grace period %q take new requests", ids(view))
+	}
+	if view := lastView(s.step(graceElapsed{at: 16*time.Second + lapseGrace})); view == nil || ids(view) != "" {
+		t.Error("the endpoint is kept after the grace period")
+	}
+}
+
+func TestGraceIsShorterAfterALateFirstRead(t *testing.T) {
+	var o outage
+	o.observe(nil, time.Second, time.Second)
+	o.observe(errUnavailable, 8*time.Second, 8500*time.Millisecond)
+	const firstRead = 10 * time.Second
+	o.observe(nil, firstRead, firstRead)
+	s := newState()
+	s.step(endpointsRead{receivedAt: time.Second, changes: EndpointChanges{Full: true, Present: []*catalog.Endpoint{endpoint("a")}}})
+	s.step(endpointsRead{receivedAt: firstRead, changes: EndpointChanges{AfterOutage: o.justEnded, ReturnedBefore: o.returnedBefore(firstRead), Removed: []catalog.EndpointID{"a"}}})
+	const inTouch = 3 * time.Second // after the earliest possible return of the store
+	if s.step(graceElapsed{at: 8*time.Second + inTouch}); s.endpoints["a"] != nil {
+		t.Error("the endpoint is kept although the store may have returned long before the first read")
+	}
+}
+
+func TestReadThatFindsNoHistoryDoesNotEndTheGraceOfAnOutage(t *testing.T) {
+	var o outage
+	o.observe(nil, time.Second, time.Second)
+	o.observe(errUnavailable, 4*time.Second, 4*time.Second)
+	o.observe(ErrHistoryGone, 5*time.Second, 5*time.Second)
+	if o.observe(nil, 5*time.Second, 5*time.Second); !o.justEnded {
+		t.Error("the complete read after an outage does not count as the first one")
+	}
+	if o.observe(nil, 6*time.Second, 6*time.Second); o.justEnded {
+		t.Error("the read after it counts as the first one")
+	}
+}
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -189,7 +189,7 @@
 	}
 	for _, id := range removed {
 		if m.entries[id].value != nil {
-			m.entries[id] = versioned[*catalog.Endpoint]{version: readVersion, seenAt: now, lapsed: changes.AfterOutage || restored}
+			m.entries[id] = versioned[*catalog.Endpoint]{version: readVersion, seenAt: now - changes.ReturnedBefore, lapsed: changes.AfterOutage || restored}
 			changed = true
 		}
 	}
@@ -362,6 +362,7 @@
 			changes.Present = append(changes.Present, entry.value)
 		case entry.value == nil && entry.lapsed && (full && now-entry.seenAt < lapseGrace || !full && entry.version > since.Version):
 			changes.Lapsed = append(changes.Lapsed, id)
+			changes.LapsedAges = append(changes.LapsedAges, now-entry.seenAt)
 		case entry.value == nil && !full && entry.version > since.Version:
 			changes.Removed = append(changes.Removed, id)
 		}
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -17,9 +17,11 @@
 	outageThreshold = 2 * time.Second
 	// lapseGrace is how long entries are kept whose leases expired during an outage of the store. According to the
 	// platform's page on discovery, live endpoints register again within about two seconds of the store's return. The
-	// grace period and one more read end before a machine that was cut off counts as connected again, three seconds after
-	// its return.
+	// grace period ends before a machine that was cut off counts as connected again, three seconds after its return.
 	lapseGrace = 2100 * time.Millisecond
+	// maxReturnDelay is the longest time from the store's return until this process reads from it that the grace period comes
+	// on top of. After a later read, the grace period is shorter.
+	maxReturnDelay = 700 * time.Millisecond
 )
 
 // operatorRead is the event that the operators' table was read. Its times are on the boot clock.
@@ -47,6 +49,24 @@
 	changes    EndpointChanges
 }
 
+// registryUnavailable is the event that the store did not answer a read of the registry.
+type registryUnavailable struct {
+	reduce.IsEvent
+	at time.Duration // on the boot clock
+}
+
+// graceElapsed is the event that the time of a wakeAt effect has come.
+type graceElapsed struct {
+	reduce.IsEvent
+	at time.Duration // on the boot clock
+}
+
+// wakeAt is the effect that posts graceElapsed at a time on the boot clock.
+type wakeAt struct {
+	reduce.IsEffect
+	at time.Duration
+}
+
 // publishView is the effect that makes the view available to traffic.
 type publishView struct {
 	reduce.IsEffect
@@ -79,14 +99,14 @@
 
 // state is the reducer's state.
 type state struct {
-	index           *catalog.Index
-	evacuated       map[core.FailureDomain]bool
-	wanted          map[core.Model]catalog.Rollouts
-	endpoints       map[catalog.EndpointID]*catalog.Endpoint
-	lapsed          map[catalog.EndpointID]bool // endpoints kept during the grace period although the registry no longer lists them
-	lapsedKeptUntil time.Duration               // end of the grace period for lapsed entries
-	restored        restored                    // what is kept against an older copy of the store
-	effects         []reduce.Effect
+	index            *catalog.Index
+	evacuated        map[core.FailureDomain]bool
+	wanted           map[core.Model]catalog.Rollouts
+	endpoints        map[catalog.EndpointID]*catalog.Endpoint
+	lapsed           map[catalog.EndpointID]time.Duration // endpoints kept although the registry no longer lists them, with the end of their grace period
+	unavailableSince time.Duration                        // when the registry became unavailable during a grace period, which stops until it is back; 0 if it did not
+	restored         restored                             // what is kept against an older copy of the store
+	effects          []reduce.Effect
 }
 
 func newState() *state {
@@ -94,7 +114,7 @@
 		evacuated: make(map[core.FailureDomain]bool),
 		wanted:    make(map[core.Model]catalog.Rollouts),
 		endpoints: make(map[catalog.EndpointID]*catalog.Endpoint),
-		lapsed:    make(map[catalog.EndpointID]bool),
+		lapsed:    make(map[catalog.EndpointID]time.Duration),
 		restored:  newRestored(),
 	}
 }
@@ -118,6 +138,14 @@
 		if s.applyEndpoints(event) {
 			s.publish()
 		}
+	case registryUnavailable:
+		if len(s.lapsed) > 0 && s.unavailableSince == 0 {
+			s.unavailableSince = event.at
+		}
+	case graceElapsed:
+		if s.unavailableSince == 0 && len(s.removeLapsed(event.at)) > 0 {
+			s.publish()
+		}
 	}
 	return s.effects
 }
@@ -187,10 +215,8 @@
 // during an outage are kept until the grace period ends.
 func (s *state) applyEndpoints(event endpointsRead) bool {
 	s.keepDepartures(&event)
+	s.resumeGrace(event.receivedAt)
 	changes := event.changes
-	if changes.AfterOutage || len(changes.Lapsed) > 0 {
-		s.lapsedKeptUntil = event.receivedAt + lapseGrace
-	}
 	gone := changes.Removed
 	if changes.Full {
 		s.emit(logEndpointState{state: "listed", count: len(changes.Present)})
@@ -207,27 +233,60 @@
 		s.endpoints[endpoint.ID] = withColdUntil(endpoint, event.receivedAt)
 		delete(s.lapsed, endpoint.ID)
 	}
-	lapsed := changes.Lapsed
-	if changes.AfterOutage {
-		lapsed, gone = append(lapsed, gone...), nil
+	for i, id := range changes.Lapsed {
+		s.keepLapsed(id, event.receivedAt, changes.lapsedAge(i))
 	}
 	for _, id := range gone {
-		s.remove(id, event.receivedAt)
-	}
-	for _, id := range lapsed {
-		if s.endpoints[id] != nil {
-			s.lapsed[id] = true
-			s.emit(logEndpointState{endpoint: id, state: "lapsed", keptFor: s.lapsedKeptUntil - event.receivedAt})
+		if changes.AfterOutage {
+			s.keepLapsed(id, event.receivedAt, changes.ReturnedBefore)
+		} else {
+			s.remove(id, event.receivedAt)
 		}
 	}
-	if event.receivedAt >= s.lapsedKeptUntil {
-		for id := range s.lapsed {
-			s.remove(id, event.receivedAt)
-			gone = append(gone, id)
+	removed := s.removeLapsed(event.receivedAt)
+	return len(changes.Present)+len(gone)+len(changes.Lapsed)+len(removed) > 0
+}
+
+// keepLapsed keeps an endpoint that the registry no longer lists for the rest of a grace period that began the given time ago.
+// A grace period that was known before is not extended.
+func (s *state) keepLapsed(id catalog.EndpointID, now, begunBefore time.Duration) {
+	if s.endpoints[id] == nil {
+		return
+	}
+	until := now - begunBefore + lapseGrace
+	if before, known := s.lapsed[id]; known {
+		until = min(before, until)
+	} else {
+		s.emit(logEndpointState{endpoint: id, state: "lapsed", keptFor: until - now})
+	}
+	s.lapsed[id] = until
+	s.emit(wakeAt{at: until})
+}
+
+// resumeGrace extends the grace periods by the time for which the registry was unavailable meanwhile, since endpoints could
+// not register then.
+func (s *state) resumeGrace(now time.Duration) {
+	if s.unavailableSince == 0 {
+		return
+	}
+	for id, until := range s.lapsed {
+		s.lapsed[id] = until + now - s.unavailableSince
+		s.emit(wakeAt{at: s.lapsed[id]})
+	}
+	s.unavailableSince = 0
+}
+
+// removeLapsed removes the endpoints whose grace period has ended, and returns them.
+func (s *state) removeLapsed(now time.Duration) (removed []catalog.EndpointID) {
+	for id, until := range s.lapsed {
+		if now >= until {
+			removed = append(removed, id)
 		}
-		clear(s.lapsed)
 	}
-	return len(changes.Present)+len(gone)+len(lapsed) > 0
+	for _, id := range removed {
+		s.remove(id, now)
+	}
+	return removed
 }
 
 func (s *state) remove(id catalog.EndpointID, now time.Duration) {
--- a/internal/follow/state_test.go
+++ b/internal/follow/state_test.go
@@ -116,19 +116,19 @@
 // for two more seconds.
 func TestOutageRequiresFailedReads(t *testing.T) {
 	var o outage
-	o.observe(nil, time.Second)
-	if o.observe(nil, 9*time.Second); o.justEnded {
+	o.observe(nil, time.Second, time.Second)
+	if o.observe(nil, 9*time.Second, 9*time.Second); o.justEnded {
 		t.Error("a pause without a failed read counts as an outage")
 	}
-	o.observe(errUnavailable, 10*time.Second)
-	if o.observe(nil, 10500*time.Millisecond); o.justEnded {
+	o.observe(errUnavailable, 10*time.Second, 10*time.Second)
+	if o.observe(nil, 10500*time.Millisecond, 10500*time.Millisecond); o.justEnded {
 		t.Error("one failed read counts as an outage")
 	}
-	o.observe(errUnavailable, 12*time.Second)
-	if o.observe(nil, 14*time.Second); !o.justEnded {
+	o.observe(errUnavailable, 12*time.Second, 12*time.Second)
+	if o.observe(nil, 14*time.Second, 14*time.Second); !o.justEnded {
 		t.Error("an outage is not detected")
 	}
-	if o.observe(nil, 15*time.Second); o.justEnded {
+	if o.observe(nil, 15*time.Second, 15*time.Second); o.justEnded {
 		t.Error("the second read after an outage counts as the first")
 	}
 }
