The time without news is bounded, whatever the number of silent delegates

Cause: a follower asked its delegates one after another, each with the whole wait and a margin: 4.2 s with three silent delegates at a gateway, 7.2 s at a sidecar. A silent delegate of its own region was asked first again every 2 s. A delegate that lagged behind held a request for its whole wait, and hid the news of others.

Change: only the delegate that answered last may hold a request. A lagging delegate counts only without another. Gateways let a delegate hold a request for 0.8 s instead of 1 s. A delegate answers a reader that is ahead as soon as it has caught up, and the removal of a sidecar's own engine is urgent.

Evidence: TestSilentDelegatesDoNotDelayDeparturesAtSidecars (2.40 and 4.80 s), ...AtGateways (4.20 s), TestRemovalOfOwnEndpointIsUrgent and TestResyncIsAnsweredOnceTheDelegateHasCaughtUp failed before, so did an earlier form of TestLaggingDelegateDoesNotHideTheNewsOfAnother.

--- a/cmd/lovage-gateway/main.go
+++ b/cmd/lovage-gateway/main.go
@@ -23,6 +23,10 @@
 // endpointsWait is a fraction of the time within which the removal of an endpoint must take effect.
 const endpointsWait = 200 * time.Millisecond
 
+// delegateWait leaves time, within the two seconds in which the removal of an endpoint must take effect, for a delegate's own
+// read and for asking another delegate.
+const delegateWait = 800 * time.Millisecond
+
 func main() {
 	daemon.Main(daemon.Program[settings.Gateway]{
 		Name:         "lovage-gateway",
@@ -34,7 +38,7 @@
 }
 
 func run(ctx context.Context, config settings.Gateway, peers *rpc.Client, logger *log.Logger) error {
-	delegates := follow.Delegates{Self: config.ControlAddress, Region: config.Region, Addresses: config.Delegates, Peers: peers, EndpointsWait: endpointsWait}
+	delegates := follow.Delegates{Self: config.ControlAddress, Region: config.Region, Addresses: config.Delegates, Peers: peers, Wait: delegateWait, EndpointsWait: endpointsWait}
 	follower := follow.New(platform.NewStore(config.StoreAddress, config.Regions, logger), readIntervals, delegates, logger)
 	return gateway.New(config, platform.Headers{}, follower, logger).Run(ctx)
 }
--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"hash/maphash"
 	"slices"
 	"time"
@@ -17,13 +16,6 @@
 const methodFollow = "follow.read"
 
 const (
-	// delegateResponseMargin is how long a follower waits for a delegate's response beyond the requested wait. It covers
-	// many round trips between regions.
-	delegateResponseMargin = 400 * time.Millisecond
-	// maxDelegateSilence, added to the requested wait, is the longest accepted time since a delegate's last response from
-	// the store. A configuration has to be in force within two seconds. A delegate's read, its time-out and one more
-	// response fit into these two seconds.
-	maxDelegateSilence = 700 * time.Millisecond
 	// startRequestTimeout is the time-out of a request to a delegate while this process has no data. Such a request is
 	// answered without a wait. The time-out covers many round trips between regions. It is short because the delegate may
 	// have lost power together with this process.
@@ -34,11 +26,6 @@
 	// startDelegateWait is how long a starting process waits for delegates before it reads the store itself. Otherwise,
 	// after a complete power loss, a hundred processes would fetch the whole configuration over the links between regions.
 	startDelegateWait = 1500 * time.Millisecond
-	// delegateRetryInterval is the delay before a delegate that did not answer is tried again.
-	delegateRetryInterval = 2 * time.Second
-	// failingDelegateRetryInterval is the delay before a delegate is tried again whose own reads fail. It is shorter
-	// because delegates are the first to notice that the store is back.
-	failingDelegateRetryInterval = 400 * time.Millisecond
 )
 
 // readRequest asks a delegate for the changes since the cursors.
@@ -79,7 +66,8 @@
 	Region     core.Region
 	Addresses  []string // control addresses; if empty, each process reads the store itself
 	Peers      *rpc.Client
-	OmitRoutes bool // this process does not need routes and workspaces
+	OmitRoutes bool          // this process does not need routes and workspaces
+	Wait       time.Duration // longest time for which a delegate holds a read without a change; 0 for Intervals.OperatorWait
 	// EndpointsWait is the shortest time between two responses of a delegate if only endpoints change.
 	EndpointsWait time.Duration
 	// UrgentAddress is the address of an endpoint whose changes this process has to learn at once; "" for none.
@@ -96,25 +84,27 @@
 // orderDelegates returns the delegates that may be asked now: those in this region first, then those whose region is
 // unknown, then the others.
 func orderDelegates(delegates []*delegate, region core.Region, now time.Duration) []*delegate {
-	rank := func(d *delegate) int {
-		switch d.region {
-		case region:
-			return 0
-		case "":
-			return 1
-		}
-		return 2
-	}
 	var available []*delegate
 	for _, d := range delegates {
 		if d.retryAt <= now {
 			available = append(available, d)
 		}
 	}
-	slices.SortStableFunc(available, func(a, b *delegate) int { return rank(a) - rank(b) })
+	slices.SortStableFunc(available, func(a, b *delegate) int { return a.rank(region) - b.rank(region) })
 	return available
 }
 
+// rank returns the delegate's place in the order of preference of a process in the region; a lower one is preferred.
+func (d *delegate) rank(region core.Region) int {
+	switch d.region {
+	case region:
+		return 0
+	case "":
+		return 1
+	}
+	return 2
+}
+
 // newDelegates returns the configured delegates, rotated by a random offset to spread followers over them.
 func newDelegates(config Delegates) []*delegate {
 	delegates := make([]*delegate, 0, len(config.Addresses))
@@ -208,6 +198,9 @@
 		operator, endpoints = response.Operator.Cursor, response.Endpoints.Cursor
 		f.loop.Post(ctx, response.toOperatorRead(sent))
 		f.loop.Post(ctx, endpointsRead{sentAt: sent, receivedAt: bootclock.Now(), changes: response.Endpoints})
+		if session.syncedWith == nil {
+			f.sleep(ctx, startRetryInterval) // the delegate lags behind this process and did not hold the request
+		}
 	}
 }
 
@@ -233,10 +226,14 @@
 
 // readRequest returns the request to a delegate for the changes since the cursors.
 func (f *Follower) readRequest(operator, endpoints Cursor) readRequest {
+	wait := f.intervals.OperatorWait
+	if f.delegates.Wait > 0 {
+		wait = f.delegates.Wait
+	}
 	return readRequest{
 		Operator:      operator,
 		Endpoints:     endpoints,
-		Wait:          f.intervals.OperatorWait,
+		Wait:          wait,
 		OmitRoutes:    f.delegates.OmitRoutes,
 		Configuration: f.configurationVersion(),
 		EndpointsWait: f.delegates.EndpointsWait,
@@ -245,74 +242,6 @@
 	}
 }
 
-// delegateSession is a follower's state for reads from delegates.
-type delegateSession struct {
-	follower   *Follower
-	delegates  []*delegate
-	syncedWith *delegate // the delegate that sent its full endpoint list over the connection that is still open, or nil
-	answered   string    // address of the delegate whose response read returned last
-}
-
-// read returns the response of the first delegate that has recent data. A process without any data accepts an old
-// response, because during an outage of the store nothing better is available.
-func (s *delegateSession) read(ctx context.Context, request readRequest) (readResponse, error) {
-	err := error(fault.New(fault.Interrupted, "no delegate answers", "check the processes at the delegates' addresses; the store is read instead"))
-	for _, d := range orderDelegates(s.delegates, s.follower.delegates.Region, bootclock.Now()) {
-		var response readResponse
-		sent := bootclock.Now()
-		response, err = s.ask(ctx, d, request)
-		if err == nil {
-			d.region, s.answered = response.Region, d.address
-			return response, nil
-		}
-		s.syncedWith = nil // a different process may respond at this address next time
-		now := bootclock.Now()
-		logSlowFailure(s.follower.logger, d.address, now-sent, err)
-		d.retryAt = now + retryDelay(err, request.Operator.Valid)
-	}
-	return readResponse{}, err
-}
-
-// ask reads from one delegate. It requests all endpoints unless the delegate sent them over the connection in use: after a
-// restart, a delegate does not know which entries were removed before.
-func (s *delegateSession) ask(ctx context.Context, d *delegate, request readRequest) (readResponse, error) {
-	timeout := request.Wait + delegateResponseMargin
-	if !request.Operator.Valid {
-		timeout = startRequestTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if s.syncedWith != d {
-		s.syncedWith = nil
-	}
-	var response readResponse
-	err := rpc.ErrNotConnected
-	if s.syncedWith != nil {
-		err = s.follower.delegates.Peers.CallConnected(ctx, d.address, methodFollow, request, &response)
-	}
-	if errors.Is(err, rpc.ErrNotConnected) {
-		s.syncedWith = nil
-		request.Resync = true
-		err = s.follower.delegates.Peers.Call(ctx, d.address, methodFollow, request, &response)
-	}
-	if err == nil {
-		err = response.unpack()
-	}
-	if err != nil {
-		return readResponse{}, err
-	}
-	if response.Silence > request.Wait+maxDelegateSilence && request.Operator.Valid {
-		return readResponse{}, fault.New(fault.PlatformUnavailable, "the delegate has received nothing from the store for too long", "check the store and the network to it")
-	}
-	if response.isOlderEra(request) {
-		return readResponse{}, errMissedRestore()
-	}
-	if response.Endpoints.Full {
-		s.syncedWith = d
-	}
-	return response, nil
-}
-
 func errMissedRestore() error {
 	return fault.New(fault.PlatformUnavailable, "the delegate has not read the store since it was restored from a copy", "ask another delegate or the store")
 }
@@ -333,18 +262,6 @@
 	return r.Operator.Cursor.Era < request.Operator.Era || r.Endpoints.Cursor.Era < request.Endpoints.Era
 }
 
-// retryDelay returns the delay before a delegate that returned the error is asked again.
-func retryDelay(err error, started bool) time.Duration {
-	switch {
-	case !started:
-		return startRetryInterval
-	case fault.Is(err, fault.PlatformUnavailable):
-		return failingDelegateRetryInterval
-	default:
-		return delegateRetryInterval
-	}
-}
-
 // readStoreOnce reads both tables of the store once and returns the cursors for the next read.
 func (f *Follower) readStoreOnce(ctx context.Context, operator, endpoints Cursor, outage *outage) (Cursor, Cursor, error) {
 	sent := bootclock.Now()
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -34,6 +34,7 @@
 	forgottenOperator    uint64                                              // ends of evacuations up to this version are not known
 	failing              map[string]bool                                     // tables whose last read failed
 	changed              chan struct{}                                       // closed and replaced to wake waiting reads
+	readersAhead         int                                                 // waiting reads of followers that have read later versions than this process
 }
 
 // Names of the tables in mirror.failing.
@@ -68,6 +69,7 @@
 	version uint64
 	seenAt  time.Duration // on the boot clock: when it was read or, for a wanted version, the earliest possible time of its request
 	lapsed  bool          // removed in the first read after an outage of the store
+	address string        // of a removed endpoint
 }
 
 func newMirror() *mirror {
@@ -188,14 +190,14 @@
 		}
 	}
 	for _, id := range removed {
-		if m.entries[id].value != nil {
-			m.entries[id] = versioned[*catalog.Endpoint]{version: readVersion, seenAt: now - changes.ReturnedBefore, lapsed: changes.AfterOutage || restored}
+		if before := m.entries[id].value; before != nil {
+			m.entries[id] = versioned[*catalog.Endpoint]{version: readVersion, seenAt: now - changes.ReturnedBefore, lapsed: changes.AfterOutage || restored, address: before.Address}
 			changed = true
 		}
 	}
 	m.dropOldRemovals(now)
 	m.endpointCursor = changes.Cursor
-	if changed {
+	if changed || m.readersAhead > 0 {
 		m.notify()
 	}
 }
@@ -227,23 +229,36 @@
 	gathered := request.EndpointsWait <= 0
 	for {
 		m.mu.Lock()
-		due := m.operatorChangedSince(request.Operator, request.Endpoints) || request.Resync && !isLater(request.Endpoints, m.endpointCursor)
+		ahead := request.Resync && isLater(request.Endpoints, m.endpointCursor)
+		due := m.operatorChangedSince(request.Operator, request.Endpoints) || request.Resync && !ahead
 		due = due || m.endpointsChangedSince(request.Endpoints, gathered, request.UrgentAddress)
 		failing := m.failing[tableOperators] || m.failing[tableEndpoints]
 		changed := m.changed
+		if ahead && !failing && !due {
+			m.readersAhead++
+		}
 		m.mu.Unlock()
 		if failing || due {
 			return !failing
 		}
+		ended := false
 		select {
 		case <-ctx.Done():
-			return true
+			ended = true
 		case <-timer.C:
-			return true
+			ended = true
 		case <-gather.C:
 			gathered = true
 		case <-changed:
 		}
+		if ahead {
+			m.mu.Lock()
+			m.readersAhead--
+			m.mu.Unlock()
+		}
+		if ended {
+			return true
+		}
 	}
 }
 
@@ -281,7 +296,11 @@
 // endpoint at the address. The caller must hold m.mu.
 func (m *mirror) endpointsChangedSince(since Cursor, any bool, address string) bool {
 	for _, entry := range m.entries {
-		isUrgent := entry.value != nil && address != "" && entry.value.Address == address
+		changedAddress := entry.address
+		if entry.value != nil {
+			changedAddress = entry.value.Address
+		}
+		isUrgent := address != "" && changedAddress == address
 		if entry.version > since.Version && (any || isUrgent) {
 			return true
 		}
