A sidecar refuses for an engine that the registry lists as draining

It now refuses as for an engine that says itself that it is leaving, and tells the gateways so. An incarnation that has started since ends this. TestSidecarRefusesOnceTheRegistryListsItsEngineAsDraining; it was not run against the code before, which has nothing that could make it pass.

--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -221,7 +221,7 @@
 
 // withdrawnReason returns the reason of a refusal while the engine wants no requests, and otherwise "".
 func (s *Sidecar) withdrawnReason() string {
-	switch leaving, holdOff := s.withdrawal.state(bootclock.Now()); {
+	switch leaving, holdOff := s.withdrawn(); {
 	case leaving:
 		return refusedLeaving
 	case holdOff > 0:
@@ -232,9 +232,15 @@
 	return ""
 }
 
+// withdrawn returns whether the engine is leaving, by its own word or by the registry, and how much longer it wants no requests.
+func (s *Sidecar) withdrawn() (leaving bool, holdOff time.Duration) {
+	leaving, holdOff = s.withdrawal.state(bootclock.Now())
+	return leaving || s.registryLeaves.Load(), holdOff
+}
+
 // logWithdrawal logs a change of what the engine says about taking requests.
 func (s *Sidecar) logWithdrawal() {
-	leaving, holdOff := s.withdrawal.state(bootclock.Now())
+	leaving, holdOff := s.withdrawn()
 	s.logger.Info().Bool("leaving", leaving).Dur("hold_off", holdOff).Msg("engine's readiness for requests changed")
 }
 
@@ -285,7 +291,7 @@
 
 // setWithdrawalHeaders tells a gateway that the engine wants no requests, from any gateway.
 func (s *Sidecar) setWithdrawalHeaders(header http.Header) {
-	leaving, holdOff := s.withdrawal.state(bootclock.Now())
+	leaving, holdOff := s.withdrawn()
 	holdOff = max(holdOff, s.rateWait())
 	if leaving {
 		header.Set(wire.HeaderLeaving, "1")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -57,6 +57,7 @@
 	prompts        admission.PrefillTracker
 	coldRate       admission.ColdRateLimiter
 	withdrawal     withdrawal
+	registryLeaves atomic.Bool // the registry lists the engine as draining
 	statedRate     admission.StatedRate
 	rateLimiter    admission.RateLimiter
 	crashes        *quarantine.Detector
@@ -132,6 +133,9 @@
 			s.coldRate.SetCold(s.coldUntil(view), service.ColdPerSecond)
 		}
 	}
+	if leaves := s.isDraining(view); s.registryLeaves.Swap(leaves) != leaves {
+		s.logWithdrawal()
+	}
 	select {
 	case s.viewUpdated <- struct{}{}:
 	default:
@@ -149,6 +153,21 @@
 	return until
 }
 
+// isDraining reports whether the registry lists this sidecar's engine, and only as draining.
+func (s *Sidecar) isDraining(view *catalog.View) bool {
+	draining := false
+	for _, endpoint := range view.RegisteredEndpoints(s.settings.Service) {
+		if endpoint.Address != s.settings.EngineAddress {
+			continue
+		}
+		if !endpoint.Draining {
+			return false // an incarnation that has started since
+		}
+		draining = true
+	}
+	return draining
+}
+
 func costModelOf(engine *catalog.Engine) admission.CostModel {
 	return admission.CostModel{BaseTokenTime: engine.Step, TokenTimePerStream: engine.PerStream, TokensPerPass: engine.Stride, PrefillTokensPerSecond: engine.ReadPerS}
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -146,6 +146,7 @@
 	address string
 	version int64
 	coldFor time.Duration
+	drains  bool // the engine is listed as draining
 }
 
 func (s *fakeSource) Operator(ctx context.Context, _ follow.Cursor, _ time.Duration) (follow.OperatorChanges, error) {
@@ -164,7 +165,7 @@
 func (s *fakeSource) Endpoints(context.Context, follow.Cursor) (follow.EndpointChanges, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	endpoint := &catalog.Endpoint{ID: "i-1", Service: "s", Address: s.address, FailureDomain: "x", Region: "east", ColdFor: s.coldFor}
+	endpoint := &catalog.Endpoint{ID: "i-1", Service: "s", Address: s.address, FailureDomain: "x", Region: "east", ColdFor: s.coldFor, Draining: s.drains}
 	return follow.EndpointChanges{Full: true, Cursor: follow.Cursor{Valid: true}, Present: []*catalog.Endpoint{endpoint}}, nil
 }
 
@@ -174,6 +175,12 @@
 	s.version = version
 }
 
+func (s *fakeSource) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drains = true
+}
+
 // passThroughCodec copies headers unchanged.
 type passThroughCodec struct{}
 
--- a/internal/sidecar/withdrawal_test.go
+++ b/internal/sidecar/withdrawal_test.go
@@ -92,3 +92,19 @@
 		}
 	}
 }
+
+func TestSidecarRefusesOnceTheRegistryListsItsEngineAsDraining(t *testing.T) {
+	var requests atomic.Int32
+	address := serve(t, func(http.ResponseWriter, *http.Request) { requests.Add(1) })
+	source := &fakeSource{}
+	s := newSidecar(t, &fakeEngine{staged: make(map[int][]byte), corruptChunk: -1, version: 1}, &fakeOrigin{}, source, address)
+	waitFor(t, "version 1", func() bool { return s.servingVersion.Load() == 1 })
+	if relay(s); requests.Load() != 1 {
+		t.Fatal("a request before the engine drains does not reach it")
+	}
+	source.drain()
+	waitFor(t, "a refusal", func() bool {
+		answer := relay(s)
+		return answer.Header().Get(wire.HeaderRefused) == refusedLeaving && answer.Header().Get(wire.HeaderLeaving) != ""
+	})
+}
