--- a/systemtest/soak/faults_test.go
+++ b/systemtest/soak/faults_test.go
@@ -23,6 +23,7 @@
 	// disruptions.
 	sparseGapFactor   = 4
 	corruptChunkCount = 5
+	lateOrderDelay    = 1500 * time.Millisecond
 	entryReturnDelay  = time.Second // from the end of a store outage until an expired entry is registered again; also the pauses of a replacement
 )
 
@@ -55,6 +56,7 @@
 	{"back ends faulty", (*system).makeBackendsFaulty},
 	{"origin disturbed", (*system).disturbOrigin},
 	{"staged chunks corrupted", (*system).corruptStagedWeights},
+	{"engines leave orders unanswered", (*system).leaveOrdersUnanswered},
 	{"version published", func(s *system, _ int, _ time.Duration) { s.publishVersion() }},
 	{"route moved", func(s *system, _ int, _ time.Duration) { s.moveRoute() }},
 	{"key revoked", func(s *system, _ int, _ time.Duration) { s.revokeKey() }},
@@ -207,6 +209,18 @@
 	}
 }
 
+// leaveOrdersUnanswered publishes two versions, and lets the engines accept their orders late and without an answer.
+func (s *system) leaveOrdersUnanswered(_ int, duration time.Duration) {
+	for _, b := range s.engines {
+		b.engine.DelayOrders(lateOrderDelay)
+		defer b.engine.DelayOrders(0)
+	}
+	s.publishVersion()
+	time.Sleep(lateOrderDelay)
+	s.publishVersion()
+	time.Sleep(duration)
+}
+
 // publishVersion writes the next version. Versions are written in their order, also by faults that wait for the store at the
 // same time.
 func (s *system) publishVersion() {
