Open orders have an end, survive a rejected repetition, and writes are open too

Found by a review that had not seen the fix before: a 409 to the repetition closed an order that the engine could still accept (proved there by a scratch test, one chunk of another version); an order that was answered with an error, or whose chunks were gone, kept a sidecar from newer versions for ever; a write of a chunk without an answer could land on a newer version's.

Change: only an accepted order, another count or start in a report, or 15 s end an open order; only calls without any answer open one; an unanswered write keeps other versions off its chunk for as long. A sidecar does not end within its grace period while an order is open, and refuses on while the registry no longer lists its draining engine.

--- a/internal/sidecar/order.go
+++ b/internal/sidecar/order.go
@@ -5,19 +5,25 @@
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/bootclock"
+	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
 // openOrder is an order to load a version that the engine has not answered. The engine may still accept it, and takes the
 // chunks that are staged at that moment, so they must not be replaced before.
 type openOrder struct {
 	target *targetVersion
-	report EngineReport // before the order was sent
+	report EngineReport  // before the order was sent
+	sentAt time.Duration // when it was last sent without an answer, on the boot clock
 }
 
+// lateCallTime is how long after it was sent an engine may carry out a call that it does not answer. Orders were accepted up to
+// 12.1 s late.
+const lateCallTime = 15 * time.Second
+
 // isOpen reports whether the engine that sent the report may still accept the order. An order states how many orders the
 // engine has accepted, so after another one it is rejected. An engine that has started again knows nothing of it.
-func (o *openOrder) isOpen(report EngineReport) bool {
-	return o != nil && !o.report.differs(report)
+func (o *openOrder) isOpen(report EngineReport, now time.Duration) bool {
+	return o != nil && !o.report.differs(report) && now < o.sentAt+lateCallTime
 }
 
 // differs reports whether the engine has accepted an order or started again between the two reports.
@@ -34,14 +40,23 @@
 	s.setServing(0, true, u.report) // no new requests until the engine has loaded the version
 	outcome, err := s.engine.Load(ctx, u.model, target.version, u.report.OrdersAccepted)
 	u.loading = err == nil && outcome == LoadStarted
-	u.open = nil
-	if err != nil {
-		u.open = &openOrder{target: target, report: u.report}
-	}
+	u.recordOutcome(target, outcome, err)
 	s.logger.Info().Str("model", string(u.model)).Int64("version", target.version).Int("outcome", int(outcome)).Int64("orders_accepted", u.report.OrdersAccepted).Time("engine_started", u.report.StartedAt).Err(err).Msg("engine ordered to load")
 	return err
 }
 
+// recordOutcome opens the order if the engine did not answer it. A rejection of its repetition leaves it open: the engine may
+// have rejected that for its state.
+func (u *updater) recordOutcome(target *targetVersion, outcome LoadResult, err error) {
+	switch {
+	case fault.Is(err, fault.Interrupted):
+		u.open = &openOrder{target: target, report: u.report, sentAt: bootclock.Now()}
+	case err == nil && outcome != LoadRejected:
+		u.open = nil
+	}
+	u.sidecar.orderOpen.Store(u.open != nil)
+}
+
 // repeatOpen sends the open order again, so that the engine accepts one of the two and rejects the other. It stages chunks
 // again that were lost meanwhile.
 func (u *updater) repeatOpen(ctx context.Context) error {
@@ -61,7 +76,7 @@
 }
 
 // inheritedOrderTime is how long after its start a sidecar does not replace staged chunks, as an order of its predecessor may
-// still be open. Most late orders were accepted within this time; a longer one would delay versions beyond their bound.
+// still be open. It is shorter than lateCallTime, which would delay versions beyond their bound.
 const inheritedOrderTime = 3 * time.Second
 
 // mayReplaceStaged reports whether a staged chunk may be replaced by one with other content. If this process has just started,
@@ -69,3 +84,44 @@
 func (u *updater) mayReplaceStaged() bool {
 	return bootclock.Now() >= u.firstReportAt+inheritedOrderTime || u.firstReport.differs(u.report)
 }
+
+// openWrite is a chunk that was written to the staging area without an answer. The engine may still carry the write out.
+type openWrite struct {
+	version int64
+	report  EngineReport // before it was sent
+	sentAt  time.Duration
+}
+
+// recordWrite records the outcome of writing a chunk of the version.
+func (u *updater) recordWrite(chunk int, version int64, err error) {
+	if fault.Is(err, fault.Interrupted) {
+		u.openWrites[chunk] = openWrite{version: version, report: u.report, sentAt: bootclock.Now()}
+	}
+}
+
+// mayBeOverwritten reports whether a chunk of the version could be replaced by an open write of another version.
+func (u *updater) mayBeOverwritten(chunk int, version int64) bool {
+	write, known := u.openWrites[chunk]
+	if !known || write.version == version {
+		return false
+	}
+	if !write.report.StartedAt.Equal(u.report.StartedAt) || bootclock.Now() >= write.sentAt+lateCallTime {
+		delete(u.openWrites, chunk)
+		return false
+	}
+	return true
+}
+
+// awaitOpenOrder waits until no order is open or the context ends, since the next process would not know of it.
+func (s *Sidecar) awaitOpenOrder(ctx context.Context) {
+	ticker := time.NewTicker(loadCheckInterval)
+	defer ticker.Stop()
+	for s.orderOpen.Load() {
+		select {
+		case <-ctx.Done():
+			s.logger.Warn().Msg("stopped with an order that the engine has not answered")
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -72,6 +72,7 @@
 	serveDeadline  atomic.Int64 // boot clock in nanoseconds from which the served version takes no requests; 0 for none
 	viewUpdated    chan struct{}
 	draining       atomic.Bool // the process has been told to stop
+	orderOpen      atomic.Bool // the engine has not answered the last order to load
 
 	manifestsMu sync.Mutex
 	manifests   map[manifestRequest]weights.Manifest // manifests from the origin, served to peers
@@ -154,8 +155,9 @@
 }
 
 // isDraining reports whether the registry lists this sidecar's engine, and only as draining.
+// While the registry does not list the engine, the last state stays.
 func (s *Sidecar) isDraining(view *catalog.View) bool {
-	draining := false
+	draining := s.registryLeaves.Load()
 	for _, endpoint := range view.RegisteredEndpoints(s.settings.Service) {
 		if endpoint.Address != s.settings.EngineAddress {
 			continue
@@ -240,6 +242,7 @@
 		s.logger.Warn().Err(err).Msg("grace period expired with open requests")
 		_ = server.Close()
 	}
+	s.awaitOpenOrder(ctx)
 }
 
 // peerHosts returns the sidecars of the service's other engines, including those in evacuated failure domains. The
--- a/internal/sidecar/staging.go
+++ b/internal/sidecar/staging.go
@@ -52,7 +52,12 @@
 		if !u.mayReplaceStaged() && u.holdsOther(ctx, chunk, digest) {
 			continue
 		}
-		if err := u.sidecar.engine.StageChunk(ctx, u.model, chunk, raw); err != nil {
+		if u.mayBeOverwritten(chunk, target.version) {
+			continue
+		}
+		err := u.sidecar.engine.StageChunk(ctx, u.model, chunk, raw)
+		u.recordWrite(chunk, target.version, err)
+		if err != nil {
 			return err
 		}
 		u.stagedChunks[chunk] = true
--- a/internal/sidecar/updater.go
+++ b/internal/sidecar/updater.go
@@ -79,17 +79,18 @@
 	stagedChunks   map[int]bool     // chunks of that version that were staged and have not failed verification
 	peers          []core.Host      // peers that were submitted to the distributor
 	registryReadAt time.Duration
-	loading        bool          // the engine was ordered to load and has not reported that it is done
-	report         EngineReport  // last report that was received
-	firstReport    EngineReport  // first report that this process received
-	firstReportAt  time.Duration // when it was received, on the boot clock; 0 before
-	open           *openOrder    // the last order if the engine did not answer it, or nil
+	loading        bool              // the engine was ordered to load and has not reported that it is done
+	report         EngineReport      // last report that was received
+	firstReport    EngineReport      // first report that this process received
+	firstReportAt  time.Duration     // when it was received, on the boot clock; 0 before
+	openWrites     map[int]openWrite // by chunk
+	open           *openOrder        // the last order if the engine did not answer it, or nil
 }
 
 // runUpdater reconciles the engine with the requested version until the context ends: at intervals, and when the view or the
 // chunks change.
 func (s *Sidecar) runUpdater(ctx context.Context) {
-	u := &updater{sidecar: s}
+	u := &updater{sidecar: s, openWrites: make(map[int]openWrite)}
 	for {
 		if err := u.reconcile(ctx); err != nil && ctx.Err() == nil {
 			s.logger.Warn().Err(err).Str("model", string(u.model)).Msg("version not deployed yet")
@@ -152,10 +153,11 @@
 		s.drainDeadline.Store(0)
 		return errors.Join(reportErr, fetchErr)
 	}
-	if u.open.isOpen(u.report) {
+	if u.open.isOpen(u.report, bootclock.Now()) {
 		return errors.Join(fetchErr, u.repeatOpen(ctx))
 	}
 	u.open = nil
+	s.orderOpen.Store(false)
 	if s.draining.Load() {
 		return fetchErr // the next process could not know of an order that is not answered
 	}
--- a/internal/sidecar/withdrawal_test.go
+++ b/internal/sidecar/withdrawal_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/call"
+	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -107,4 +108,7 @@
 		answer := relay(s)
 		return answer.Header().Get(wire.HeaderRefused) == refusedLeaving && answer.Header().Get(wire.HeaderLeaving) != ""
 	})
+	if s.viewChanged(catalog.NewView(nil, nil, nil, nil)); !s.registryLeaves.Load() {
+		t.Error("an engine whose draining entry was removed takes requests again")
+	}
 }
