--- a/internal/follow/delegate.go
+++ b/internal/follow/delegate.go
@@ -199,7 +199,7 @@
 		f.loop.Post(ctx, response.toOperatorRead(sent))
 		f.loop.Post(ctx, endpointsRead{sentAt: sent, receivedAt: bootclock.Now(), changes: response.Endpoints})
 		if session.syncedWith == nil {
-			f.sleep(ctx, startRetryInterval) // the delegate lags behind this process and did not hold the request
+			f.sleep(ctx, delegateRetryInterval) // the delegate lags behind this process and did not hold the request
 		}
 	}
 }
--- a/internal/follow/lapse_test.go
+++ b/internal/follow/lapse_test.go
@@ -123,3 +123,28 @@
 		t.Error("the read after it counts as the first one")
 	}
 }
+
+func TestResumedGraceIsShorterAfterALateFirstRead(t *testing.T) {
+	s := newState()
+	s.step(endpointsRead{receivedAt: time.Second, changes: EndpointChanges{Full: true, Present: []*catalog.Endpoint{endpoint("a")}}})
+	s.step(endpointsRead{receivedAt: 6 * time.Second, changes: EndpointChanges{AfterOutage: true, Removed: []catalog.EndpointID{"a"}}})
+	s.step(registryUnavailable{at: 6200 * time.Millisecond})
+	const returned, late = 12 * time.Second, 900 * time.Millisecond
+	s.step(endpointsRead{receivedAt: returned + maxReturnDelay + late, changes: EndpointChanges{AfterOutage: true, ReturnedBefore: late}})
+	if s.step(graceElapsed{at: returned + maxReturnDelay + lapseGrace}); s.endpoints["a"] != nil {
+		t.Error("the grace period outlasts that of an entry which lapsed in the second outage")
+	}
+}
+
+func TestSecondOutageDoesNotEndTheGraceAtFollowers(t *testing.T) {
+	m := newMirror()
+	now := bootclock.Now()
+	m.addEndpoints(now, EndpointChanges{Full: true, Cursor: cursorAt(1), Present: []*catalog.Endpoint{endpoint("a")}})
+	m.addEndpoints(now, EndpointChanges{Cursor: cursorAt(2), Removed: []catalog.EndpointID{"a"}, AfterOutage: true})
+	m.observe(tableEndpoints, errUnavailable)
+	back := now + 2*lapseGrace
+	m.addEndpoints(back, EndpointChanges{Cursor: cursorAt(3)})
+	if changes := m.endpointsSince(cursorAt(1), true, back); len(changes.Lapsed) != 1 {
+		t.Error("an entry whose grace period stood still is dropped from the complete list")
+	}
+}
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
 )
@@ -33,6 +34,7 @@
 	forgottenVersion     uint64                                              // removals of entries up to this version are no longer kept
 	forgottenOperator    uint64                                              // ends of evacuations up to this version are not known
 	failing              map[string]bool                                     // tables whose last read failed
+	unavailableSince     time.Duration                                       // when reads of the registry began to fail, on the boot clock; 0 if they do not
 	changed              chan struct{}                                       // closed and replaced to wake waiting reads
 	readersAhead         int                                                 // waiting reads of followers that have read later versions than this process
 }
@@ -53,9 +55,24 @@
 		return
 	}
 	m.failing[table] = failed
+	if table == tableEndpoints && failed {
+		m.unavailableSince = bootclock.Now()
+	}
 	m.notify()
 }
 
+// resumeGrace extends the grace periods of lapsed entries by the time for which the registry was unavailable meanwhile. The
+// caller must hold m.mu.
+func (m *mirror) resumeGrace(now time.Duration) {
+	for id, entry := range m.entries {
+		if entry.lapsed && m.unavailableSince > 0 && entry.seenAt <= m.unavailableSince {
+			entry.seenAt += now - m.unavailableSince
+			m.entries[id] = entry
+		}
+	}
+	m.unavailableSince = 0
+}
+
 // isFailing reports whether the last read of the table failed.
 func (m *mirror) isFailing(table string) bool {
 	m.mu.Lock()
@@ -171,6 +188,7 @@
 	if restored {
 		m.restartEndpoints(readVersion)
 	}
+	m.resumeGrace(now)
 	removed := changes.Removed
 	present := make(map[catalog.EndpointID]bool, len(changes.Present))
 	changed := restored
--- a/internal/follow/session.go
+++ b/internal/follow/session.go
@@ -59,7 +59,7 @@
 // an answer does not grow with the number of silent delegates. A process without any data accepts an old response, because
 // during an outage of the store nothing better is available.
 func (s *delegateSession) read(ctx context.Context, request readRequest) (readResponse, error) {
-	if !request.Operator.Valid {
+	if s.hasNoData(request) {
 		return s.readInOrder(ctx, request)
 	}
 	var calls conc.WaitGroup
@@ -125,6 +125,12 @@
 	return readResponse{}, err
 }
 
+// hasNoData reports whether the process has no data yet. After a lost history it has data although its cursor is not valid.
+func (s *delegateSession) hasNoData(request readRequest) bool {
+	_, known := s.follower.Age()
+	return !request.Operator.Valid && !known
+}
+
 // readInOrder returns the response of the first delegate that answers, for a process without any data. It asks one delegate
 // at a time, since a response then holds everything.
 func (s *delegateSession) readInOrder(ctx context.Context, request readRequest) (readResponse, error) {
@@ -175,7 +181,7 @@
 func (s *delegateSession) ask(ctx context.Context, d *delegate, request readRequest, synced bool) delegateAnswer {
 	sent := bootclock.Now()
 	timeout := request.Wait + delegateResponseMargin
-	if !request.Operator.Valid {
+	if s.hasNoData(request) {
 		timeout = startRequestTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -201,7 +207,7 @@
 
 // verify returns fault.PlatformUnavailable if the response is too old for this process.
 func (s *delegateSession) verify(request readRequest, response readResponse) error {
-	if response.Silence > s.follower.intervals.OperatorWait+maxDelegateSilence && request.Operator.Valid {
+	if response.Silence > s.follower.intervals.OperatorWait+maxDelegateSilence && !s.hasNoData(request) {
 		return fault.New(fault.PlatformUnavailable, "the delegate has received nothing from the store for too long", "check the store and the network to it")
 	}
 	if response.isOlderEra(request) {
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -215,7 +215,7 @@
 // during an outage are kept until the grace period ends.
 func (s *state) applyEndpoints(event endpointsRead) bool {
 	s.keepDepartures(&event)
-	s.resumeGrace(event.receivedAt)
+	s.resumeGrace(event.receivedAt, event.changes.ReturnedBefore)
 	changes := event.changes
 	gone := changes.Removed
 	if changes.Full {
@@ -264,13 +264,13 @@
 }
 
 // resumeGrace extends the grace periods by the time for which the registry was unavailable meanwhile, since endpoints could
-// not register then.
-func (s *state) resumeGrace(now time.Duration) {
+// not register then. They end no later than a period that begins with its return, the given time ago at the earliest.
+func (s *state) resumeGrace(now, returnedBefore time.Duration) {
 	if s.unavailableSince == 0 {
 		return
 	}
 	for id, until := range s.lapsed {
-		s.lapsed[id] = until + now - s.unavailableSince
+		s.lapsed[id] = min(until+now-s.unavailableSince, now-returnedBefore+lapseGrace)
 		s.emit(wakeAt{at: s.lapsed[id]})
 	}
 	s.unavailableSince = 0
