Gateways log which requests crashed an endpoint, and the identity of requests

A gateway's "endpoint crashed" named neither the requests nor their parts, as a sidecar's "engine crashed" does, and no line of a gateway had what identifies a repeated request.

"endpoint crashed" has just_begun and prompt_parts. No change of logic; the log lines of sidecars are as before.

TestRequestLogLinesHaveTheirFields requires the new fields and passes; go test -race ./internal/sidecar ./internal/quarantine passes. The volume of logs was not measured.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -123,7 +123,7 @@
 	if f.stream != nil {
 		entry.Dur("first_event", f.stream.firstEvent).Dur("longest_pause", f.stream.longestPause).Str("last_event", f.stream.lastEventID)
 	}
-	f.addPickFields(entry).Int64("configuration", f.view.Configuration.Version).Msg("request answered")
+	f.addPickFields(f.addIdentity(entry)).Int64("configuration", f.view.Configuration.Version).Msg("request answered")
 }
 
 // answerLatency returns the time from the arrival of the call to its answer, or to the first event of a stream.
@@ -225,7 +225,8 @@
 	if !dispatch.NotSent(err) {
 		f.recordBreak(endpoint)
 	}
-	f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Bool("not_sent", dispatch.NotSent(err)).Err(err).Msg("endpoint gave no answer")
+	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Bool("not_sent", dispatch.NotSent(err)).Err(err)
+	f.addIdentity(entry).Msg("endpoint gave no answer")
 	if dispatch.NotSent(err) {
 		return
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -69,6 +69,14 @@
 	f.g.crashes.of(endpoint).Record(broken)
 }
 
+// addIdentity adds to the log entry what tells a repeated request from another one: its hash and its caller's workspace.
+func (f *forwarder) addIdentity(entry *log.Entry) *log.Entry {
+	if f.workspace != nil {
+		entry.Str("workspace", string(f.workspace.Name))
+	}
+	return entry.Str("identity", string(f.parts[len(f.parts)-1]))
+}
+
 // recordWholeAnswer records that the call did not crash its engine. An unframed answer may end with a crash.
 func (f *forwarder) recordWholeAnswer() {
 	if f.framing != dispatch.Unframed {
@@ -102,7 +110,7 @@
 		}
 		address := endpoint.Address
 		detector = quarantine.NewDetector(address, func(suspects []quarantine.Suspect, broken int) {
-			c.logger.Warn().Str("address", address).Int("broken_off", broken).Msg("endpoint crashed")
+			quarantine.AddSuspects(c.logger.Warn().Str("address", address).Int("broken_off", broken), suspects).Msg("endpoint crashed")
 			c.ledger.RecordCrash(suspects)
 		})
 		c.byAddress[address] = detector
--- a/internal/gateway/request_log_test.go
+++ b/internal/gateway/request_log_test.go
@@ -58,7 +58,7 @@
 		}
 	}
 	fx.mustCall("/nowhere/1", nil)
-	requireFields(t, loggedLines(t, &lines, "request answered"), "request", "route", "endpoint", "load", "slots", "report_age", "picks", "runs", "framing", "took", "configuration")
+	requireFields(t, loggedLines(t, &lines, "request answered"), "request", "route", "endpoint", "load", "slots", "report_age", "picks", "runs", "framing", "took", "configuration", "workspace", "identity")
 	refused := loggedLines(t, &lines, "request refused")
 	requireFields(t, refused, "request", "outcome", "status", "cause", "configuration", "configuration_age")
 	requireFields(t, refused[:1], "route", "failed_picks", "retry_after", "runs", "took")
--- a/internal/quarantine/log.go
+++ b/internal/quarantine/log.go
@@ -7,6 +7,25 @@
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
+// PartNames returns the parts for a log line.
+func PartNames(parts []core.PromptPart) []string {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, string(part))
+	}
+	return names
+}
+
+// AddSuspects adds the suspects of a crash and their parts to the log entry.
+func AddSuspects(entry *log.Entry, suspects []Suspect) *log.Entry {
+	var requests, parts []string
+	for _, suspect := range suspects {
+		requests = append(requests, string(suspect.Request))
+		parts = append(parts, PartNames(suspect.Parts)...)
+	}
+	return entry.Strs("just_begun", requests).Strs("prompt_parts", parts)
+}
+
 // LogVerdicts returns a function for Ledger.OnVerdict that logs and counts verdicts.
 func LogVerdicts(logger *log.Logger) func(part core.PromptPart, quarantined bool, crashes int) {
 	return func(part core.PromptPart, quarantined bool, crashes int) {
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -17,24 +17,10 @@
 
 // engineCrashed records a crash of the engine and the requests that may have caused it.
 func (s *Sidecar) engineCrashed(suspects []quarantine.Suspect, broken int) {
-	var requests, parts []string
-	for _, suspect := range suspects {
-		requests = append(requests, string(suspect.Request))
-		parts = append(parts, partNames(suspect.Parts)...)
-	}
-	s.logger.Warn().Int("broken_off", broken).Strs("just_begun", requests).Strs("prompt_parts", parts).Msg("engine crashed")
+	quarantine.AddSuspects(s.logger.Warn().Int("broken_off", broken), suspects).Msg("engine crashed")
 	s.quarantine.RecordCrash(suspects)
 }
 
-// partNames returns the parts for a log line.
-func partNames(parts []core.PromptPart) []string {
-	names := make([]string, 0, len(parts))
-	for _, part := range parts {
-		names = append(names, string(part))
-	}
-	return names
-}
-
 // recordProgress records once that the answer has gone on for so long that the call cannot have crashed the engine.
 func (s *Sidecar) recordProgress(a *admittedCall) {
 	if !a.cleared && time.Since(a.arrived)-a.firstByteAfter > quarantine.BeginWindow {
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -148,7 +148,7 @@
 
 // logAdmitted logs an admitted request with the inputs of its admission.
 func (s *Sidecar) logAdmitted(a *admittedCall) {
-	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Strs("prompt_parts", partNames(a.parts)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
+	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Strs("prompt_parts", quarantine.PartNames(a.parts)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
 }
 
 // canServe reports whether the engine may run a request that needs at least the version. It checks the serve deadline
