A request's identity includes its workspace

Callers saw that a request which crashed each endpoint was sent on as long as another workspace used the same path, and that the other workspace was refused with it once it was quarantined.

Cause: the part that stands for a whole request was a hash of method, host, target, model, prompt and body. Rules and callers tell requests apart by their caller too. Whole answers to one workspace cleared the request of another, or made it one that was answered before, which needs six crashes.

A caller's own header of that name is dropped as before.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -14,10 +14,11 @@
 type Call struct {
 	ID           core.RequestID // id from the caller; a retry by the caller has another id
 	Method       string
-	Host         string // without a port
-	Path         string // without the query, as received
-	Target       string // path and query, as received
-	APIKey       string // "" if none was sent
+	Host         string         // without a port
+	Path         string         // without the query, as received
+	Target       string         // path and query, as received
+	APIKey       string         // "" if none was sent
+	Workspace    core.Workspace // of the key; "" for none. Callers cannot state it
 	Timeout      time.Duration
 	ResumeAfter  string // id of the last event of a stream that the caller has received; "" for none
 	Model        core.Model
@@ -60,7 +61,7 @@
 
 // Codec translates headers. It makes no decisions.
 type Codec interface {
-	// Decode reads a caller's request except for its body.
+	// Decode reads a caller's request except for its body and its workspace, which follows from the key.
 	Decode(request *http.Request) (*Call, error)
 	// DecodeForwarded reads a call that another process of the system has forwarded. Its Forward contains the headers
 	// that this process added.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -62,6 +62,9 @@
 		return nil
 	}
 	a.workspace = a.view.Workspace(a.call.APIKey)
+	if a.workspace != nil {
+		a.call.Workspace = a.workspace.Name
+	}
 	if a.route.Public {
 		return nil
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -126,10 +126,7 @@
 
 // newRequest returns the request to the endpoint, addressed to the endpoint itself.
 func (f *forwarder) newRequest(endpoint *catalog.Endpoint) *dispatch.Request {
-	send := call.SendOptions{Timeout: f.remainingTime(), Endpoint: endpoint.ID, ResumeAfter: f.call.ResumeAfter}
-	if f.workspace != nil {
-		send.Workspace = f.workspace.Name
-	}
+	send := call.SendOptions{Timeout: f.remainingTime(), Endpoint: endpoint.ID, Workspace: f.call.Workspace, ResumeAfter: f.call.ResumeAfter}
 	if f.route.Generates {
 		send.Version = f.exactVersion()
 	}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -15,10 +15,10 @@
 )
 
 // PartsOf returns what a call may share with others that crash engines: the shared parts of its prompt and, last, the request as a
-// whole, which is the same if a caller repeats it under another id. The body must have been read.
+// whole, which is the same if its workspace repeats it under another id. The body must have been read and the workspace be known.
 func PartsOf(c *call.Call) []core.PromptPart {
 	hash := sha256.New()
-	for _, text := range []string{c.Method, c.Host, c.Target, string(c.Model), c.Prompt} {
+	for _, text := range []string{string(c.Workspace), c.Method, c.Host, c.Target, string(c.Model), c.Prompt} {
 		_, _ = hash.Write(append([]byte(text), 0)) // never fails
 	}
 	_, _ = hash.Write(c.Body)
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -19,6 +19,7 @@
 		t.Error("a repeated request is another one")
 	}
 	for name, change := range map[string]func(*call.Call){
+		"caller": func(c *call.Call) { c.Workspace = "other" },
 		"path":   func(c *call.Call) { c.Target = "/y" },
 		"body":   func(c *call.Call) { c.Body = []byte("other") },
 		"prompt": func(c *call.Call) { c.Prompt = "c:1,x:2,other:3" },
