Crashes under a whole request count by the engines that ended

Callers saw that a request which crashed each endpoint was sent on, and crashed more of them, if it was repeated quickly or if one call was sent from endpoint to endpoint.

Cause: crashes were counted under the ids of requests and by the times at which they were noticed. Crashes within 100 ms counted as one and so did all those under one call, although each was of another endpoint that had been sent the request after the one before had ended.

Each crash now states the incarnation that ended, and each suspect when it was sent and when its answer broke off, all by the reporter's clock. For a whole request the ends of different incarnations count, however many processes saw each, and only those of incarnations to which the request was first sent after the last counted one had ended. So endpoints that end together still accuse nobody. Crashes of one reporter keep their distances in other processes, whatever time each report took.

Shared parts keep their rule. Reports of older processes lack the fields, and their crashes count by time and request id as before. The parameter that RecordCrash gained is "" in older tests.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -49,6 +49,7 @@
 	stall             *stallTimer      // timer of the current attempt
 	framing           dispatch.Framing // of the last answer of an endpoint; "" before the first
 	lastErr           error            // why the last endpoint gave no answer
+	sentAt            time.Duration    // when the current attempt was sent, on the boot clock
 	picks             []pickRecord
 	releaseDirectSlot func() // releases the slot of an attempt that bypasses an unreachable sidecar; nil for others
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
@@ -62,7 +63,7 @@
 	if throughSidecar || f.ctx.Err() != nil {
 		return
 	}
-	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: f.call.ID, Parts: f.parts}}
+	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: f.call.ID, Parts: f.parts, Sent: f.sentAt, Broke: bootclock.Now()}}
 	if f.stream != nil && !f.stream.attemptBegan.IsZero() {
 		broken.WroteFor = time.Since(f.stream.attemptBegan)
 	}
@@ -84,7 +85,7 @@
 	}
 }
 
-// maxCrashDetectors bounds the detectors for addresses of endpoints that may be gone.
+// maxCrashDetectors bounds the detectors for endpoints that may be gone.
 const maxCrashDetectors = 1000
 
 // crashDetectors holds a detector for each endpoint that broke off an answer to this gateway. It is safe for concurrent use.
@@ -92,28 +93,29 @@
 	ledger *quarantine.Ledger
 	logger *log.Logger
 
-	mu        sync.Mutex
-	byAddress map[string]*quarantine.Detector
+	mu       sync.Mutex
+	byEngine map[quarantine.Incarnation]*quarantine.Detector
 }
 
 func newCrashDetectors(ledger *quarantine.Ledger, logger *log.Logger) *crashDetectors {
-	return &crashDetectors{ledger: ledger, logger: logger, byAddress: make(map[string]*quarantine.Detector)}
+	return &crashDetectors{ledger: ledger, logger: logger, byEngine: make(map[quarantine.Incarnation]*quarantine.Detector)}
 }
 
 func (c *crashDetectors) of(endpoint *catalog.Endpoint) *quarantine.Detector {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	detector := c.byAddress[endpoint.Address]
+	engine := quarantine.IncarnationOf(endpoint)
+	detector := c.byEngine[engine]
 	if detector == nil {
-		if len(c.byAddress) >= maxCrashDetectors {
-			clear(c.byAddress) // checks under way end by themselves
+		if len(c.byEngine) >= maxCrashDetectors {
+			clear(c.byEngine) // checks under way end by themselves
 		}
 		address := endpoint.Address
 		detector = quarantine.NewDetector(address, func(suspects []quarantine.Suspect, broken int) {
 			quarantine.AddSuspects(c.logger.Warn().Str("address", address).Int("broken_off", broken), suspects).Msg("endpoint crashed")
-			c.ledger.RecordCrash(suspects)
+			c.ledger.RecordCrash(engine, suspects)
 		})
-		c.byAddress[address] = detector
+		c.byEngine[engine] = detector
 	}
 	return detector
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -24,7 +24,7 @@
 	fx.t.Helper()
 	for _, id := range []core.RequestID{"r1", "r2", "r3"} {
 		time.Sleep(200 * time.Millisecond) // simultaneous crashes count as one
-		fx.gateway.quarantine.RecordCrash([]quarantine.Suspect{{Request: id, Parts: []core.PromptPart{part}}})
+		fx.gateway.quarantine.RecordCrash("", []quarantine.Suspect{{Request: id, Parts: []core.PromptPart{part}}})
 	}
 	fx.waitFor("the quarantine", func() bool {
 		return len(fx.gateway.quarantine.Blocked([]core.PromptPart{part})) > 0
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -152,6 +152,7 @@
 
 // exchange sends the request and reads the header of the answer. It records what the endpoint says about further requests.
 func (f *forwarder) exchange(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
+	f.sentAt = bootclock.Now()
 	sentAt := f.g.now()
 	answer, err := f.g.pool.Send(ctx, request)
 	if err != nil {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -39,11 +39,15 @@
 	Request core.RequestID    `json:"r"`
 	Parts   []core.PromptPart `json:"p"`           // that other requests may have too, in order
 	Proven  []core.PromptPart `json:"k,omitempty"` // parts with which an answer was completed before, as far as the reporter knows
+	Sent    time.Duration     `json:"s,omitempty"` // when it was sent to the engine, by the reporter's clock
+	Broke   time.Duration     `json:"b,omitempty"` // when its answer broke off, by the reporter's clock
 }
 
 // Crash is a crash of an engine.
 type Crash struct {
 	ID       CrashID           `json:"id"`
+	Engine   Incarnation       `json:"e,omitempty"` // that ended; "" if its reporter cannot tell
+	Recorded time.Duration     `json:"t,omitempty"` // by the reporter's clock
 	Suspects []Suspect         `json:"s"`
 	Cleared  []core.PromptPart `json:"c,omitempty"` // parts of which an answer was completed since
 }
@@ -61,14 +65,19 @@
 
 // evidence is what speaks against one part.
 type evidence struct {
+	whole    bool            // the part stands for a whole request
 	times    []time.Duration // of the crashes
 	requests map[core.RequestID]bool
-	depth    int  // the part's position in prompts; parts behind it are shared by fewer requests
-	proven   bool // an answer with the part was completed before
+	endings  map[Incarnation]*ending // of a whole request
+	depth    int                     // the part's position in prompts; parts behind it are shared by fewer requests
+	proven   bool                    // an answer with the part was completed before
 }
 
-// separate returns the times of the crashes in order, without those that were simultaneous with an earlier one.
+// separate returns the times of the crashes in order, without those that prove no more than an earlier one.
 func (e *evidence) separate() []time.Duration {
+	if e.whole {
+		return e.separateEndings()
+	}
 	slices.Sort(e.times)
 	var separate []time.Duration
 	for _, at := range e.times {
@@ -79,8 +88,13 @@
 	return separate
 }
 
-// count returns the number of crashes, of which simultaneous ones and those under one repeated request count once.
-func (e *evidence) count() int { return min(len(e.separate()), len(e.requests)) }
+// count returns the number of crashes that count. Of those under a shared part, those under one request id count once.
+func (e *evidence) count() int {
+	if e.whole {
+		return len(e.separateEndings())
+	}
+	return min(len(e.separate()), len(e.requests))
+}
 
 // offenders returns the parts that the crashes speak against. Parts with which no answer was ever completed are taken first, of
 // these the one with the most evidence, and of equal ones the one that fewest requests share. The crashes that it explains do not
@@ -93,8 +107,19 @@
 			return found
 		}
 		found = append(found, part)
-		crashes = slices.DeleteFunc(slices.Clone(crashes), func(c timedCrash) bool { return c.has(part) })
+		crashes = withoutExplained(crashes, part)
+	}
+}
+
+// withoutExplained returns the crashes without those that the part explains, whoever saw them.
+func withoutExplained(crashes []timedCrash, part core.PromptPart) []timedCrash {
+	ended := make(map[Incarnation]bool)
+	for _, c := range crashes {
+		if c.Engine != "" && c.has(part) {
+			ended[c.Engine] = true
+		}
 	}
+	return slices.DeleteFunc(slices.Clone(crashes), func(c timedCrash) bool { return c.has(part) || ended[c.Engine] })
 }
 
 // strongest returns the part with the most evidence, or "" if there is too little against each.
@@ -140,9 +165,12 @@
 				}
 				e := all[part]
 				if e == nil {
-					e = &evidence{requests: make(map[core.RequestID]bool)}
+					e = &evidence{whole: isWholeRequest(part), requests: make(map[core.RequestID]bool), endings: make(map[Incarnation]*ending)}
 					all[part] = e
 				}
+				if e.whole {
+					e.addEnding(crash, suspect)
+				}
 				if !seen[part] {
 					seen[part] = true
 					e.times = append(e.times, crash.at)
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -69,10 +70,15 @@
 		if age > crashRetention {
 			return false
 		}
-		l.add(&record{Crash: theirs.Crash, at: l.now() - age})
+		l.add(&record{Crash: theirs.Crash, at: l.localTime(theirs.Crash, age)})
 		return true
 	}
 	changed := false
+	if r := l.records[i]; r.Engine == "" && theirs.Engine != "" { // known so far through an older process, which drops it
+		r.Engine, r.Recorded, r.Suspects = theirs.Engine, theirs.Recorded, theirs.Suspects
+		r.version = l.version + 1
+		changed = true
+	}
 	for _, part := range theirs.Cleared {
 		if r := l.records[i]; !slices.Contains(r.Cleared, part) {
 			r.Cleared = append(slices.Clip(r.Cleared), part)
@@ -83,6 +89,20 @@
 	return changed
 }
 
+// localTime returns when another process recorded a crash of the age, by this process's clock. Crashes of one reporter keep their
+// distances, however long each report took. The caller holds l.mu.
+func (l *Ledger) localTime(crash Crash, age time.Duration) time.Duration {
+	for _, r := range l.records {
+		if crash.Recorded > 0 && r.Recorded > 0 && r.ID.origin() == crash.ID.origin() {
+			return r.at + crash.Recorded - r.Recorded
+		}
+	}
+	return l.now() - age
+}
+
+// origin returns the prefix of the ids of crashes that the same process has seen.
+func (id CrashID) origin() string { return string(id[:strings.LastIndex(string(id), "/")+1]) }
+
 // waitForChange returns a channel that is closed at the next change after the version; it is closed already if there was one.
 func (l *Ledger) waitForChange(version uint64) <-chan struct{} {
 	l.mu.Lock()
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -101,16 +101,18 @@
 	return &Ledger{origin: origin, now: now, proven: newProvenParts(), verdicts: make(map[core.PromptPart]*verdict), version: 1, changed: make(chan struct{})}
 }
 
-// RecordCrash records a crash that this process has seen, with the requests that the engine had just begun to answer or not yet.
-func (l *Ledger) RecordCrash(suspects []Suspect) {
+// RecordCrash records a crash of the engine that this process has seen, with the requests that the engine had just begun to answer
+// or not yet. The engine is "" if it is not known which one ended.
+func (l *Ledger) RecordCrash(engine Incarnation, suspects []Suspect) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.seen++
-	crash := Crash{ID: CrashID(l.origin + strconv.Itoa(l.seen)), Suspects: slices.Clone(suspects[:min(len(suspects), maxSuspects)])}
+	now := l.now()
+	crash := Crash{ID: CrashID(l.origin + strconv.Itoa(l.seen)), Engine: engine, Recorded: now, Suspects: slices.Clone(suspects[:min(len(suspects), maxSuspects)])}
 	for i := range crash.Suspects {
 		crash.Suspects[i].Proven = l.proven.among(crash.Suspects[i].Parts)
 	}
-	l.add(&record{Crash: crash, at: l.now(), own: true})
+	l.add(&record{Crash: crash, at: now, own: true})
 	l.update()
 }
 
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -19,7 +19,7 @@
 func crashThree(l *Ledger, clock *time.Duration) {
 	for id := range minCrashes {
 		*clock += 2 * simultaneity
-		l.RecordCrash(crashOf(len(l.records)*minCrashes+id, prompt{"c", "x"}).Suspects)
+		l.RecordCrash("", crashOf(len(l.records)*minCrashes+id, prompt{"c", "x"}).Suspects)
 	}
 }
 
@@ -110,7 +110,7 @@
 		t.Fatal("the part is not quarantined")
 	}
 	for id := range 3 * maxCrashes {
-		l.RecordCrash(crashOf(100+id, prompt{"c", core.PromptPart(fmt.Sprint(id))}).Suspects)
+		l.RecordCrash("", crashOf(100+id, prompt{"c", core.PromptPart(fmt.Sprint(id))}).Suspects)
 		l.RecordAnswer(prompt{"c"})
 	}
 	if len(l.records) != maxCrashes || !isBlocked(l, prompt{"x"}) {
@@ -121,7 +121,7 @@
 // An answer between the first crash and the next is kept to itself until the part is under suspicion, and then told to others.
 func TestEarlyAnswersClearTheirPartsOnceItMatters(t *testing.T) {
 	l, clock := newTestLedger()
-	l.RecordCrash(crashOf(1, prompt{"c", "x"}).Suspects)
+	l.RecordCrash("", crashOf(1, prompt{"c", "x"}).Suspects)
 	l.takeOwn()
 	l.RecordAnswer(prompt{"c", "x"})
 	if report := l.takeOwn(); len(report.Crashes) > 0 {
@@ -129,7 +129,7 @@
 	}
 	for id := range minCrashes - 1 {
 		*clock += 2 * simultaneity
-		l.RecordCrash(crashOf(10+id, prompt{"c", "x"}).Suspects)
+		l.RecordCrash("", crashOf(10+id, prompt{"c", "x"}).Suspects)
 	}
 	if report := l.takeOwn(); len(report.Crashes) != minCrashes || len(report.Crashes[0].Cleared) != 2 {
 		t.Errorf("others are not told of the answer: %+v", report)
@@ -153,7 +153,7 @@
 			*clock += time.Second
 			if isBlocked(l, prompt{"x"}) && l.TakeTrial("x") {
 				trials++
-				l.RecordCrash(crashOf(100+trials, prompt{"c", "x"}).Suspects)
+				l.RecordCrash("", crashOf(100+trials, prompt{"c", "x"}).Suspects)
 			}
 		}
 	}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"strings"
 
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/core"
@@ -14,6 +15,9 @@
 	requestHashSize = 8          // bytes
 )
 
+// isWholeRequest reports whether the part stands for a whole request.
+func isWholeRequest(part core.PromptPart) bool { return strings.HasPrefix(string(part), requestPrefix) }
+
 // PartsOf returns what a call may share with others that crash engines: the shared parts of its prompt and, last, the request as a
 // whole, which is the same if its workspace repeats it under another id. The body must have been read and the workspace be known.
 func PartsOf(c *call.Call) []core.PromptPart {
--- a/internal/quarantine/spread_test.go
+++ b/internal/quarantine/spread_test.go
@@ -75,7 +75,7 @@
 	ledgers, stopDelegate := newGroup(t, 3, 5)
 	for id := range minCrashes {
 		time.Sleep(2 * simultaneity)
-		ledgers[3+id].RecordCrash(crashOf(id, prompt{"c", "x"}).Suspects)
+		ledgers[3+id].RecordCrash("", crashOf(id, prompt{"c", "x"}).Suspects)
 	}
 	ledgers[7].RecordAnswer(prompt{"c"}) // may come before it has learned of the crashes
 	waitUntilAll(t, ledgers, "the quarantine", func(l *Ledger) bool { return isBlocked(l, prompt{"c", "x"}) })
@@ -88,7 +88,7 @@
 	ledgers, _ := newGroup(t, 1, 1)
 	for id := range minCrashes {
 		time.Sleep(2 * simultaneity)
-		ledgers[1].RecordCrash(crashOf(id, prompt{"c", "x"}).Suspects)
+		ledgers[1].RecordCrash("", crashOf(id, prompt{"c", "x"}).Suspects)
 	}
 	waitUntilAll(t, ledgers, "the quarantine", func(l *Ledger) bool { return isBlocked(l, prompt{"x"}) })
 	report, _ := ledgers[0].reportSince(0)
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/bootclock"
+	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 	"github.com/lovageglade/lovageglade/internal/quarantine"
@@ -18,7 +20,21 @@
 // engineCrashed records a crash of the engine and the requests that may have caused it.
 func (s *Sidecar) engineCrashed(suspects []quarantine.Suspect, broken int) {
 	quarantine.AddSuspects(s.logger.Warn().Int("broken_off", broken), suspects).Msg("engine crashed")
-	s.quarantine.RecordCrash(suspects)
+	s.quarantine.RecordCrash(s.engineIncarnation(), suspects)
+}
+
+// engineIncarnation returns the incarnation of the engine that the registry lists; "" if it lists none.
+func (s *Sidecar) engineIncarnation() quarantine.Incarnation {
+	var latest *catalog.Endpoint // the registry may list a restarted engine twice for a while
+	for _, endpoint := range s.follower.View().RegisteredEndpoints(s.settings.Service) {
+		if endpoint.Address == s.settings.EngineAddress && (latest == nil || endpoint.Born > latest.Born) {
+			latest = endpoint
+		}
+	}
+	if latest == nil {
+		return ""
+	}
+	return quarantine.IncarnationOf(latest)
 }
 
 // recordProgress records once that the answer has gone on for so long that the call cannot have crashed the engine.
@@ -44,7 +60,7 @@
 	if r.Context().Err() != nil {
 		return
 	}
-	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: a.call.ID, Parts: a.parts}}
+	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: a.call.ID, Parts: a.parts, Sent: a.sentAt, Broke: bootclock.Now()}}
 	if a.answerBegun {
 		broken.WroteFor = time.Since(a.arrived) - a.firstByteAfter
 	}
--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -9,6 +9,7 @@
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/quarantine"
+	"github.com/lovageglade/lovageglade/internal/settings"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -62,7 +63,7 @@
 	s := newPromptSidecar(t)
 	for _, id := range []core.RequestID{"r1", "r2", "r3"} {
 		time.Sleep(200 * time.Millisecond) // simultaneous crashes count as one
-		s.quarantine.RecordCrash([]quarantine.Suspect{{Request: id, Parts: []core.PromptPart{"mended"}}})
+		s.quarantine.RecordCrash("", []quarantine.Suspect{{Request: id, Parts: []core.PromptPart{"mended"}}})
 	}
 	waitFor(t, "the quarantine", func() bool {
 		return len(s.quarantine.Blocked([]core.PromptPart{"mended"})) > 0
@@ -91,3 +92,18 @@
 		t.Errorf("%d crashes of an engine that lives", s.quarantine.Crashes())
 	}
 }
+
+func TestSidecarAndGatewayNameTheSameEngine(t *testing.T) {
+	s := newPromptSidecar(t)
+	listed := s.follower.View().RegisteredEndpoints("s")
+	if len(listed) != 1 {
+		t.Fatalf("the registry lists %d engines", len(listed))
+	}
+	if got, want := s.engineIncarnation(), quarantine.IncarnationOf(listed[0]); got != want {
+		t.Errorf("the sidecar's engine is %q, the gateway's is %q", got, want)
+	}
+	unlisted := &Sidecar{settings: settings.Sidecar{Service: "s", EngineAddress: "127.0.0.1:1"}, follower: s.follower}
+	if got := unlisted.engineIncarnation(); got != "" {
+		t.Errorf("an engine that is not listed is %q", got)
+	}
+}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -127,6 +127,7 @@
 	call           *call.Call
 	parts          []core.PromptPart // by which requests that crash engines are recognized
 	arrived        time.Time
+	sentAt         time.Duration // to the engine, on the boot clock
 	prompt         *admission.Prompt
 	estimate       time.Duration    // estimated time to the first event
 	answerBegun    bool             // the first part of the answer has arrived
@@ -183,7 +184,7 @@
 	if timeout > 0 {
 		timeout -= time.Since(arrived)
 	}
-	sentAt := bootclock.Now()
+	a.sentAt = bootclock.Now()
 	answer, err := s.pool.Send(r.Context(), &dispatch.Request{
 		Address: s.settings.EngineAddress,
 		Method:  c.Method,
@@ -213,7 +214,7 @@
 		s.logWithdrawal()
 	}
 	if info.RequestRate != nil || info.Signed {
-		s.recordRate(info.RequestRate, sentAt)
+		s.recordRate(info.RequestRate, a.sentAt)
 	}
 	s.copyAnswer(w, r, a, answer)
 	return true
