Trials of a whole request count against its late sends

Callers saw that endpoints ended under a quarantined request 2 s, 30 s, 10 min and then each further 10 min after the verdict, beside those that it had ended before the verdict took effect.

Cause: trials were bounded by their times only, not together with the sends between the third crash and the verdict. A request may be sent three times after it has ended three endpoints.

Evidence, before (the check of the bound taken out): TestTrialsOfAWholeRequestCountAgainstItsLateSends "7 trials after 0 sends before the verdict, want 3", "7 trials after 4 sends before the verdict, want 0"; TestRestartsDoNotMultiplyTrialsOfAWholeRequest "7 trials, want 3". With one send for each ended engine, TestSendsToOneEngineAllCountAgainstTheBoundOfAWholeRequest "2 trials after two sends to the fourth engine, want 1".

The sends to engines that ended after the third, known from the shared evidence, and the trials that passed here together are at most three in a quarantine; then the request is refused until the evidence expires. A part of the evidence that expires earlier gives no trial back. Shared parts keep their schedule. The verdicts have a file of their own.

--- a/internal/quarantine/ending.go
+++ b/internal/quarantine/ending.go
@@ -25,7 +25,7 @@
 	unnamed  bool          // its reporter did not tell the engine
 	at       time.Duration // when it was first noticed
 	began    time.Duration // when the request was first sent to the engine
-	requests []core.RequestID
+	requests map[core.RequestID]bool
 }
 
 // addEnding adds what the crash shows of an end of an engine under the suspect.
@@ -37,11 +37,11 @@
 	at, began := crash.localTime(suspect.Broke), crash.localTime(suspect.Sent)
 	known := e.endings[engine]
 	if known == nil {
-		known = &ending{engine: engine, unnamed: crash.Engine == "", at: at, began: began}
+		known = &ending{engine: engine, unnamed: crash.Engine == "", at: at, began: began, requests: make(map[core.RequestID]bool)}
 		e.endings[engine] = known
 	}
 	known.at, known.began = min(known.at, at), min(known.began, began)
-	known.requests = append(known.requests, suspect.Request)
+	known.requests[suspect.Request] = true
 }
 
 // localTime returns a time of the reporter's clock by this process's clock; if it is 0, when the crash was recorded.
@@ -69,9 +69,7 @@
 			continue
 		}
 		counted = append(counted, next.at)
-		for _, id := range next.requests {
-			requests[id] = true
-		}
+		maps.Copy(requests, next.requests)
 	}
 	return counted
 }
@@ -81,6 +79,13 @@
 	if !n.unnamed {
 		return n.began > last
 	}
-	isNew := slices.ContainsFunc(n.requests, func(id core.RequestID) bool { return !requests[id] })
-	return isNew && n.at-last > simultaneity
+	if n.at-last <= simultaneity {
+		return false
+	}
+	for id := range n.requests {
+		if !requests[id] {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -11,18 +11,6 @@
 	"github.com/lovageglade/lovageglade/internal/core"
 )
 
-// trialDelays are the times from a verdict at which one request with the part may pass, since no answer can clear a part that is
-// quarantined. After the last of them, trials pass at its multiples. A crash under a trial counts as any other.
-var trialDelays = []time.Duration{2 * time.Second, 30 * time.Second, 10 * time.Minute}
-
-// trialDelay returns the time from the verdict to the trial after the given number of them.
-func trialDelay(trials int) time.Duration {
-	if last := len(trialDelays) - 1; trials > last {
-		return trialDelays[last] * time.Duration(trials-last+1)
-	}
-	return trialDelays[trials]
-}
-
 // record is a crash as this process knows it.
 type record struct {
 	Crash
@@ -49,34 +37,6 @@
 	return &crash
 }
 
-// inFlightTime is how long after a verdict requests may still crash engines that were under way. Later ones are trials.
-const inFlightTime = 1500 * time.Millisecond
-
-// verdict is a quarantined part.
-type verdict struct {
-	since   time.Duration // by the evidence, so that it is the same after a restart
-	crashed int           // trials that have crashed an engine, here or elsewhere
-	trials  int           // that have passed here
-}
-
-// newVerdict returns the verdict on a part with the evidence.
-func newVerdict(e *evidence) *verdict {
-	times := e.separate()
-	v := &verdict{since: times[min(minCrashes, len(times))-1] + verdictDelay}
-	v.update(e)
-	return v
-}
-
-// update counts the trials that have crashed engines.
-func (v *verdict) update(e *evidence) {
-	v.crashed = 0
-	for _, at := range e.separate() {
-		if at > v.since+inFlightTime {
-			v.crashed++
-		}
-	}
-}
-
 // Ledger holds what a process knows of crashes and the parts that it has quarantined. It is safe for concurrent use.
 type Ledger struct {
 	origin string // prefix of the ids of crashes that this process has seen
@@ -163,7 +123,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.verdicts[part]
-	if v == nil || l.now()-v.since < trialDelay(max(v.trials, v.crashed)) {
+	if v == nil || !v.mayTry(l.now()) {
 		return false
 	}
 	v.trials++
