--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -127,6 +127,7 @@
 	call           *call.Call
 	parts          []core.PromptPart // by which requests that crash engines are recognized
 	arrived        time.Time
+	sentAt         time.Duration // to the engine, on the boot clock
 	prompt         *admission.Prompt
 	estimate       time.Duration    // estimated time to the first event
 	answerBegun    bool             // the first part of the answer has arrived
@@ -148,7 +149,7 @@
 
 // logAdmitted logs an admitted request with the inputs of its admission.
 func (s *Sidecar) logAdmitted(a *admittedCall) {
-	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Strs("prompt_parts", partNames(a.parts)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
+	s.logger.Info().Str("request", string(a.call.ID)).Int("tokens", a.call.PromptTokens).Int64("version", a.version).Int("running", a.running).Dur("estimated", a.estimate).Dur("first_event", a.firstByteAfter).Str("framing", string(a.framing)).Strs("prompt_parts", quarantine.PartNames(a.parts)).Dur("took", time.Since(a.arrived)).Msg("request admitted")
 }
 
 // canServe reports whether the engine may run a request that needs at least the version. It checks the serve deadline
@@ -183,7 +184,7 @@
 	if timeout > 0 {
 		timeout -= time.Since(arrived)
 	}
-	sentAt := bootclock.Now()
+	a.sentAt = bootclock.Now()
 	answer, err := s.pool.Send(r.Context(), &dispatch.Request{
 		Address: s.settings.EngineAddress,
 		Method:  c.Method,
@@ -213,7 +214,7 @@
 		s.logWithdrawal()
 	}
 	if info.RequestRate != nil || info.Signed {
-		s.recordRate(info.RequestRate, sentAt)
+		s.recordRate(info.RequestRate, a.sentAt)
 	}
 	s.copyAnswer(w, r, a, answer)
 	return true
