--- a/internal/gateway/repeated_crash_test.go
+++ b/internal/gateway/repeated_crash_test.go
@@ -37,6 +37,22 @@
 	s.requireService(pathRead)
 }
 
+func TestRequestThatCallersRepeatTogetherIsRefused(t *testing.T) {
+	t.Parallel()
+	s := newCrashingService(t, serviceEndpoints)
+	s.crashAfter = 120 * time.Millisecond
+	for !s.isObserved() {
+		s.restartEndpoints()
+		var callers sync.WaitGroup
+		for _, g := range s.gateways {
+			callers.Go(func() { s.callAs(g, fatalWorkspace, pathFatal) })
+		}
+		callers.Wait()
+		time.Sleep(callInterval)
+	}
+	s.requireBound()
+}
+
 func TestAnswersToOtherCallersDoNotClearARepeatedRequest(t *testing.T) {
 	t.Parallel()
 	s := newCrashingService(t, 1)
