A round that the deadline cuts off no longer names hosts as silent

The last round of calls was cut off by the command's own time limit, and its hosts, which had not answered yet, counted as giving no answer. The last complete round counts now.

TestRoundThatTheDeadlineCutsOffDoesNotNameHostsAsSilent failed before ("a gave no answer") and passes.

--- a/internal/operate/wait.go
+++ b/internal/operate/wait.go
@@ -35,7 +35,7 @@
 	for {
 		var current Confirmation
 		current, err = o.collectConfirmations(ctx, generation)
-		if err == nil {
+		if isCutOff := ctx.Err() != nil && latest.Generation > 0; err == nil && !isCutOff {
 			latest = current
 			latest.Seconds = time.Since(start).Seconds()
 		}
