--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -15,7 +15,7 @@
 delivers-halves|whole answers:|internal/gateway/buffered.go|s/^\tbody, err := io.ReadAll\(io.LimitReader\(answer, maxBufferedBytes\)\)$/\tbody, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes)); err = nil/
 accepts-cut-events|streams:|internal/gateway/events.go|s/if len\(bytes.Trim\(data, lineBreaks\)\) == 0 \{/if true {/
 resumes-from-the-start|streams:|internal/gateway/send.go|s/send.ResumeAfter = f.stream.lastEventID/send.ResumeAfter = ""/
-loads-unread|verified weights:|internal/sidecar/staging.go|s/if err != nil \|\| weights.Sum\(raw\) != digest/if err != nil/
+loads-unread|verified weights:|internal/sidecar/staging.go|s/if err != nil \|\| weights.Sum\(raw\) != digest/& \&\& len(raw) == 0/
 forgets-open-orders|verified weights:|internal/sidecar/order.go|s/return o != nil \&\& !o.report.differs\(report\)/return false/
 trusts-old-keys|revoked keys:|internal/gateway/handler.go|s/if !g.canVerifyKeys\(\) \{/if false {/
 ignores-draining|drained back ends:|internal/catalog/view.go|s/if endpoint.Draining \|\| /if /
