Gateway: the log tells who or what ended an attempt

Cause: an attempt that was ended by the caller's deadline, by a caller that left, by the stall timer, by the route's timeout or by the end of the grace period read 'context canceled' or 'use of closed network connection' in the log. Change: contexts carry their causes; 'ended_by' in the lines about attempts and answers; lovage_ended_attempts counts them.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -72,7 +72,7 @@
 	}
 	f.recordBreak(endpoint)
 	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Str("framing", string(f.framing)).Err(err)
-	f.addIdentity(entry).Msg("answer broken off")
+	f.addEndReason(f.addIdentity(entry)).Msg("answer broken off")
 }
 
 // writeAnswer sends the answer to the caller. The body holds the first maxBufferedBytes; the rest is read from the answer.
--- a/internal/gateway/caller_writer.go
+++ b/internal/gateway/caller_writer.go
@@ -56,6 +56,7 @@
 func (c *callerWriter) checkStopped(err error) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		telemetry.CallerStopped()
+		c.f.endCall(errCallerStopped)
 		c.f.g.logger.Info().Str("request", string(c.f.call.ID)).Str("route", c.f.route.Name).Dur("after", callerReadTimeout).Msg("caller does not read its answer")
 	}
 	return err
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -33,6 +33,7 @@
 	arrived time.Time
 	ctx     context.Context // ends when the caller disconnects or its timeout expires
 	cancel  context.CancelFunc
+	endCall context.CancelCauseFunc // ends the context and states why
 	regions catalog.Regions
 	parts   []core.PromptPart // by which requests that crash endpoints are recognized
 	chunked bool              // an answer of unknown length is sent in chunks; false for HTTP/1.0
@@ -49,6 +50,8 @@
 	stream            *streamState
 	fallback          *fallbackAnswer  // answer for the caller if all further attempts fail; nil if there is none
 	lastQuery         placement.Query  // query of the last pick
+	attemptCtx        context.Context  // of the current attempt
+	endedBy           string           // who or what ended the last attempt that gave no whole answer; "" for none
 	stall             *stallTimer      // timer of the current attempt
 	framing           dispatch.Framing // of the last answer of an endpoint; "" before the first
 	lastErr           error            // why the last endpoint gave no answer
@@ -76,7 +79,8 @@
 	a.service = a.route.PickService(rand.Float64())
 	f.ranking = f.newRanking()
 	f.deadline = bootclock.Now() - time.Since(arrived) + f.timeout()
-	f.ctx, f.cancel = context.WithDeadline(r.Context(), arrived.Add(f.timeout()))
+	f.ctx, f.endCall, f.cancel = f.callContext(r.Context())
+	f.attemptCtx = f.ctx
 	return f
 }
 
@@ -136,6 +140,9 @@
 func (f *forwarder) logAnswered(endpoint *catalog.Endpoint) {
 	telemetry.RequestAnswered(f.route.Name, "answered", f.answerLatency())
 	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("route", f.route.Name).Str("endpoint", string(endpoint.ID)).Int("picks", len(f.tried)).Int("runs", f.possibleRuns).Str("framing", string(f.framing)).Dur("took", time.Since(f.arrived))
+	if f.ctx.Err() != nil {
+		entry.Str("ended_by", f.endReason()) // the caller did not get all of it
+	}
 	if f.stream != nil {
 		entry.Dur("first_event", f.stream.firstEvent).Dur("longest_pause", f.stream.longestPause).Str("last_event", f.stream.lastEventID)
 	}
@@ -194,9 +201,10 @@
 	meter := f.g.placer.Meter(endpoint.ID)
 	meter.AddInFlight(1)
 	defer f.releaseEndpoint(meter)
-	attemptCtx, cancel := context.WithCancel(f.ctx)
-	defer cancel()
-	f.stall = f.newStallTimer(cancel)
+	attemptCtx, cancel := context.WithCancelCause(f.ctx)
+	defer cancel(nil)
+	f.attemptCtx = attemptCtx
+	f.stall = f.newStallTimer(func() { cancel(errSilent) })
 	defer f.stall.stop()
 	answer, info, err := f.send(attemptCtx, endpoint)
 	if err != nil {
@@ -254,7 +262,7 @@
 		f.recordBreak(endpoint)
 	}
 	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Bool("not_sent", dispatch.NotSent(err)).Err(err)
-	f.addIdentity(entry).Msg("endpoint gave no answer")
+	f.addEndReason(f.addIdentity(entry)).Msg("endpoint gave no answer")
 	if dispatch.NotSent(err) {
 		return
 	}
@@ -268,7 +276,7 @@
 	if f.stream != nil && f.stream.headerSent {
 		telemetry.RequestAnswered(f.route.Name, "broken_off", f.answerLatency())
 		entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("last_event", f.stream.lastEventID).Dur("took", time.Since(f.arrived))
-		f.addPickFields(entry).Msg("stream broken off")
+		f.addPickFields(entry).Str("ended_by", f.endReason()).Msg("stream broken off")
 		f.abortAnswer()
 	}
 	if f.fallback != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -65,6 +65,7 @@
 	defer stop()
 	if err := server.Shutdown(ctx); err != nil {
 		g.logger.Warn().Err(err).Msg("grace period expired with open requests")
+		g.graceExpired.Store(true)
 		_ = server.Close()
 	}
 }
--- a/internal/gateway/stall_timer.go
+++ b/internal/gateway/stall_timer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/catalog"
@@ -28,7 +27,7 @@
 
 // newStallTimer returns a timer that calls cancel when the attempt stalls. The timer does nothing if no other endpoint may
 // be tried instead.
-func (f *forwarder) newStallTimer(cancel context.CancelFunc) *stallTimer {
+func (f *forwarder) newStallTimer(cancel func()) *stallTimer {
 	if f.route.Repeat != catalog.Idempotent || f.possibleRuns+1 >= f.route.MaxAttempts {
 		return &stallTimer{}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,7 +57,7 @@
 		return false
 	}
 	if !connected {
-		f.cancel()
+		f.endCall(errCallerLeft)
 		return true
 	}
 	f.g.recordSuccess(endpoint)
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -18,6 +18,7 @@
 	admissionsByRank    = expvar.NewMap("lovage_admitted_by_rank")  // requests that a sidecar admitted, by rank and whether they waited
 	rankedReturns       = expvar.NewMap("lovage_returns_by_rank")   // refused callers that a gateway told when to return by a forecast, by rank
 	stoppedCallers      = expvar.NewInt("lovage_callers_stopped")   // callers that were given up because they did not read their answer
+	endedAttempts       = expvar.NewMap("lovage_ended_attempts")    // attempts without a whole answer, by who or what ended them
 	answerFramings      = expvar.NewMap("lovage_answer_framing")    // answers of endpoints, by how their end is marked
 	loadReports         = expvar.NewMap("lovage_load_reports")      // stated loads, by the use that was made of them
 	picks               = expvar.NewMap("lovage_picks")             // endpoints that were picked, by region
@@ -56,6 +57,9 @@
 // CallerStopped counts a caller that was given up because it did not read its answer.
 func CallerStopped() { stoppedCallers.Add(1) }
 
+// AttemptEnded counts an attempt without a whole answer by who or what ended it.
+func AttemptEnded(by string) { endedAttempts.Add(by, 1) }
+
 // AnswerReceived counts an endpoint's answer by its framing.
 func AnswerReceived(framing string) { answerFramings.Add(framing, 1) }
 
