Red: answers of sound endpoints that are cut before their end

A stall timer ends an attempt before another endpoint has agreed to go on; the deadline for writing a part of an answer stays armed after the part, at the gateway (3 s) and at the sidecar (5 s).

--- a/internal/sidecar/unread_answer_test.go
+++ b/internal/sidecar/unread_answer_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // A gateway's host may freeze or be cut off while it holds the connection open.
@@ -30,3 +31,21 @@
 	waitFor(t, "the request to run", func() bool { return s.gate.Load().Running == 1 })
 	waitFor(t, "its slot to be freed", func() bool { return s.gate.Load().Running == 0 })
 }
+
+func TestLateEndOfAnAnswerReachesTheGateway(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		w.(http.Flusher).Flush()
+		<-time.After(gatewayReadTimeout + 400*time.Millisecond)
+	})
+	s := newSidecar(t, &fakeEngine{staged: make(map[int][]byte), corruptChunk: -1, version: 1}, &fakeOrigin{}, &fakeSource{}, address)
+	waitFor(t, "the gate to open", func() bool { return s.servingVersion.Load() == 1 && s.gate.Load().Limit == 2 })
+	answer, err := http.Post("http://"+serve(t, s.serveRelay)+"/x", "text/plain", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if body, err := io.ReadAll(answer.Body); err != nil || string(body) != "part" {
+		t.Errorf("error %v, body %q", err, body)
+	}
+}
