Gateway, sidecar: the end of an answer has its own time to be written

What callers saw: all events of a stream, then an unexpected EOF, if the endpoint ended the stream more than 3 s (at the sidecar 5 s) after its last event. Cause: the deadline for writing one part of an answer stayed armed after it. net/http writes the end of the answer, and the rest of what it buffers, after the handler has returned; by then the deadline had passed. Class: a bound that outlives what it bounds. Change: the deadline is extended when the handler ends, so that a caller that does not read is still given up. Ruled out: the next request on the connection; net/http clears the deadline before it reads one. Result: TestLateEndOfAnAnswerReachesTheGateway and the route that is not resumable of TestLateEndOfAStreamReachesItsCaller failed before and pass. TestSlotIsFreedWhenAGatewayStopsReading passes.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -100,6 +100,7 @@
 // run sends the call to endpoints until one answers, and gives the caller exactly one answer.
 func (f *forwarder) run() {
 	defer f.cancel()
+	defer func() { f.newCallerWriter().extendDeadline() }() // for the end of the answer, which net/http writes
 	f.g.retryBudget(f.service).Deposit()
 	for f.offers() < f.endpointLimit() && !f.refusedEverywhere() && !f.isQuarantined() {
 		endpoint := f.pick()
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -276,15 +276,14 @@
 	w.WriteHeader(answer.Status)
 	flusher, _ := w.(http.Flusher)
 	controller := http.NewResponseController(w)
+	defer s.extendWriteDeadline(controller, a) // for the end of the answer, which net/http writes
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			s.recordFirstByte(a)
 			s.recordProgress(a)
-			if err := controller.SetWriteDeadline(time.Now().Add(gatewayReadTimeout)); err != nil {
-				s.logger.Debug().Str("request", string(a.call.ID)).Err(err).Msg("gateway's connection is closed")
-			}
+			s.extendWriteDeadline(controller, a)
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				s.logger.Debug().Str("request", string(a.call.ID)).Err(writeErr).Msg("gateway does not take the answer")
 				panic(http.ErrAbortHandler)
@@ -303,6 +302,13 @@
 	}
 }
 
+// extendWriteDeadline gives the gateway gatewayReadTimeout from now on to read the next part of the answer.
+func (s *Sidecar) extendWriteDeadline(controller *http.ResponseController, a *admittedCall) {
+	if err := controller.SetWriteDeadline(time.Now().Add(gatewayReadTimeout)); err != nil {
+		s.logger.Debug().Str("request", string(a.call.ID)).Err(err).Msg("gateway's connection is closed")
+	}
+}
+
 // recordFirstByte records that the first part of the answer has arrived. Later calls do nothing.
 func (s *Sidecar) recordFirstByte(a *admittedCall) {
 	if a.answerBegun {
