Logs: the last lines of a process are written before it exits

Cause: the log is written by a goroutine that nobody waited for at the exit, so that 'gateway stopped' was in the output of only 3 of 11 gateways that had stopped in order. Change: the daemon closes the log at its end, after a failure too: the queued lines and the count of dropped ones are written, within 200 ms, since the output may not be read. Entry and agent write their lines at once and need nothing.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,7 +60,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	logger := telemetry.NewRateLimitedLogger(host.LogLevel, host.Host)
+	logger, closeLog := telemetry.NewRateLimitedLogger(host.LogLevel, host.Host)
+	defer closeLog()
 	go telemetry.ReloadOnSIGHUP(ctx, logger, func() error {
 		reloaded, err := program.Load(flags.Settings)
 		if err == nil {
--- a/internal/telemetry/rate_limited.go
+++ b/internal/telemetry/rate_limited.go
@@ -23,14 +23,19 @@
 	maxQueuedLines = 1024
 	// dropReportInterval is the minimum time between two lines that report dropped lines.
 	dropReportInterval = time.Second
+	// closeTimeout bounds the time for which an exit waits for the queued lines to be written. It is part of the time that a
+	// process reserves for its exit within the grace period.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // rateLimitedWriter writes log lines from a background goroutine, limited by a token bucket of bytes. It drops and counts
 // the lines that exceed the limit or find the queue full, and never blocks its callers.
 type rateLimitedWriter struct {
-	queue chan []byte
+	queue   chan []byte
+	written chan struct{} // closed when all lines of a closed queue are written
 
 	mu             sync.Mutex
+	closed         bool    // the queue is closed
 	availableBytes float64 // tokens in the bucket
 	refilledAt     time.Time
 	dropped        int // lines since the last report
@@ -39,17 +44,20 @@
 }
 
 // NewRateLimitedLogger returns a logger that writes JSON lines with the host's name to standard output, at a limited rate.
-// Lines that exceed the limit are dropped and counted. Part of the limit is reserved for warnings and errors.
-func NewRateLimitedLogger(level string, host core.HostID) *log.Logger {
-	logger := NewLogger(level, host)
-	logger.Writer = newRateLimitedWriter(os.Stdout)
-	return logger
+// Lines that exceed the limit are dropped and counted. Part of the limit is reserved for warnings and errors. closeLog must be
+// called before the process exits: it writes the lines that wait, within closeTimeout, and ends the log.
+func NewRateLimitedLogger(level string, host core.HostID) (logger *log.Logger, closeLog func()) {
+	logger = NewLogger(level, host)
+	w := newRateLimitedWriter(os.Stdout)
+	logger.Writer = w
+	return logger, func() { w.close(closeTimeout) }
 }
 
 func newRateLimitedWriter(out io.Writer) *rateLimitedWriter {
 	now := time.Now()
-	w := &rateLimitedWriter{queue: make(chan []byte, maxQueuedLines), availableBytes: maxLogBytesPerSecond, refilledAt: now, reportedAt: now, startedAt: now}
+	w := &rateLimitedWriter{queue: make(chan []byte, maxQueuedLines), written: make(chan struct{}), availableBytes: maxLogBytesPerSecond, refilledAt: now, reportedAt: now, startedAt: now}
 	go func() {
+		defer close(w.written)
 		for line := range w.queue {
 			_, _ = out.Write(line) // a failed write to the log output cannot be reported anywhere
 		}
@@ -66,10 +74,28 @@
 	if !w.allow(entry.Level, len(line), now) || !w.enqueue(line) {
 		w.dropped++
 	}
-	w.reportDropped(now)
+	if now.Sub(w.reportedAt) >= dropReportInterval {
+		w.reportDropped(now)
+	}
 	return len(line), nil
 }
 
+// close ends the log and waits until the lines in the queue are written, but no longer than the timeout: the output may not be
+// read. Later lines are dropped.
+func (w *rateLimitedWriter) close(timeout time.Duration) {
+	w.mu.Lock()
+	if !w.closed {
+		w.reportDropped(time.Now())
+		w.closed = true
+		close(w.queue)
+	}
+	w.mu.Unlock()
+	select {
+	case <-w.written:
+	case <-time.After(timeout):
+	}
+}
+
 // UptimeField is the key of the milliseconds since the logger was created, on the monotonic clock. It orders the lines of
 // a process even if the wall clock jumps.
 const UptimeField = "up_ms"
@@ -104,8 +130,11 @@
 	return true
 }
 
-// enqueue adds the line to the queue and reports false if the queue is full.
+// enqueue adds the line to the queue and reports false if the queue is full or closed.
 func (w *rateLimitedWriter) enqueue(line []byte) bool {
+	if w.closed {
+		return false
+	}
 	select {
 	case w.queue <- line:
 		return true
@@ -114,9 +143,9 @@
 	}
 }
 
-// reportDropped logs the number of lines dropped since the last report, at most once per dropReportInterval.
+// reportDropped logs the number of lines dropped since the last report.
 func (w *rateLimitedWriter) reportDropped(now time.Time) {
-	if w.dropped == 0 || now.Sub(w.reportedAt) < dropReportInterval {
+	if w.dropped == 0 {
 		return
 	}
 	report := log.NewContext(nil).Str("level", "warn").Int("dropped", w.dropped).Str("message", "log lines dropped; the output is not read or the bound is reached").Value()
--- a/internal/telemetry/rate_limited_test.go
+++ b/internal/telemetry/rate_limited_test.go
@@ -100,3 +100,34 @@
 		t.Errorf("unexpected metrics: %+v", metrics)
 	}
 }
+
+// A process exits as soon as its last line is logged.
+func TestCloseWritesTheLinesThatWait(t *testing.T) {
+	out := &synchronizedBuffer{}
+	w := newRateLimitedWriter(out)
+	logger := log.Logger{Writer: w}
+	const lines = 100
+	for range lines {
+		logger.Info().Msg("a line")
+	}
+	w.mu.Lock()
+	w.dropped = 3
+	w.mu.Unlock()
+	w.close(time.Minute)
+	logger.Info().Msg("after the end")
+	text := out.text()
+	if strings.Count(text, "a line") != lines || !strings.Contains(text, `"dropped":3`) || strings.Contains(text, "after the end") {
+		t.Errorf("wrote %d of %d lines: %s", strings.Count(text, "a line"), lines, text)
+	}
+}
+
+// The exit of a process must not wait for a reader of its output.
+func TestCloseEndsWithUnreadOutput(t *testing.T) {
+	_, unreadPipe := io.Pipe()
+	w := newRateLimitedWriter(unreadPipe)
+	logger := log.Logger{Writer: w}
+	for range 2 * maxQueuedLines {
+		logger.Warn().Msg("a line")
+	}
+	w.close(time.Millisecond)
+}
