Gateway, sidecar: errors of the HTTP servers are log lines

Cause: net/http reports panics of handlers and failed accepts as text on standard error, outside the log and its time order.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 	var tasks conc.WaitGroup
 	tasks.Go(func() { g.follower.Run(runCtx) })
 	tasks.Go(func() { g.shareCrashes(runCtx) })
-	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: readyTimeout}
+	readiness := g.readyServer()
 	tasks.Go(func() { g.logServeEnd(readiness.Serve(ready), ready) })
 	server := graceful.NewServer(g.frontServer(), front)
 	tasks.Go(func() { g.logServeEnd(server.Serve(), front) })
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/graceful"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
 const (
@@ -31,6 +32,16 @@
 		IdleTimeout:                  defaultIdleTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     telemetry.NewHTTPErrorLog(g.logger),
+	}
+}
+
+// readyServer returns the server for the load balancer's readiness checks.
+func (g *Gateway) readyServer() *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(g.serveReady),
+		ReadHeaderTimeout: readyTimeout,
+		ErrorLog:          telemetry.NewHTTPErrorLog(g.logger),
 	}
 }
 
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -9,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/lovageglade/lovageglade/internal/graceful"
 	"github.com/lovageglade/lovageglade/platform/platformtest"
 )
@@ -66,3 +69,18 @@
 		t.Fatalf("status %d, %v", answer.StatusCode, err)
 	}
 }
+
+func TestErrorsOfTheServersAreLogLines(t *testing.T) {
+	fx := newFixture(t)
+	var lines bytes.Buffer
+	fx.gateway.logger = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &lines}}
+	servers := []*http.Server{fx.gateway.frontServer(), fx.gateway.readyServer()}
+	for _, server := range servers {
+		server.ErrorLog.Print("broken")
+	}
+	logged := loggedLines(t, &lines, "HTTP server error")
+	requireFields(t, logged, "error")
+	if len(logged) != len(servers) {
+		t.Errorf("%d lines of %d servers", len(logged), len(servers))
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -30,6 +30,7 @@
 	"github.com/lovageglade/lovageglade/internal/quarantine"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/weights"
 	"github.com/lovageglade/lovageglade/internal/weights/distribution"
 	"github.com/lovageglade/lovageglade/internal/weights/plan"
@@ -209,7 +210,7 @@
 	defer methods.Close()
 	app := fiber.New()
 	app.Get(wire.PathChunks+":digest", s.distributor.HandleChunk)
-	server := graceful.NewServer(&http.Server{Handler: http.HandlerFunc(s.serveRelay), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, relay)
+	server := graceful.NewServer(s.relayServer(), relay)
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var tasks conc.WaitGroup
@@ -233,6 +234,16 @@
 	return nil
 }
 
+// relayServer returns the server for gateways.
+func (s *Sidecar) relayServer() *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(s.serveRelay),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          telemetry.NewHTTPErrorLog(s.logger),
+	}
+}
+
 func (s *Sidecar) listen(port int) (*net.TCPListener, error) {
 	address := net.JoinHostPort(s.settings.Address, strconv.Itoa(port))
 	listener, err := net.Listen("tcp", address)
--- a/internal/telemetry/process.go
+++ b/internal/telemetry/process.go
@@ -21,7 +21,7 @@
 	if port == 0 {
 		return
 	}
-	server := &http.Server{Addr: net.JoinHostPort(address, strconv.Itoa(port)), Handler: http.HandlerFunc(ServeMetrics), ReadHeaderTimeout: metricsHeaderTimeout}
+	server := &http.Server{Addr: net.JoinHostPort(address, strconv.Itoa(port)), Handler: http.HandlerFunc(ServeMetrics), ReadHeaderTimeout: metricsHeaderTimeout, ErrorLog: NewHTTPErrorLog(logger)}
 	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
 	if err := server.ListenAndServe(); err != http.ErrServerClosed {
 		logger.Error().Err(err).Str("address", server.Addr).Msg("metrics server failed; check metrics_port in the settings")
