Planned stop: the log tells which requests it ends

Cause: a process whose grace period expired with open requests logged neither how many nor which, and exited before their handlers had logged their ends. Change: gateway and sidecar keep the ids of their open requests, also while a body still arrives.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	start             time.Duration // on the boot clock
 	draining          atomic.Bool
 	graceExpired      atomic.Bool // open connections are being closed
+	open              graceful.OpenRequests
 	invalidLoads      sync.Map    // services of which an invalid load report has been logged
 	lastReportedReady atomic.Bool // the last answer to the load balancer's readiness check
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -19,6 +19,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	accepted, err := g.accept(r)
+	defer accepted.end()
 	if err != nil {
 		g.writeError(w, accepted, err, nil)
 		return
@@ -33,16 +34,18 @@
 	route     *catalog.Route
 	workspace *catalog.Workspace // nil on a public route without a key
 	service   core.Service       // set by newForwarder
+	end       func()             // removes the call from the open requests
 }
 
 // accept reads the call and checks it against the current configuration. The result is never nil. Beside an error it holds
 // the fields that were set before the failure.
 func (g *Gateway) accept(r *http.Request) (*acceptedCall, error) {
-	a := &acceptedCall{view: g.follower.View()}
+	a := &acceptedCall{view: g.follower.View(), end: func() {}}
 	var err error
 	if a.call, err = g.codec.Decode(r); err != nil {
 		return a, err
 	}
+	a.end = g.open.Add(string(a.call.ID)) // before the body, which may still be arriving
 	if err = g.resolve(a); err != nil {
 		return a, err
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -75,8 +75,7 @@
 	ctx, stop := context.WithDeadline(context.Background(), startedAt.Add(g.settings.GraceMs.Duration()-exitMargin))
 	defer stop()
 	if err := server.Shutdown(ctx); err != nil {
-		g.logger.Warn().Err(err).Msg("grace period expired with open requests")
 		g.graceExpired.Store(true)
-		_ = server.Close()
+		g.open.CloseExpired(server, err, g.logger)
 	}
 }
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -50,6 +50,7 @@
 	}
 	c, err := s.codec.DecodeForwarded(r)
 	if err == nil {
+		defer s.open.Add(string(c.ID))()
 		c.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	}
 	if err != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -76,6 +76,8 @@
 	serveDeadline  atomic.Int64 // boot clock in nanoseconds from which the served version takes no requests; 0 for none
 	viewUpdated    chan struct{}
 	orders         orderGate
+	open           graceful.OpenRequests
+	graceExpired   atomic.Bool // open connections are being closed
 
 	manifestsMu sync.Mutex
 	manifests   map[manifestRequest]weights.Manifest // manifests from the origin, served to peers
@@ -267,8 +269,8 @@
 	ctx, stop := context.WithTimeout(context.Background(), s.settings.GraceMs.Duration()-exitMargin)
 	defer stop()
 	if err := server.Shutdown(ctx); err != nil {
-		s.logger.Warn().Err(err).Msg("grace period expired with open requests")
-		_ = server.Close()
+		s.graceExpired.Store(true)
+		s.open.CloseExpired(server, err, s.logger)
 	}
 	s.awaitOpenOrder(ctx)
 }
