Sidecar: the log tells who or what ended an answer

Cause: an answer that ended early for a gateway that left, for the time of the call or for the end of the grace period read 'context canceled' or 'use of closed network connection', and a gateway that did not take it stood at the level debug. A gateway that leaves once the time of the call has passed counts as the call's timeout; the sidecar cannot tell the caller's from the route's.

--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -221,7 +221,7 @@
 	}
 	if err != nil {
 		s.recordBroken(r, a)
-		s.logger.Info().Str("request", string(c.ID)).Err(err).Msg("engine gave no answer")
+		s.logEnded(r, a, err, nil).Msg("engine gave no answer")
 		panic(http.ErrAbortHandler) // a closed connection tells the gateway that the outcome is unknown
 	}
 	defer answer.Close()
@@ -286,7 +286,7 @@
 			s.recordProgress(a)
 			s.extendWriteDeadline(controller, a)
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				s.logger.Debug().Str("request", string(a.call.ID)).Err(writeErr).Msg("gateway does not take the answer")
+				s.logEnded(r, a, writeErr, writeErr).Msg("gateway does not take the answer")
 				panic(http.ErrAbortHandler)
 			}
 			flusher.Flush()
@@ -297,7 +297,7 @@
 		}
 		if err != nil {
 			s.recordBroken(r, a)
-			s.logger.Info().Str("request", string(a.call.ID)).Str("framing", string(a.framing)).Err(err).Msg("engine's answer broken off")
+			s.logEnded(r, a, err, nil).Msg("engine's answer broken off")
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/internal/sidecar/unread_answer_test.go
+++ b/internal/sidecar/unread_answer_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/phuslu/log"
 )
 
 // A gateway's host may freeze or be cut off while it holds the connection open.
@@ -18,7 +20,8 @@
 			}
 		}
 	})
-	s := newSidecar(t, &fakeEngine{staged: make(map[int][]byte), corruptChunk: -1, version: 1}, &fakeOrigin{}, &fakeSource{}, address)
+	reasons := make(endReasons, 10)
+	s := newSidecarWithLogger(t, &fakeEngine{staged: make(map[int][]byte), corruptChunk: -1, version: 1}, &fakeOrigin{}, &fakeSource{}, address, &log.Logger{Level: log.InfoLevel, Writer: reasons})
 	waitFor(t, "the gate to open", func() bool { return s.servingVersion.Load() == 1 && s.gate.Load().Limit == 2 })
 	gateway, err := net.Dial("tcp", serve(t, s.serveRelay))
 	if err != nil {
@@ -30,6 +33,7 @@
 	}
 	waitFor(t, "the request to run", func() bool { return s.gate.Load().Running == 1 })
 	waitFor(t, "its slot to be freed", func() bool { return s.gate.Load().Running == 0 })
+	reasons.require(t, endedByUnread)
 }
 
 func TestLateEndOfAnAnswerReachesTheGateway(t *testing.T) {
