Planned stop: no connection that waits is reset when the listener closes

What callers saw: a connection that was open, took the request and was reset without an answer, if callers kept connecting for 1 s to a process that stops, or if one connected while the process was held off between its last accept and the close. A sidecar's gateways do not know that it stops, so they keep connecting. Cause: after the bound, the listener was closed with the next accept, whatever waited; after the quiet time, without a look at what had arrived meanwhile. Class: a bound that cuts what it should have let finish. Change: the listener is closed only when no connection waits at that moment. Not covered: a connection that arrives between this look and the close, two adjacent system calls.

--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -8,14 +8,16 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// quietTime is how long no connection may arrive before a listener that is to be closed counts as empty. It covers
 	// the time that a process with little of a processor may be held off between two accepts.
 	quietTime = 50 * time.Millisecond
-	// longestFinish bounds the time for which connections are accepted at a listener that is to be closed, if callers never
-	// stop connecting.
+	// longestFinish is the time after which a listener that is to be closed is closed as soon as no connection waits, if
+	// callers never stop connecting.
 	longestFinish = time.Second
 )
 
@@ -43,21 +45,41 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		finishBy := l.finishBy.Load()
+		if finishBy != nil && time.Now().After(*finishBy) && !l.connWaits() {
+			return nil, l.end()
+		}
 		if finishBy != nil {
 			_ = l.SetDeadline(time.Now().Add(quietTime)) // fails only on a closed listener, as does accepting
 		}
 		tcp, err := l.AcceptTCP()
 		switch {
-		case err == nil && finishBy != nil && time.Now().After(*finishBy):
-			_ = l.Close() // what waits is reset
-			return newConn(tcp)
 		case err == nil:
 			return newConn(tcp)
-		case finishBy != nil:
-			_ = l.Close()
-			return nil, http.ErrServerClosed
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
+		case finishBy != nil && !l.connWaits(): // one may have arrived while the process was held off
+			return nil, l.end()
 		}
 	}
 }
+
+// end closes the listener, which resets connections that arrive from now on, and returns the error for Accept.
+func (l *listener) end() error {
+	_ = l.Close() // fails only if it is closed
+	return http.ErrServerClosed
+}
+
+// connWaits reports whether a connection waits to be accepted.
+func (l *listener) connWaits() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false // the listener is closed
+	}
+	waits := false
+	err = raw.Control(func(fd uintptr) {
+		ready := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, pollErr := unix.Poll(ready, 0)
+		waits = pollErr == nil && n > 0
+	})
+	return err == nil && waits
+}
