Sidecar: the test of an inherited order does not depend on the machine's speed

What was seen: TestUnansweredOrderOfAStoppedSidecarDoesNotLoadAMixtureOfVersions failed once at a machine load of 40 with 'version 2 with 1 chunks of another version'. Cause: a race of the test with the clock. A sidecar leaves staged chunks alone for 3 s after its start (inheritedOrderTime), by design shorter than an engine may take to accept an order. The test accepts the order after some reports of the engine; on a busy machine that is later than 3 s, and the chunk is rightly replaced. Change: the time is a field of the sidecar, and the test sets it to its own limit for waiting, so that a replacement before is always found. Remains: a sidecar that is killed with an order that the engine accepts more than 3 s after the next sidecar's start.

--- a/internal/sidecar/check_send_test.go
+++ b/internal/sidecar/check_send_test.go
@@ -38,7 +38,7 @@
 			requests := &atomic.Int32{}
 			address := serve(t, func(http.ResponseWriter, *http.Request) { requests.Add(1) })
 			engine := &fakeEngine{staged: make(map[int][]byte), corruptChunk: -1, version: 1}
-			s, stop := startSidecar(engine, &fakeOrigin{}, &fakeSource{}, address, &log.Logger{Level: log.PanicLevel})
+			s, stop := startSidecar(engine, &fakeOrigin{}, &fakeSource{}, address, &log.Logger{Level: log.PanicLevel}, func(*Sidecar) {})
 			waitFor(t, "version 1", func() bool { return s.servingVersion.Load() == 1 })
 			stop() // nothing else changes its state
 			s.codec = interruptedCodec{interrupt: func() { test.interrupt(s) }}
--- a/internal/sidecar/order.go
+++ b/internal/sidecar/order.go
@@ -146,7 +146,7 @@
 // mayReplaceStaged reports whether a staged chunk may be replaced by one with other content. If this process has just started,
 // the engine may still accept an order of its predecessor, unless it has accepted another one or started again since.
 func (u *updater) mayReplaceStaged() bool {
-	return bootclock.Now() >= u.firstReportAt+inheritedOrderTime || u.firstReport.differs(u.report)
+	return bootclock.Now() >= u.firstReportAt+u.sidecar.inheritedOrderTime || u.firstReport.differs(u.report)
 }
 
 // openWrite is a chunk that was written to the staging area without an answer. The engine may still carry the write out.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -79,6 +79,8 @@
 	open           graceful.OpenRequests
 	graceExpired   atomic.Bool // open connections are being closed
 
+	inheritedOrderTime time.Duration // the constant of that name, except in tests
+
 	manifestsMu sync.Mutex
 	manifests   map[manifestRequest]weights.Manifest // manifests from the origin, served to peers
 }
@@ -98,6 +100,8 @@
 		store:       weights.NewStore(chunkStoreBytes),
 		viewUpdated: make(chan struct{}, 1),
 		manifests:   make(map[manifestRequest]weights.Manifest),
+
+		inheritedOrderTime: inheritedOrderTime,
 	}
 	s.distributor = distribution.New(distribution.Options{
 		Self:          s.hostOf(config.Address, config.FailureDomain, config.Region),
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -216,19 +216,20 @@
 
 func newSidecarWithLogger(t *testing.T, engine Engine, origin Origin, source *fakeSource, engineAddress string, logger *log.Logger) *Sidecar {
 	t.Helper()
-	s, stop := startSidecar(engine, origin, source, engineAddress, logger)
+	s, stop := startSidecar(engine, origin, source, engineAddress, logger, func(*Sidecar) {})
 	t.Cleanup(stop)
 	return s
 }
 
-// startSidecar returns a running sidecar and a function that stops it and waits for its tasks.
-func startSidecar(engine Engine, origin Origin, source *fakeSource, engineAddress string, logger *log.Logger) (s *Sidecar, stop func()) {
+// startSidecar returns a sidecar that runs since it was configured, and a function that stops it and waits for its tasks.
+func startSidecar(engine Engine, origin Origin, source *fakeSource, engineAddress string, logger *log.Logger, configure func(*Sidecar)) (s *Sidecar, stop func()) {
 	source.address = engineAddress
 	config := settings.Sidecar{EngineAddress: engineAddress, Service: "s", VersionRolloutMs: 300, GraceMs: 1000}
 	config.Address, config.Region, config.FailureDomain = "127.0.0.1", "east", "x"
 	config.Ports = []int{1, 3}
 	follower := follow.New(source, follow.Intervals{EndpointsInterval: 20 * time.Millisecond}, follow.Delegates{}, logger)
 	s = New(config, passThroughCodec{}, follower, engine, origin, logger)
+	configure(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	for _, run := range []func(context.Context){follower.Run, s.distributor.Run, s.runUpdater} {
--- a/internal/sidecar/unanswered_order_test.go
+++ b/internal/sidecar/unanswered_order_test.go
@@ -159,13 +159,16 @@
 
 func TestUnansweredOrderOfAStoppedSidecarDoesNotLoadAMixtureOfVersions(t *testing.T) {
 	engine, origin, source := newDelayingEngine(), newPartialOrigin(3), &fakeSource{version: 2}
-	_, stopPredecessor := startSidecar(engine, origin, source, "127.0.0.1:9", &log.Logger{Level: log.PanicLevel})
+	_, stopPredecessor := startSidecar(engine, origin, source, "127.0.0.1:9", &log.Logger{Level: log.PanicLevel}, func(*Sidecar) {})
 	t.Cleanup(stopPredecessor)
 	waitFor(t, "the unanswered order", func() bool { delayed, _ := engine.counts(); return delayed > 0 })
 	stopPredecessor()
 	engine.setDelaying(false)
 	source.requestVersion(3)
-	successor := newSidecar(t, engine, origin, source, "127.0.0.1:9")
+	successor, stopSuccessor := startSidecar(engine, origin, source, "127.0.0.1:9", &log.Logger{Level: log.PanicLevel}, func(s *Sidecar) {
+		s.inheritedOrderTime = testTimeout // the order is accepted within it, however slow the machine is
+	})
+	t.Cleanup(stopSuccessor)
 	waitUntilStagedOrSettled(t, successor, engine, origin, 3)
 	engine.acceptDelayed(t)
 	if version, _, wrong := engine.state(); wrong != 0 {
