Gateway, sidecar: SIGHUP never ends the process

Cause: the handler was installed after the settings had been read, in a goroutine, and taken away as soon as SIGTERM came. Without a handler the default action of SIGHUP ends a process. Class: a handler that lives shorter than the process. Change: SIGHUP is caught before anything else and until the process ends; a process that drains reads no settings. Ruled out: SIGHUP while the process serves, and a settings file that is half-written or missing (logged; the settings stay in force).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,15 +37,16 @@
 
 // Main runs the program until SIGTERM or SIGINT. It exits with status 1 if the program fails.
 func Main[T any](program Program[T]) {
+	hangups := telemetry.CatchSIGHUP() // before anything else, and until the process ends, so that none of them ends it
 	var flags commandLine
 	kong.Parse(&flags, kong.Name(program.Name), kong.Description(program.Description))
-	if err := run(program, flags); err != nil {
+	if err := run(program, flags, hangups); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %s\n", program.Name, fault.Explain(err))
 		os.Exit(exitFailed)
 	}
 }
 
-func run[T any](program Program[T], flags commandLine) error {
+func run[T any](program Program[T], flags commandLine, hangups <-chan os.Signal) error {
 	config, err := program.Load(flags.Settings)
 	if err != nil {
 		return err
@@ -61,7 +62,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	logger := telemetry.NewRateLimitedLogger(host.LogLevel, host.Host)
-	go telemetry.ReloadOnSIGHUP(ctx, logger, func() error {
+	go telemetry.ReloadOnSIGHUP(ctx, hangups, logger, func() error {
 		reloaded, err := program.Load(flags.Settings)
 		if err == nil {
 			logger.SetLevel(telemetry.ParseLevel(program.HostSettings(reloaded).LogLevel))
--- a/internal/telemetry/process.go
+++ b/internal/telemetry/process.go
@@ -28,12 +28,17 @@
 	}
 }
 
-// ReloadOnSIGHUP calls reload on each SIGHUP until the context is canceled. If reload fails, it logs the error and the previous
-// settings stay in force.
-func ReloadOnSIGHUP(ctx context.Context, logger *log.Logger, reload func() error) {
+// CatchSIGHUP returns a channel that receives SIGHUP from now on. The signal no longer ends the process, whether or not the
+// channel is read.
+func CatchSIGHUP() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups
+}
+
+// ReloadOnSIGHUP calls reload for each signal from CatchSIGHUP until the context is canceled. If reload fails, it logs the error
+// and the previous settings stay in force.
+func ReloadOnSIGHUP(ctx context.Context, hangups <-chan os.Signal, logger *log.Logger, reload func() error) {
 	for {
 		select {
 		case <-ctx.Done():
