--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,9 +48,10 @@
 	crashes           *crashDetectors
 	start             time.Duration // on the boot clock
 	draining          atomic.Bool
-	graceExpired      atomic.Bool // open connections are being closed
-	invalidLoads      sync.Map    // services of which an invalid load report has been logged
-	lastReportedReady atomic.Bool // the last answer to the load balancer's readiness check
+	stopBegan         atomic.Int64 // boot clock in nanoseconds of SIGTERM; 0 before
+	graceExpired      atomic.Bool  // open connections are being closed
+	invalidLoads      sync.Map     // services of which an invalid load report has been logged
+	lastReportedReady atomic.Bool  // the last answer to the load balancer's readiness check
 
 	mu           sync.Mutex
 	retryBudgets map[core.Service]*retry.Budget
@@ -108,6 +109,7 @@
 	tasks.Go(func() { g.logServeEnd(server.Serve(), front) })
 	g.logger.Info().Str("front", g.settings.FrontAddress).Msg("gateway started")
 	<-ctx.Done()
+	g.stopBegan.Store(int64(bootclock.Now()))
 	g.drain(server)
 	_ = readiness.Close() // the load balancer no longer checks it
 	stop()
