--- a/internal/daemon/exit_log_test.go
+++ b/internal/daemon/exit_log_test.go
@@ -46,7 +46,7 @@
 	defer reader.Close()
 	stdout := os.Stdout
 	os.Stdout = writer
-	runErr := run(program, commandLine{})
+	runErr := run(program, commandLine{}, nil)
 	os.Stdout = stdout
 	_ = writer.Close() // as at the end of a process
 	out, err := io.ReadAll(reader)
