--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 
-	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 	"github.com/lovageglade/lovageglade/internal/fault"
@@ -32,49 +31,49 @@
 	body   []byte
 }
 
-// deliverBuffered forwards an answer that is not a stream. It returns false if nothing was sent to the caller, because the
-// answer is unusable or another endpoint may give a better one.
-func (f *forwarder) deliverBuffered(endpoint *catalog.Endpoint, answer *dispatch.Response, info call.ResponseInfo) bool {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
-	if err != nil {
-		f.recordBrokenAnswer(endpoint, err)
+// deliverWhole forwards a whole answer, or one of which the first maxBufferedBytes are there. It returns false if nothing was sent to
+// the caller, because the answer is unusable or another endpoint may give a better one.
+func (f *forwarder) deliverWhole(a *attempt) bool {
+	if f.isStream(a.answer) {
+		f.deliverStreamEnd(a)
+		return true
+	}
+	if !f.isUsable(a) {
 		return false
 	}
-	if answer.Status < http.StatusMultipleChoices && !info.Signed {
-		f.recordBrokenAnswer(endpoint, fault.New(fault.EndpointFault, "the answer has no signature", "check the endpoint's logs"))
+	f.writeAnswer(a.answer, a.body)
+	return true
+}
+
+// isUsable reports whether the answer, which is not a stream, is for the caller, and records what it tells of its endpoint.
+func (f *forwarder) isUsable(a *attempt) bool {
+	status, isShort := a.answer.Status, len(a.body) < maxBufferedBytes
+	if f.stream != nil && f.stream.headerSent {
+		f.recordBrokenAnswer(a, fault.New(fault.EndpointFault, "the endpoint did not resume the stream", "check the endpoint's logs"))
 		return false
 	}
-	f.g.recordSuccess(endpoint)
-	f.g.recordAnswer(endpoint, answer.Status >= http.StatusInternalServerError)
-	if answer.Status == http.StatusOK && len(body) < maxBufferedBytes {
-		f.recordWholeAnswer()
+	if status < http.StatusMultipleChoices && !a.info.Signed {
+		f.recordBrokenAnswer(a, fault.New(fault.EndpointFault, "the answer has no signature", "check the endpoint's logs"))
+		return false
 	}
-	if slices.Contains(notRunStatuses, answer.Status) && f.route.Repeat != catalog.Idempotent {
-		f.lastErr = fault.New(fault.EndpointFault, "the endpoint answered "+strconv.Itoa(answer.Status)+" without stating that the request has not run", "check the endpoint's logs")
-		f.recordPickOutcome(f.lastErr)
+	f.g.recordSuccess(a.endpoint)
+	f.g.recordAnswer(a.endpoint, status >= http.StatusInternalServerError)
+	if status == http.StatusOK && isShort {
+		f.recordWholeAnswer(a)
+	}
+	if slices.Contains(notRunStatuses, status) && f.route.Repeat != catalog.Idempotent {
+		f.lastErr = fault.New(fault.EndpointFault, "the endpoint answered "+strconv.Itoa(status)+" without stating that the request has not run", "check the endpoint's logs")
+		a.pick.recordOutcome(f.lastErr)
 		return false
 	}
-	if answer.Status >= http.StatusInternalServerError && f.route.Repeat == catalog.Idempotent && len(body) < maxBufferedBytes {
-		f.fallback = &fallbackAnswer{answer: answer, body: body}
-		f.recordPickOutcome(fault.New(fault.EndpointFault, "the endpoint answered "+strconv.Itoa(answer.Status), "check the endpoint's logs"))
+	if status >= http.StatusInternalServerError && f.route.Repeat == catalog.Idempotent && isShort {
+		f.fallback = &fallbackAnswer{answer: a.answer, body: a.body}
+		a.pick.recordOutcome(fault.New(fault.EndpointFault, "the endpoint answered "+strconv.Itoa(status), "check the endpoint's logs"))
 		return false
 	}
-	f.writeAnswer(answer, body)
 	return true
 }
 
-// recordBrokenAnswer records that the endpoint's answer broke off or lacks the endpoint's signature.
-func (f *forwarder) recordBrokenAnswer(endpoint *catalog.Endpoint, err error) {
-	f.lastErr = err
-	f.recordPickOutcome(err)
-	if f.ctx.Err() == nil {
-		f.g.recordFailure(endpoint)
-	}
-	f.recordBreak(endpoint)
-	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Str("framing", string(f.framing)).Err(err)
-	f.addEndReason(f.addIdentity(entry)).Msg("answer broken off")
-}
-
 // writeAnswer sends the answer to the caller. The body holds the first maxBufferedBytes; the rest is read from the answer.
 func (f *forwarder) writeAnswer(answer *dispatch.Response, body []byte) {
 	header := f.copyHeader(answer)
--- a/internal/gateway/check_send.go
+++ b/internal/gateway/check_send.go
@@ -12,14 +12,14 @@
 
 // checkSend returns a refusalError if what allowed the call to be sent no longer holds, just before its first byte is sent. The
 // process may have been suspended since, and the body may have arrived slowly.
-func (f *forwarder) checkSend() error {
+func (a *attempt) checkSend() error {
 	now := bootclock.Now()
 	switch {
-	case now-f.pickedAt >= maxSendDelay:
+	case now-a.pickedAt >= maxSendDelay:
 		return &refusalError{reason: "too much time has passed since the endpoint was picked", outdated: true}
-	case now >= f.deadline:
+	case now >= a.f.deadline:
 		return &refusalError{reason: "the time of the request has passed", outdated: true}
-	case f.g.recheck(f.acceptedCall) != nil:
+	case a.f.g.recheck(a.f.acceptedCall) != nil:
 		return &refusalError{reason: "the key is no longer valid, or the store could not be read for too long to judge it", outdated: true}
 	}
 	return nil
--- a/internal/gateway/end_reason.go
+++ b/internal/gateway/end_reason.go
@@ -17,6 +17,7 @@
 	errCallerStopped = errors.New("caller does not read")
 	errGraceExpired  = errors.New("grace period")
 	errSilent        = errors.New("silence of the endpoint")
+	errCallEnded     = errors.New("end of the call")
 )
 
 // endedByEndpoint is the reason in the log if neither the caller nor this gateway ended an attempt.
@@ -44,9 +45,9 @@
 	return errCallerLeft.Error()
 }
 
-// addEndReason adds to the log entry who or what ended the current attempt, which gave no whole answer, and counts it.
-func (f *forwarder) addEndReason(entry *log.Entry) *log.Entry {
-	f.endedBy = f.reasonOf(f.attemptCtx)
+// addEndReason adds to the log entry who or what ended the attempt, which gave no whole answer, and counts it.
+func (f *forwarder) addEndReason(entry *log.Entry, a *attempt) *log.Entry {
+	f.endedBy = f.reasonOf(a.ctx)
 	telemetry.AttemptEnded(f.endedBy)
 	return entry.Str("ended_by", f.endedBy)
 }
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -6,14 +6,13 @@
 	"net/http"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
-	"github.com/lovageglade/lovageglade/internal/dispatch"
-	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/placement"
 	"github.com/lovageglade/lovageglade/internal/quarantine"
-	"github.com/lovageglade/lovageglade/internal/routing"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
@@ -28,59 +27,54 @@
 // forwarder forwards one call, which is a request of a caller, to endpoints until it has an answer for the caller.
 type forwarder struct {
 	*acceptedCall
-	g       *Gateway
-	w       http.ResponseWriter
-	arrived time.Time
-	ctx     context.Context // ends when the caller disconnects or its timeout expires
-	cancel  context.CancelFunc
-	endCall context.CancelCauseFunc // ends the context and states why
-	regions catalog.Regions
-	parts   []core.PromptPart // by which requests that crash endpoints are recognized
-	chunked bool              // an answer of unknown length is sent in chunks; false for HTTP/1.0
+	g        *Gateway
+	w        http.ResponseWriter
+	arrived  time.Time
+	ctx      context.Context // ends when the caller disconnects or its timeout expires
+	cancel   context.CancelFunc
+	endCall  context.CancelCauseFunc // ends the context and states why
+	regions  catalog.Regions
+	parts    []core.PromptPart // by which requests that crash endpoints are recognized
+	deadline time.Duration     // of the call, on the boot clock
+	chunked  bool              // an answer of unknown length is sent in chunks; false for HTTP/1.0
+
+	// Of the goroutine of run. Attempts do not use them.
+	tried        map[catalog.EndpointID]bool
+	trialOf      core.PromptPart // quarantined part with which it may pass nevertheless; "" for none
+	quarantined  bool            // a part of its prompt is quarantined
+	waitsForTurn bool            // it is suspect, and an equal request is being sent
+	outdated     bool            // what allowed it to be sent no longer holds
+	heldOffCount int             // tried endpoints that wanted no requests at the time
+	stream       *streamState
+	fallback     *fallbackAnswer // answer for the caller if all further attempts fail; nil if there is none
+	lastQuery    placement.Query // of the last pick
+	endedBy      string          // who or what ended the last attempt that gave no whole answer; "" for none
+	lastErr      error           // why the last endpoint gave no answer
+	withheld     error           // why the call was not sent to the endpoint that was picked last; nil if it was
+	picks        []*pickRecord
+	ranking      ranking // of which attempts use what newRanking sets
+	attempts     []*attempt
 
-	tried             map[catalog.EndpointID]bool
-	trialOf           core.PromptPart // quarantined part with which it may pass nevertheless; "" for none
-	quarantined       bool            // a part of its prompt is quarantined
-	waitsForTurn      bool            // it is suspect, and an equal request is being sent
-	outdated          bool            // what allowed it to be sent no longer holds
-	heldOffCount      int             // tried endpoints that wanted no requests at the time
-	possibleRuns      int             // endpoints that have run the call or may have
-	sendCount         int             // endpoints that may have received the call, including those that stated that they did not run it
-	certainlyNotRun   bool            // no endpoint has run the call or will run it; true exactly while possibleRuns is 0
-	stream            *streamState
-	fallback          *fallbackAnswer  // answer for the caller if all further attempts fail; nil if there is none
-	lastQuery         placement.Query  // query of the last pick
-	attemptCtx        context.Context  // of the current attempt
-	endedBy           string           // who or what ended the last attempt that gave no whole answer; "" for none
-	stall             *stallTimer      // timer of the current attempt
-	framing           dispatch.Framing // of the last answer of an endpoint; "" before the first
-	lastErr           error            // why the last endpoint gave no answer
-	withheld          error            // why the call was not sent to the endpoint that was picked last; nil if it was
-	deadline          time.Duration    // of the call, on the boot clock
-	pickedAt          time.Duration    // when the current endpoint was picked, on the boot clock
-	sentAt            time.Duration    // when the current attempt was sent, on the boot clock
-	picks             []pickRecord
-	ranking           ranking
-	releaseDirectSlot func() // releases the slot of an attempt that bypasses an unreachable sidecar; nil for others
+	reports chan report // of the attempts
+	running conc.WaitGroup
 }
 
 func (g *Gateway) newForwarder(w http.ResponseWriter, r *http.Request, a *acceptedCall, arrived time.Time) *forwarder {
 	f := &forwarder{
-		acceptedCall:    a,
-		g:               g,
-		w:               w,
-		arrived:         arrived,
-		regions:         catalog.AllowedRegions(a.route, a.workspace),
-		parts:           quarantine.PartsOf(a.call),
-		tried:           make(map[catalog.EndpointID]bool),
-		certainlyNotRun: true,
-		chunked:         r.ProtoAtLeast(1, 1),
+		acceptedCall: a,
+		g:            g,
+		w:            w,
+		arrived:      arrived,
+		regions:      catalog.AllowedRegions(a.route, a.workspace),
+		parts:        quarantine.PartsOf(a.call),
+		tried:        make(map[catalog.EndpointID]bool),
+		reports:      make(chan report),
+		chunked:      r.ProtoAtLeast(1, 1),
 	}
 	a.service = a.route.PickService(rand.Float64())
 	f.ranking = f.newRanking()
 	f.deadline = bootclock.Now() - time.Since(arrived) + f.timeout()
 	f.ctx, f.endCall, f.cancel = f.callContext(r.Context())
-	f.attemptCtx = f.ctx
 	return f
 }
 
@@ -97,33 +91,133 @@
 	return timeout
 }
 
-// run sends the call to endpoints until one answers, and gives the caller exactly one answer.
+// run sends the call to endpoints until one answers, and gives the caller exactly one answer. It is the only goroutine that decides
+// what becomes of the call and writes to the caller.
 func (f *forwarder) run() {
 	defer f.cancel()
 	defer func() { f.newCallerWriter().extendDeadline() }() // for the end of the answer, which net/http writes
+	defer f.endAttempts()
 	f.g.retryBudget(f.service).Deposit()
-	for f.offers() < f.endpointLimit() && !f.refusedEverywhere() && !f.isQuarantined() {
-		endpoint := f.pick()
-		if endpoint == nil {
-			break
-		}
-		if f.withheld = f.g.recheck(f.acceptedCall); f.withheld != nil {
-			break
-		}
-		f.tried[endpoint.ID] = true
-		f.recordPick(endpoint)
-		if f.attempt(endpoint) {
-			f.logAnswered(endpoint)
+	for current := f.ask(); current != nil; {
+		r := <-f.reports
+		switch answered := f.handle(r); {
+		case answered:
+			f.logAnswered(r.attempt)
 			return
-		}
-		if f.ctx.Err() != nil || !f.mayRetry() {
-			break
+		case current.ended:
+			current = f.askAnother()
 		}
 	}
 	f.returnUnusedTrial()
 	f.answerFailure()
 }
 
+// handle deals with a report. It returns true when the caller has its answer or has left.
+func (f *forwarder) handle(r report) (answered bool) {
+	a := r.attempt
+	a.ended = a.ended || r.isLast()
+	switch r.kind {
+	case reportSilent:
+		if !a.ended && a.stall.isDue() && f.possibleRunsWith(a) < f.route.MaxAttempts {
+			a.cancel(errSilent)
+		}
+		return false
+	case reportComment, reportEvent:
+		connected := f.deliverEvent(a, r)
+		a.next <- connected
+		return !connected
+	case reportWhole:
+		a.reach = reachRun
+		answered = f.deliverWhole(a)
+		a.next <- answered
+		return answered
+	case reportFailed:
+		f.recordFailed(a, r.err)
+	}
+	return false
+}
+
+// askAnother sends the call to another endpoint after one that gave no answer, if it may run there. It returns nil if not.
+func (f *forwarder) askAnother() *attempt {
+	if f.ctx.Err() != nil || !f.mayRetry() {
+		return nil
+	}
+	return f.ask()
+}
+
+// ask picks an endpoint and begins an attempt there. It returns nil if there is none that may run the call.
+func (f *forwarder) ask() *attempt {
+	if f.offers() >= f.endpointLimit() || f.refusedEverywhere() || f.isQuarantined() {
+		return nil
+	}
+	a := f.pick()
+	if a == nil {
+		return nil
+	}
+	if f.withheld = f.g.recheck(f.acceptedCall); f.withheld != nil {
+		return nil
+	}
+	f.begin(a)
+	return a
+}
+
+// begin starts the attempt.
+func (f *forwarder) begin(a *attempt) {
+	f.tried[a.endpoint.ID] = true
+	a.pick = f.recordPick(a.endpoint)
+	a.firstEventBound, a.trial, a.waits = f.firstEventBound(), f.trialOf != "", f.ranking.waiting
+	if f.stream != nil {
+		a.resumeAfter = f.stream.lastEventID
+	}
+	a.ctx, a.cancel = context.WithCancelCause(f.ctx)
+	f.attempts = append(f.attempts, a)
+	f.running.Go(a.run)
+}
+
+// endAttempts ends the attempts that are not done and waits until no endpoint, connection or goroutine is held for the call.
+func (f *forwarder) endAttempts() {
+	for _, a := range f.attempts {
+		if !a.ended {
+			a.cancel(errCallEnded)
+		}
+	}
+	for _, a := range f.attempts {
+		for !a.ended {
+			r := <-f.reports
+			r.attempt.ended = r.attempt.ended || r.isLast()
+		}
+	}
+	f.running.Wait()
+	for _, a := range f.attempts {
+		a.cancel(nil)
+	}
+}
+
+// reachedAtLeast returns the number of endpoints at which the call has come that far.
+func (f *forwarder) reachedAtLeast(r reach) int {
+	count := 0
+	for _, a := range f.attempts {
+		if a.reach >= r {
+			count++
+		}
+	}
+	return count
+}
+
+// possibleRunsWith returns the number of endpoints that have run the call or may have, with that of the attempt.
+func (f *forwarder) possibleRunsWith(a *attempt) int {
+	if a.reach == reachRun {
+		return f.possibleRuns()
+	}
+	return f.possibleRuns() + 1
+}
+
+// possibleRuns returns the number of endpoints that have run the call or may have. While it is 0, no endpoint will.
+func (f *forwarder) possibleRuns() int { return f.reachedAtLeast(reachRun) }
+
+// sendCount returns the number of endpoints that may have received the call, including those that state that they did not run it.
+func (f *forwarder) sendCount() int { return f.reachedAtLeast(reachRefused) }
+
 // refusedEverywhere reports whether the call was refused for a reason that holds for all endpoints.
 func (f *forwarder) refusedEverywhere() bool { return f.quarantined || f.waitsForTurn || f.outdated }
 
@@ -131,16 +225,16 @@
 // since work has been spent on it. Those that want no requests count only from maxEndpoints of them on.
 func (f *forwarder) endpointLimit() int {
 	limit := maxEndpoints + min(f.heldOffCount, maxEndpoints)
-	if f.possibleRuns > 0 {
+	if f.possibleRuns() > 0 {
 		limit += extraEndpointsAfterPossibleRun
 	}
 	return limit
 }
 
 // logAnswered logs a call that an endpoint answered, and counts it in the metrics.
-func (f *forwarder) logAnswered(endpoint *catalog.Endpoint) {
+func (f *forwarder) logAnswered(a *attempt) {
 	telemetry.RequestAnswered(f.route.Name, "answered", f.answerLatency())
-	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("route", f.route.Name).Str("endpoint", string(endpoint.ID)).Int("picks", len(f.tried)).Int("runs", f.possibleRuns).Str("framing", string(f.framing)).Dur("took", time.Since(f.arrived))
+	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("route", f.route.Name).Str("endpoint", string(a.endpoint.ID)).Int("picks", len(f.tried)).Int("runs", f.possibleRuns()).Str("framing", string(a.framing)).Dur("took", time.Since(f.arrived))
 	if f.ctx.Err() != nil {
 		entry.Str("ended_by", f.endReason()) // the caller did not get all of it
 	}
@@ -158,16 +252,21 @@
 	return time.Since(f.arrived)
 }
 
-// pick picks the next endpoint among those not tried yet. It returns nil if there is none.
-func (f *forwarder) pick() *catalog.Endpoint {
-	f.pickedAt = bootclock.Now()
+// pick picks the next endpoint among those not tried yet, and returns an attempt there that has not begun. It returns nil if there is
+// none.
+func (f *forwarder) pick() *attempt {
+	pickedAt := bootclock.Now()
 	view := f.g.follower.View() // the current view: endpoints may have gone since the call was accepted
 	f.lastQuery = f.query(view)
 	endpoints := view.AvailableEndpoints(f.service)
-	if endpoint := f.pickToWait(endpoints, f.lastQuery); endpoint != nil {
-		return endpoint
+	endpoint := f.pickToWait(endpoints, f.lastQuery)
+	if endpoint == nil {
+		endpoint = f.g.placer.Pick(endpoints, f.lastQuery)
+	}
+	if endpoint == nil {
+		return nil
 	}
-	return f.g.placer.Pick(endpoints, f.lastQuery)
+	return &attempt{f: f, endpoint: endpoint, query: f.lastQuery, pickedAt: pickedAt, next: make(chan bool, 1)}
 }
 
 // query returns the query for the next pick.
@@ -188,147 +287,11 @@
 // mayRetry reports whether another endpoint may be tried after an attempt that gave the caller no answer. It takes a token
 // of the retry budget if an endpoint may have received the call already.
 func (f *forwarder) mayRetry() bool {
-	if f.possibleRuns > 0 && (f.trialOf != "" || f.route.Repeat != catalog.Idempotent) {
-		return false
-	}
-	if f.possibleRuns >= max(1, f.route.MaxAttempts) {
-		return false
-	}
-	return f.sendCount == 0 || f.g.retryBudget(f.service).TryWithdraw()
-}
-
-// offer sends the call to one endpoint. It returns true when the caller has its answer.
-func (f *forwarder) offer(endpoint *catalog.Endpoint) bool {
-	meter := f.g.placer.Meter(endpoint.ID)
-	meter.AddInFlight(1)
-	defer f.releaseEndpoint(meter)
-	attemptCtx, cancel := context.WithCancelCause(f.ctx)
-	defer cancel(nil)
-	f.attemptCtx = attemptCtx
-	f.stall = f.newStallTimer(func() { cancel(errSilent) })
-	defer f.stall.stop()
-	answer, info, err := f.send(attemptCtx, endpoint)
-	if err != nil {
-		f.recordNoAnswer(endpoint, err)
+	if f.possibleRuns() > 0 && (f.trialOf != "" || f.route.Repeat != catalog.Idempotent) {
 		return false
 	}
-	telemetry.AnswerReceived(string(f.framing))
-	if info.NotRun {
-		drainAndClose(answer)
-		f.lastErr = fault.New(fault.Overloaded, "the endpoint "+string(endpoint.ID)+" refused the request", "come back later")
-		f.recordPickOutcome(f.lastErr)
-		f.sendCount++
+	if f.possibleRuns() >= max(1, f.route.MaxAttempts) {
 		return false
 	}
-	defer answer.Close()
-	f.sendCount++
-	f.possibleRuns++
-	f.certainlyNotRun = false
-	if f.route.Streams && answer.Status == http.StatusOK {
-		return f.deliverStream(endpoint, answer, info)
-	}
-	if f.stream != nil && f.stream.headerSent {
-		f.recordBrokenAnswer(endpoint, fault.New(fault.EndpointFault, "the endpoint did not resume the stream", "check the endpoint's logs"))
-		return false
-	}
-	return f.deliverBuffered(endpoint, answer, info)
-}
-
-// releaseEndpoint takes the attempt off the endpoint's load and releases its slot if it bypassed the sidecar.
-func (f *forwarder) releaseEndpoint(meter *routing.LoadMeter) {
-	meter.AddInFlight(-1)
-	if f.releaseDirectSlot != nil {
-		f.releaseDirectSlot()
-		f.releaseDirectSlot = nil
-	}
-}
-
-// recordNoAnswer records an attempt without an answer. The error is a refusalError if the sidecar or this gateway refused
-// the call. An endpoint's own refusal is an answer with NotRun and is not recorded here.
-func (f *forwarder) recordNoAnswer(endpoint *catalog.Endpoint, err error) {
-	f.lastErr = err
-	f.recordPickOutcome(err)
-	if refusal := asRefusal(err); refusal != nil {
-		if refusal.heldOff {
-			f.heldOffCount++
-		}
-		f.quarantined, f.waitsForTurn, f.outdated = refusal.quarantined, refusal.suspect, refusal.outdated
-		f.ranking.recordForecast(endpoint.ID, refusal)
-		return
-	}
-	if f.ctx.Err() == nil {
-		f.g.recordFailure(endpoint)
-	}
-	if !dispatch.NotSent(err) {
-		f.recordBreak(endpoint)
-	}
-	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(endpoint.ID)).Bool("not_sent", dispatch.NotSent(err)).Err(err)
-	f.addEndReason(f.addIdentity(entry)).Msg("endpoint gave no answer")
-	if dispatch.NotSent(err) {
-		return
-	}
-	f.sendCount++
-	f.possibleRuns++
-	f.certainlyNotRun = false
-}
-
-// answerFailure answers a call that no endpoint answered successfully.
-func (f *forwarder) answerFailure() {
-	if f.stream != nil && f.stream.headerSent {
-		telemetry.RequestAnswered(f.route.Name, "broken_off", f.answerLatency())
-		entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("last_event", f.stream.lastEventID).Dur("took", time.Since(f.arrived))
-		f.addPickFields(entry).Str("ended_by", f.endReason()).Msg("stream broken off")
-		f.abortAnswer()
-	}
-	if f.fallback != nil {
-		f.writeAnswer(f.fallback.answer, f.fallback.body)
-		return
-	}
-	f.g.writeError(f.w, f.acceptedCall, f.finalError(), f)
-}
-
-// finalError returns the error for the caller. Its kind tells whether the call may have run.
-func (f *forwarder) finalError() error {
-	switch {
-	case f.certainlyNotRun && f.quarantined:
-		return fault.New(fault.QuarantinedPrompt, "the request or a part of its prompt has crashed endpoints", "change the request, or come back later")
-	case f.certainlyNotRun && f.withheld != nil:
-		return f.withheld
-	case f.certainlyNotRun && f.outdated:
-		return fault.New(fault.NotReady, "too much time has passed since the request was checked, or its key is no longer valid", "retry shortly")
-	case f.certainlyNotRun && f.waitsForTurn:
-		return fault.New(fault.SuspectRequest, "endpoints have ended under equal requests, of which one is being sent", "come back later")
-	case f.certainlyNotRun && f.sendCount == 0 && f.lastErr == nil:
-		return fault.New(fault.NoEndpoint, "no endpoint of "+string(f.service)+" may run the request now", "come back later")
-	case f.certainlyNotRun:
-		return fault.New(fault.Overloaded, "no endpoint of "+string(f.service)+" took the request", "come back later")
-	case f.ctx.Err() != nil:
-		return fault.New(fault.Interrupted, "the request timed out before its answer was complete", "check whether it ran before sending it again")
-	default:
-		return fault.New(fault.LostOutcome, "the endpoint's answer was lost", "check whether it ran before sending it again")
-	}
-}
-
-// remainingTime returns the time left, which is sent to the endpoint. 0 means that none is sent, because neither the caller
-// nor the route sets a timeout.
-func (f *forwarder) remainingTime() time.Duration {
-	if f.call.Timeout == 0 && f.route.Timeout == 0 {
-		return 0
-	}
-	return f.deadline - bootclock.Now()
-}
-
-// earliestRetry returns the shortest time after which the caller's retry can succeed: minRetryAfter, or longer while all
-// endpoints of the service want no requests. A call that was not offered to an endpoint has a nil forwarder.
-func (f *forwarder) earliestRetry() time.Duration {
-	if f == nil {
-		return minRetryAfter
-	}
-	if f.quarantined && f.certainlyNotRun {
-		return quarantineRetryAfter
-	}
-	query := f.lastQuery
-	query.Now = f.g.now()
-	holdOff, _ := f.g.placer.HoldOff(f.g.follower.View().AvailableEndpoints(f.service), query)
-	return max(minRetryAfter, holdOff)
+	return f.sendCount() == 0 || f.g.retryBudget(f.service).TryWithdraw()
 }
--- a/internal/gateway/identity_test.go
+++ b/internal/gateway/identity_test.go
@@ -29,7 +29,7 @@
 	}
 	f := fx.gateway.newForwarder(httptest.NewRecorder(), request, accepted, time.Now())
 	defer f.cancel()
-	sent := f.newRequest(&catalog.Endpoint{ID: "i-1", Address: "10.0.0.1:80"})
+	sent := (&attempt{f: f, endpoint: &catalog.Endpoint{ID: "i-1", Address: "10.0.0.1:80"}}).newRequest()
 	forwarded := httptest.NewRequest(sent.Method, sent.Target, bytes.NewReader(sent.Body))
 	forwarded.Host, forwarded.Header = sent.Host, sent.Header
 	received, err := platform.Headers{}.DecodeForwarded(forwarded)
--- a/internal/gateway/late_send_test.go
+++ b/internal/gateway/late_send_test.go
@@ -44,10 +44,11 @@
 	}
 	f := fx.gateway.newForwarder(httptest.NewRecorder(), request, accepted, time.Now())
 	defer f.cancel()
-	endpoint := f.pick()
-	f.recordPick(endpoint)
-	f.pickedAt -= maxSendDelay
-	if f.attempt(endpoint) || len(backend.Runs()) != 0 || !f.certainlyNotRun || !f.outdated {
+	defer f.endAttempts()
+	a := f.pick()
+	a.pickedAt -= maxSendDelay
+	f.begin(a)
+	if f.handle(<-f.reports) || len(backend.Runs()) != 0 || f.possibleRuns() != 0 || !f.outdated {
 		t.Errorf("%d runs, want the request refused as not run", len(backend.Runs()))
 	}
 }
--- a/internal/gateway/pick_record.go
+++ b/internal/gateway/pick_record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -21,8 +22,8 @@
 	outcome   string        // why the endpoint gave no answer; "" while the attempt runs or after it succeeded
 }
 
-// recordPick records that the endpoint was picked, with its estimated load.
-func (f *forwarder) recordPick(endpoint *catalog.Endpoint) {
+// recordPick returns a record that the endpoint was picked, with its estimated load.
+func (f *forwarder) recordPick(endpoint *catalog.Endpoint) *pickRecord {
 	now := f.g.now()
 	meter := f.g.placer.Meter(endpoint.ID)
 	age, reported := meter.ReportAge(now)
@@ -31,25 +32,23 @@
 	}
 	telemetry.EndpointPicked(endpoint.Region == f.g.settings.Region)
 	rate, _ := f.g.placer.StatedRate(endpoint, now) // 0 if it states none
-	f.picks = append(f.picks, pickRecord{
+	pick := &pickRecord{
 		rate:      rate,
 		slowdown:  f.g.placer.Slowdown(endpoint, now),
 		endpoint:  endpoint.ID,
 		load:      meter.Load(now, int64(max(1, endpoint.Slots))),
 		slots:     endpoint.Slots,
 		reportAge: age,
-	})
+	}
+	f.picks = append(f.picks, pick)
+	return pick
 }
 
-// recordPickOutcome records why the last pick gave no answer. A nil outcome changes nothing.
-func (f *forwarder) recordPickOutcome(outcome error) {
-	pick := &f.picks[len(f.picks)-1]
-	refusal := asRefusal(outcome)
-	switch {
-	case refusal != nil:
-		pick.outcome = refusal.reason
-	case outcome != nil:
-		pick.outcome = outcome.Error()
+// recordOutcome records why the pick gave no answer.
+func (p *pickRecord) recordOutcome(outcome error) {
+	p.outcome = outcome.Error()
+	if refusal := asRefusal(outcome); refusal != nil {
+		p.outcome = refusal.reason
 	}
 }
 
@@ -72,10 +71,9 @@
 	if len(failed) > 0 {
 		entry.Strs("failed_picks", failed)
 	}
-	if len(f.picks) == 0 {
-		return entry
-	}
-	if pick := f.picks[len(f.picks)-1]; pick.outcome == "" {
+	successful := slices.IndexFunc(f.picks, func(p *pickRecord) bool { return p.outcome == "" })
+	if successful >= 0 {
+		pick := f.picks[successful]
 		entry.Int64("load", pick.load).Int("slots", pick.slots).Dur("report_age", pick.reportAge)
 		if pick.slowdown > 1 {
 			entry.Float64("slowdown", pick.slowdown)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -53,7 +53,7 @@
 	if len(blocked) == 0 {
 		return false
 	}
-	if len(blocked) == 1 && f.certainlyNotRun && f.g.keepsTrialsOf(blocked[0]) && f.g.quarantine.TakeTrial(blocked[0]) {
+	if len(blocked) == 1 && f.possibleRuns() == 0 && f.g.keepsTrialsOf(blocked[0]) && f.g.quarantine.TakeTrial(blocked[0]) {
 		f.trialOf = blocked[0]
 		f.g.logger.Info().Str("request", string(f.call.ID)).Str("part", string(f.trialOf)).Msg("trial of a quarantined prompt part")
 		return false
@@ -64,7 +64,7 @@
 
 // returnUnusedTrial lets another request be the trial if this one reached no endpoint.
 func (f *forwarder) returnUnusedTrial() {
-	if f.trialOf != "" && f.sendCount == 0 {
+	if f.trialOf != "" && f.sendCount() == 0 {
 		f.g.quarantine.ReturnTrial(f.trialOf)
 	}
 }
@@ -82,16 +82,16 @@
 }
 
 // recordBreak records that an endpoint gave no answer to the call or broke it off. Crashes behind a sidecar are seen by it.
-func (f *forwarder) recordBreak(endpoint *catalog.Endpoint) {
-	throughSidecar := f.route.Generates && f.releaseDirectSlot == nil
-	if throughSidecar || f.ctx.Err() != nil {
+func (f *forwarder) recordBreak(a *attempt) {
+	throughSidecar := f.route.Generates && !a.bypasses.Load()
+	if throughSidecar || a.ctx.Err() != nil {
 		return
 	}
-	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: f.call.ID, Parts: f.parts, Sent: f.sentAt, Broke: bootclock.Now()}}
-	if f.stream != nil && !f.stream.attemptBegan.IsZero() {
-		broken.WroteFor = time.Since(f.stream.attemptBegan)
+	broken := quarantine.BrokenCall{Suspect: quarantine.Suspect{Request: f.call.ID, Parts: f.parts, Sent: time.Duration(a.sentAt.Load()), Broke: bootclock.Now()}}
+	if !a.firstEvent.IsZero() {
+		broken.WroteFor = time.Since(a.firstEvent)
 	}
-	f.g.crashes.of(endpoint).Record(broken)
+	f.g.crashes.of(a.endpoint).Record(broken)
 }
 
 // addIdentity adds to the log entry what tells a repeated request from another one: its hash and its caller's workspace.
@@ -103,8 +103,8 @@
 }
 
 // recordWholeAnswer records that the call did not crash its engine. An unframed answer may end with a crash.
-func (f *forwarder) recordWholeAnswer() {
-	if f.framing != dispatch.Unframed {
+func (f *forwarder) recordWholeAnswer(a *attempt) {
+	if a.framing != dispatch.Unframed {
 		f.g.quarantine.RecordAnswer(f.parts)
 	}
 }
--- a/internal/gateway/ranked.go
+++ b/internal/gateway/ranked.go
@@ -45,13 +45,14 @@
 }
 
 // setRankHeaders tells the sidecar the call's rank and aims.
-func (f *forwarder) setRankHeaders(header http.Header) {
+func (a *attempt) setRankHeaders(header http.Header) {
+	f := a.f
 	if !f.ranking.ranked {
 		return
 	}
 	header.Set(wire.HeaderRank, strconv.Itoa(f.ranking.place))
 	header.Set(wire.HeaderAim, fmt.Sprintf("%d,%d", f.aimLeft().Milliseconds(), f.route.PauseObjective.Milliseconds()))
-	if f.ranking.waiting {
+	if a.waits {
 		header.Del(wire.HeaderFirstEvent) // the aim is the bound
 	}
 }
@@ -133,7 +134,7 @@
 // pickToWait returns the endpoint with the earliest forecast when the call may be offered only once more, and nil if the first
 // event could not be on time there or the endpoint may no longer be used. The call is offered to it again, and waits.
 func (f *forwarder) pickToWait(endpoints []*catalog.Endpoint, query placement.Query) *catalog.Endpoint {
-	if f.ranking.waiting || f.possibleRuns > 0 || f.offers() != f.endpointLimit()-1 {
+	if f.ranking.waiting || f.possibleRuns() > 0 || f.offers() != f.endpointLimit()-1 {
 		return nil
 	}
 	earliest := time.Duration(maxWaitShare * float64(f.aimLeft()))
--- a/internal/gateway/ranked_test.go
+++ b/internal/gateway/ranked_test.go
@@ -30,7 +30,7 @@
 	for otherRank, want := range map[int]string{1: "", 2: "11"} {
 		f := newRankedForwarder(fx, otherRank)
 		header := make(http.Header)
-		f.setRankHeaders(header)
+		(&attempt{f: f}).setRankHeaders(header)
 		if got := header.Get(wire.HeaderRank); got != want || (header.Get(wire.HeaderAim) != "") != (want != "") {
 			t.Errorf("with a route of rank %d beside one of rank 1 the headers are %v, want the place %q", otherRank, header, want)
 		}
@@ -44,7 +44,7 @@
 	fx := newFixture(t)
 	f := newRankedForwarder(fx, 1)
 	f.call.Forward = http.Header{wire.HeaderRank: {"0"}, wire.HeaderAim: {"9,9"}, wire.HeaderReturned: {"1"}}
-	if header := f.newRequest(&catalog.Endpoint{}).Header; header.Get(wire.HeaderRank)+header.Get(wire.HeaderAim)+header.Get(wire.HeaderReturned) != "" {
+	if header := (&attempt{f: f, endpoint: &catalog.Endpoint{}}).newRequest().Header; header.Get(wire.HeaderRank)+header.Get(wire.HeaderAim)+header.Get(wire.HeaderReturned) != "" {
 		t.Errorf("the caller's headers are sent on: %v", header)
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -45,109 +44,113 @@
 }
 
 // send sends the call to the endpoint, through the endpoint's sidecar if there is one and it is reachable.
-func (f *forwarder) send(ctx context.Context, endpoint *catalog.Endpoint) (*dispatch.Response, call.ResponseInfo, error) {
-	request := f.newRequest(endpoint)
-	if !f.route.Generates {
-		return f.sendAtStatedRate(ctx, endpoint, request)
-	}
-	now := f.g.now()
-	if f.g.sidecars.reachable(endpoint.ID, now) {
-		request.Address = f.g.relayAddress(endpoint)
-		f.setFirstEventBound(request.Header)
-		f.setMinVersion(request.Header)
-		f.setRankHeaders(request.Header)
-		if f.trialOf != "" {
-			request.Header.Set(wire.HeaderTrial, "1")
-		}
-		answer, info, err := f.exchange(ctx, endpoint, request)
+func (a *attempt) send() (*dispatch.Response, call.ResponseInfo, error) {
+	g, request := a.f.g, a.newRequest()
+	if !a.f.route.Generates {
+		return a.sendAtStatedRate(request)
+	}
+	now := g.now()
+	if g.sidecars.reachable(a.endpoint.ID, now) {
+		request.Address = g.relayAddress(a.endpoint)
+		a.setSidecarHeaders(request.Header)
+		answer, info, err := a.exchange(request)
 		if err == nil {
-			return f.readSidecarAnswer(endpoint, answer, info)
+			return a.readSidecarAnswer(answer, info)
 		}
-		if !dispatch.NotSent(err) || asRefusal(err) != nil || f.ctx.Err() != nil {
+		if !dispatch.NotSent(err) || asRefusal(err) != nil || a.ctx.Err() != nil {
 			return nil, info, err
 		}
-		f.g.sidecars.markUnreachable(endpoint.ID, now)
-		f.g.pool.CloseIdle(request.Address)
-		f.g.logger.Warn().Str("endpoint", string(endpoint.ID)).Err(err).Msg("sidecar cannot be reached")
+		g.sidecars.markUnreachable(a.endpoint.ID, now)
+		g.pool.CloseIdle(request.Address)
+		g.logger.Warn().Str("endpoint", string(a.endpoint.ID)).Err(err).Msg("sidecar cannot be reached")
 	}
 	request.Header.Del(wire.HeaderFirstEvent)
 	request.Header.Del(wire.HeaderMinVersion)
 	request.Header.Del(wire.HeaderTrial)
 	removeRankHeaders(request.Header)
-	return f.sendDirect(ctx, endpoint, request)
+	return a.sendDirect(request)
+}
+
+// setSidecarHeaders tells the sidecar on which conditions it may pass the call on.
+func (a *attempt) setSidecarHeaders(header http.Header) {
+	if a.firstEventBound > 0 {
+		header.Set(wire.HeaderFirstEvent, strconv.FormatInt(a.firstEventBound.Milliseconds(), 10))
+	}
+	if a.query.MinVersion > 0 {
+		header.Set(wire.HeaderMinVersion, strconv.FormatInt(a.query.MinVersion, 10))
+	}
+	a.setRankHeaders(header)
+	if a.trial {
+		header.Set(wire.HeaderTrial, "1")
+	}
 }
 
 // firstEventShares are the shares of the route's objective within which the first event must be expected, for the first,
 // second and third endpoint that are tried. The last endpoint gets no bound, since a late answer is better than none.
 var firstEventShares = [maxEndpoints - 1]float64{0.45, 0.65, 0.85}
 
-// setFirstEventBound asks the sidecar to refuse the call if it expects the first event after the bound.
-func (f *forwarder) setFirstEventBound(header http.Header) {
+// firstEventBound returns the bound beyond which the sidecar of the endpoint that was picked last must refuse the call; 0 for none.
+func (f *forwarder) firstEventBound() time.Duration {
 	picks := len(f.tried) - f.heldOffCount
-	if f.route.Objective == 0 || picks > len(firstEventShares) || f.possibleRuns > 0 {
-		return
-	}
-	bound := time.Duration(firstEventShares[picks-1] * float64(f.route.Objective))
-	header.Set(wire.HeaderFirstEvent, strconv.FormatInt(bound.Milliseconds(), 10))
-}
-
-// setMinVersion asks the sidecar to refuse the call if its engine runs a version that is too old for it.
-func (f *forwarder) setMinVersion(header http.Header) {
-	if f.lastQuery.MinVersion > 0 {
-		header.Set(wire.HeaderMinVersion, strconv.FormatInt(f.lastQuery.MinVersion, 10))
+	if f.route.Objective == 0 || picks > len(firstEventShares) || f.possibleRuns() > 0 {
+		return 0
 	}
+	return time.Duration(firstEventShares[picks-1] * float64(f.route.Objective))
 }
 
 // sendAtStatedRate sends the call to an endpoint without a sidecar, unless that would exceed the request rate that the endpoint
 // states.
-func (f *forwarder) sendAtStatedRate(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
-	if rate, stated := f.g.placer.StatedRate(endpoint, f.g.now()); stated {
-		wait, granted := f.g.rates.take(ctx, takeRateRequest{Endpoint: endpoint.ID, Born: endpoint.Born, PerSecond: rate}, f.g.now())
+func (a *attempt) sendAtStatedRate(request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
+	g, endpoint := a.f.g, a.endpoint
+	if rate, stated := g.placer.StatedRate(endpoint, g.now()); stated {
+		wait, granted := g.rates.take(a.ctx, takeRateRequest{Endpoint: endpoint.ID, Born: endpoint.Born, PerSecond: rate}, g.now())
 		if !granted {
-			f.g.placer.RecordHoldOff(endpoint, f.g.now(), wait)
+			g.placer.RecordHoldOff(endpoint, g.now(), wait)
 			return nil, call.ResponseInfo{}, &refusalError{reason: "it has reached the request rate that it states", heldOff: true}
 		}
 	}
-	answer, info, err := f.exchange(ctx, endpoint, request)
-	f.g.recordPlainLoad(endpoint, info)
+	answer, info, err := a.exchange(request)
+	g.recordPlainLoad(endpoint, info)
 	return answer, info, err
 }
 
 // sendDirect sends the call to an engine whose sidecar is unreachable. It refuses calls to an engine that is cold or states a
 // request rate: such an engine takes only a few requests per second, and no gateway knows how many the others send.
-func (f *forwarder) sendDirect(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
-	if !placement.ShowsVersion(endpoint, f.lastQuery) {
+func (a *attempt) sendDirect(request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
+	g, endpoint := a.f.g, a.endpoint
+	if !placement.ShowsVersion(endpoint, a.query) {
 		return nil, call.ResponseInfo{}, &refusalError{reason: "its sidecar is away and its entry does not show the version"}
 	}
 	if endpoint.IsCold(bootclock.Now()) {
 		return nil, call.ResponseInfo{}, &refusalError{reason: "its sidecar is away and it is cold"}
 	}
-	if _, stated := f.g.placer.StatedRate(endpoint, f.g.now()); stated {
+	if _, stated := g.placer.StatedRate(endpoint, g.now()); stated {
 		return nil, call.ResponseInfo{}, &refusalError{reason: "its sidecar is away and it states a request rate"}
 	}
-	if !f.g.sidecars.acquireDirectSlot(endpoint.ID) {
+	if !g.sidecars.acquireDirectSlot(endpoint.ID) {
 		return nil, call.ResponseInfo{}, &refusalError{reason: "its sidecar is away and this gateway's share of it is in use"}
 	}
-	f.releaseDirectSlot = func() { f.g.sidecars.releaseDirectSlot(endpoint.ID) }
+	a.bypasses.Store(true)
 	request.Address = endpoint.Address
-	return f.exchange(ctx, endpoint, request)
+	return a.exchange(request)
 }
 
 // newRequest returns the request to the endpoint, addressed to the endpoint itself.
-func (f *forwarder) newRequest(endpoint *catalog.Endpoint) *dispatch.Request {
-	send := call.SendOptions{Timeout: f.remainingTime(), Endpoint: endpoint.ID, Workspace: f.call.Workspace, ResumeAfter: f.call.ResumeAfter}
+func (a *attempt) newRequest() *dispatch.Request {
+	f := a.f
+	send := call.SendOptions{Timeout: f.remainingTime(), Endpoint: a.endpoint.ID, Workspace: f.call.Workspace, ResumeAfter: f.call.ResumeAfter}
 	if f.route.Generates {
 		send.Version = f.exactVersion()
 		send.Urgency = f.ranking.urgency()
 	}
-	if f.stream != nil && f.stream.lastEventID != "" {
-		send.ResumeAfter = f.stream.lastEventID
+	if a.resumeAfter != "" {
+		send.ResumeAfter = a.resumeAfter
 	}
 	header := f.g.codec.Encode(f.call, send)
 	header.Del(wire.HeaderTrial) // a caller's
 	removeRankHeaders(header)
 	return &dispatch.Request{
-		Address:      endpoint.Address,
+		Address:      a.endpoint.Address,
 		Method:       f.call.Method,
 		Target:       f.call.Target,
 		Host:         f.call.Host,
@@ -157,7 +160,7 @@
 		Matches:      func(header http.Header) bool { return f.g.answeredID(header) == f.call.ID },
 		Unidentified: func(header http.Header) bool { return f.g.answeredID(header) == "" },
 		Refuses:      func(status int, header http.Header) bool { return f.g.codec.DecodeResponse(status, header).NotRun },
-		Check:        f.checkSend,
+		Check:        a.checkSend,
 		DialTimeout:  f.dialTimeout(),
 	}
 }
@@ -172,30 +175,32 @@
 }
 
 // exchange sends the request and reads the header of the answer. It records what the endpoint says about further requests.
-func (f *forwarder) exchange(ctx context.Context, endpoint *catalog.Endpoint, request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
-	f.sentAt = bootclock.Now()
-	sentAt := f.g.now()
-	answer, err := f.g.pool.Send(ctx, request)
+func (a *attempt) exchange(request *dispatch.Request) (*dispatch.Response, call.ResponseInfo, error) {
+	g := a.f.g
+	a.sentAt.Store(int64(bootclock.Now()))
+	sentAt := g.now()
+	answer, err := g.pool.Send(a.ctx, request)
 	if err != nil {
 		return nil, call.ResponseInfo{}, err
 	}
-	f.framing = answer.Framing
-	info := f.g.codec.DecodeResponse(answer.Status, answer.Header)
-	f.g.recordWithdrawal(endpoint, info.Leaving, info.HoldOff)
+	a.framing = answer.Framing
+	info := g.codec.DecodeResponse(answer.Status, answer.Header)
+	g.recordWithdrawal(a.endpoint, info.Leaving, info.HoldOff)
 	if info.RequestRate != nil || info.Signed {
-		f.g.recordRate(endpoint, info.RequestRate, sentAt)
+		g.recordRate(a.endpoint, info.RequestRate, sentAt)
 	}
 	return answer, info, nil
 }
 
 // readSidecarAnswer reads the headers that the sidecar added to the answer and removes them. It returns a refusalError if
 // the sidecar refused the call.
-func (f *forwarder) readSidecarAnswer(endpoint *catalog.Endpoint, answer *dispatch.Response, info call.ResponseInfo) (*dispatch.Response, call.ResponseInfo, error) {
-	f.g.recordSidecarLoad(endpoint, answer.Header.Get(wire.HeaderLoad))
+func (a *attempt) readSidecarAnswer(answer *dispatch.Response, info call.ResponseInfo) (*dispatch.Response, call.ResponseInfo, error) {
+	g, endpoint := a.f.g, a.endpoint
+	g.recordSidecarLoad(endpoint, answer.Header.Get(wire.HeaderLoad))
 	answer.Header.Del(wire.HeaderLoad)
 	answer.Header.Del(wire.HeaderRequest)
 	if framing := answer.Header.Get(wire.HeaderFraming); framing != "" {
-		f.framing = dispatch.Framing(framing)
+		a.framing = dispatch.Framing(framing)
 	}
 	answer.Header.Del(wire.HeaderFraming)
 	reason := answer.Header.Get(wire.HeaderRefused)
@@ -204,12 +209,12 @@
 	}
 	holdOff, _ := strconv.Atoi(answer.Header.Get(wire.HeaderHoldOff)) // absent unless the engine holds requests off
 	if answer.Header.Get(wire.HeaderChanging) != "" {
-		f.g.placer.RecordRefusal(endpoint.ID, f.g.now())
+		g.placer.RecordRefusal(endpoint.ID, g.now())
 	}
 	if forecast, err := strconv.Atoi(answer.Header.Get(wire.HeaderForecast)); err == nil { // absent unless it lacks room
-		f.g.placer.RecordForecast(endpoint.ID, f.g.now(), time.Duration(forecast)*time.Millisecond)
+		g.placer.RecordForecast(endpoint.ID, g.now(), time.Duration(forecast)*time.Millisecond)
 	}
-	f.g.recordWithdrawal(endpoint, answer.Header.Get(wire.HeaderLeaving) != "", time.Duration(holdOff)*time.Millisecond)
+	g.recordWithdrawal(endpoint, answer.Header.Get(wire.HeaderLeaving) != "", time.Duration(holdOff)*time.Millisecond)
 	drainAndClose(answer)
 	return nil, info, &refusalError{reason: reason, heldOff: holdOff > 0, quarantined: answer.Header.Get(wire.HeaderQuarantined) != "", forecast: forecastOf(answer.Header), changing: answer.Header.Get(wire.HeaderChanging) != ""}
 }
--- a/internal/gateway/sidecars_test.go
+++ b/internal/gateway/sidecars_test.go
@@ -17,26 +17,25 @@
 // gateways' requests, so it must get none.
 func TestColdEngineGetsNoDirectRequests(t *testing.T) {
 	fx := newFixture(t)
-	f := &forwarder{g: fx.gateway}
 	engine := &catalog.Endpoint{ID: "i-1", Address: "127.0.0.1:1", ColdUntil: bootclock.Now() + time.Hour}
-	if _, _, err := f.sendDirect(context.Background(), engine, &dispatch.Request{}); asRefusal(err) == nil {
+	a := &attempt{f: &forwarder{g: fx.gateway}, endpoint: engine, ctx: context.Background()}
+	if _, _, err := a.sendDirect(&dispatch.Request{}); asRefusal(err) == nil {
 		t.Errorf("a cold engine was sent a direct request: %v", err)
 	}
 	engine.ColdUntil = 0
-	if _, _, err := f.sendDirect(context.Background(), engine, &dispatch.Request{Method: "GET", Target: "/"}); asRefusal(err) != nil {
+	if _, _, err := a.sendDirect(&dispatch.Request{Method: "GET", Target: "/"}); asRefusal(err) != nil {
 		t.Errorf("a direct request to a warm engine was refused: %v", err)
 	}
 }
 
 func TestFramingOfTheEngineIsKnownPastItsSidecar(t *testing.T) {
 	fx := newFixture(t)
-	f := &forwarder{g: fx.gateway, framing: dispatch.FramedByChunks}
-	engine := &catalog.Endpoint{ID: "i-1"}
+	a := &attempt{f: &forwarder{g: fx.gateway}, endpoint: &catalog.Endpoint{ID: "i-1"}, framing: dispatch.FramedByChunks}
 	answer := &dispatch.Response{Status: http.StatusOK, Header: http.Header{wire.HeaderFraming: {string(dispatch.Unframed)}}, Framing: dispatch.FramedByChunks}
-	if _, _, err := f.readSidecarAnswer(engine, answer, call.ResponseInfo{}); err != nil {
+	if _, _, err := a.readSidecarAnswer(answer, call.ResponseInfo{}); err != nil {
 		t.Fatal(err)
 	}
-	if f.framing != dispatch.Unframed || answer.Header.Get(wire.HeaderFraming) != "" {
-		t.Errorf("framing %s, header left for the caller: %v", f.framing, answer.Header)
+	if a.framing != dispatch.Unframed || answer.Header.Get(wire.HeaderFraming) != "" {
+		t.Errorf("framing %s, header left for the caller: %v", a.framing, answer.Header)
 	}
 }
--- a/internal/gateway/stall_timer.go
+++ b/internal/gateway/stall_timer.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"math"
+	"sync/atomic"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 )
 
@@ -14,28 +17,63 @@
 // more than streamStallTimeout. A stream that is merely late is worth more than one that has to be read again elsewhere.
 const pauseTimeoutFactor = 3
 
-// stallTimer cancels an attempt that makes no progress. A connection across a network partition is silent and never ends by
-// itself.
+// answerTimeoutFactor is the multiple of the route's objective after which an endpoint of a plain service counts as silent. Such
+// an answer is late already, and another endpoint can still answer within the route's timeout.
+const answerTimeoutFactor = 1.3
+
+// neverDue is the due time of a timer that does not run.
+const neverDue = math.MaxInt64
+
+// stallTimer reports an attempt whose endpoint sends nothing. A connection across a network partition is silent and never ends by
+// itself. It runs while the attempt waits for its endpoint, and not while the endpoint waits for the caller. The zero value never
+// reports.
 type stallTimer struct {
-	timer *time.Timer // nil when only the caller's timeout bounds the attempt
-	pause time.Duration
+	timer *time.Timer // nil if no other endpoint may run the call
+	due   atomic.Int64
+	left  time.Duration // until it is due, while it is paused
 }
 
-// answerTimeoutFactor is the multiple of the route's objective after which an attempt at a plain service is cancelled if it
-// may be retried. Such an answer is late already, and another endpoint can still answer within the route's timeout.
-const answerTimeoutFactor = 1.3
+// start starts the timer of an attempt that another endpoint may take over.
+func (s *stallTimer) start(a *attempt) {
+	route := a.f.route
+	if route.Repeat != catalog.Idempotent {
+		return
+	}
+	timeout := firstEventTimeout(route.Objective)
+	if !route.Streams && route.Objective > 0 {
+		timeout = time.Duration(answerTimeoutFactor * float64(route.Objective))
+	}
+	s.due.Store(int64(bootclock.Now() + timeout))
+	s.timer = time.AfterFunc(timeout, func() {
+		select {
+		case a.f.reports <- report{attempt: a, kind: reportSilent}:
+		case <-a.ctx.Done():
+		}
+	})
+}
 
-// newStallTimer returns a timer that calls cancel when the attempt stalls. The timer does nothing if no other endpoint may
-// be tried instead.
-func (f *forwarder) newStallTimer(cancel func()) *stallTimer {
-	if f.route.Repeat != catalog.Idempotent || f.possibleRuns+1 >= f.route.MaxAttempts {
-		return &stallTimer{}
+// isDue reports whether the time has passed. It is false for a report that was overtaken by an event.
+func (s *stallTimer) isDue() bool { return int64(bootclock.Now()) >= s.due.Load() }
+
+// pause stops the timer and keeps the time that is left.
+func (s *stallTimer) pause() {
+	if s.timer == nil {
+		return
 	}
-	timeout := firstEventTimeout(f.route.Objective)
-	if !f.route.Streams && f.route.Objective > 0 {
-		timeout = time.Duration(answerTimeoutFactor * float64(f.route.Objective))
+	s.timer.Stop()
+	s.left = max(0, time.Duration(s.due.Swap(neverDue))-bootclock.Now())
+}
+
+// resume restarts a paused timer with the time that is left.
+func (s *stallTimer) resume() { s.restart(s.left) }
+
+// restart restarts the timer with a new time.
+func (s *stallTimer) restart(timeout time.Duration) {
+	if s.timer == nil {
+		return
 	}
-	return &stallTimer{timer: time.AfterFunc(timeout, cancel), pause: pauseTimeout(f.route.PauseObjective)}
+	s.due.Store(int64(bootclock.Now() + timeout))
+	s.timer.Reset(timeout)
 }
 
 // firstEventTimeout returns the time without a first event after which a stream counts as stalled.
@@ -47,16 +85,3 @@
 func pauseTimeout(pauseObjective time.Duration) time.Duration {
 	return max(streamStallTimeout, pauseTimeoutFactor*pauseObjective)
 }
-
-// reset restarts the timer when a part of the answer has arrived.
-func (s *stallTimer) reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.pause)
-	}
-}
-
-func (s *stallTimer) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
+	"context"
+	"net/http"
 	"time"
 
-	"github.com/lovageglade/lovageglade/internal/call"
-	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
@@ -22,7 +22,6 @@
 	firstEvent   time.Duration // time from the request's arrival to the first event
 	longestPause time.Duration // longest pause between two events
 	lastEventAt  time.Time
-	attemptBegan time.Time // when the first event of the current attempt arrived
 }
 
 // recordEvent records that the event was sent to the caller, whose request came at arrived.
@@ -34,71 +33,76 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
-	if s.attemptBegan.IsZero() {
-		s.attemptBegan = now
-	}
 	s.lastEventID = eventIDOf(event, s.lastEventID)
 }
 
-// deliverStream forwards the events of a stream as they arrive. It forwards complete events only, so that another endpoint
-// can resume after the last one. It returns false when the stream breaks off, which includes an end inside an event.
-func (f *forwarder) deliverStream(endpoint *catalog.Endpoint, answer *dispatch.Response, info call.ResponseInfo) bool {
-	if f.stream == nil {
-		f.stream = &streamState{}
-	}
-	f.stream.attemptBegan = time.Time{}
-	if !info.Signed {
-		f.recordBrokenAnswer(endpoint, fault.New(fault.EndpointFault, "the stream has no signature", "check the endpoint's logs"))
-		return false
-	}
-	connected, err := f.forwardEvents(answer)
-	if err != nil {
-		f.recordBrokenAnswer(endpoint, err)
-		return false
-	}
-	if !connected {
-		f.endCall(errCallerLeft)
-		return true
-	}
-	f.g.recordSuccess(endpoint)
-	f.g.recordAnswer(endpoint, false)
-	f.recordWholeAnswer()
-	f.sendStreamHeader(answer)
-	return true
+// isStream reports whether the answer is read event by event.
+func (f *forwarder) isStream(answer *dispatch.Response) bool {
+	return f.route.Streams && answer.Status == http.StatusOK
 }
 
-// forwardEvents forwards the answer's events to the caller. It returns an error if the stream breaks off, and false if the
-// caller has disconnected or stopped reading.
-func (f *forwarder) forwardEvents(answer *dispatch.Response) (connected bool, err error) {
-	events := bufio.NewScanner(answer)
+// readEvents reports the events of a stream as they arrive, and reads no further until each is delivered. It reports complete events
+// only, so that another endpoint can resume after the last one. It returns an error when the stream breaks off, which includes an end
+// inside an event.
+func (a *attempt) readEvents() error {
+	if !a.info.Signed {
+		return fault.New(fault.EndpointFault, "the stream has no signature", "check the endpoint's logs")
+	}
+	events := bufio.NewScanner(a.answer)
 	events.Buffer(make([]byte, 0, initialEventBytes), maxEventBytes)
 	events.Split(splitEvents)
-	caller := f.newCallerWriter()
-	defer f.stall.stop()
 	empty := true
 	for events.Scan() {
 		empty = false
-		progress := isProgress(events.Bytes())
-		if progress {
-			f.stall.stop() // while the caller reads slowly, the endpoint is not at fault
+		kind := reportComment
+		if isProgress(events.Bytes()) {
+			kind = reportEvent
 		}
-		f.sendStreamHeader(answer)
-		if err := caller.writeEvent(events.Bytes()); err != nil {
-			return false, nil
+		a.stall.pause() // while the caller reads slowly, the endpoint is not at fault
+		if !a.hand(report{kind: kind, event: events.Bytes()}) && a.ctx.Err() != nil {
+			return context.Cause(a.ctx)
 		}
-		if progress {
-			f.stream.recordEvent(events.Bytes(), f.arrived)
-			f.stall.reset()
+		if kind == reportEvent {
+			a.stall.restart(pauseTimeout(a.f.route.PauseObjective))
+		} else {
+			a.stall.resume()
 		}
 	}
-	if events.Err() == nil && empty && f.framing == dispatch.Unframed {
-		return true, fault.New(fault.EndpointFault, "the stream ended with its connection before any event", "check whether the endpoint crashed")
+	if events.Err() == nil && empty && a.framing == dispatch.Unframed {
+		return fault.New(fault.EndpointFault, "the stream ended with its connection before any event", "check whether the endpoint crashed")
 	}
-	return true, events.Err()
+	return events.Err()
+}
+
+// deliverEvent forwards an event or a comment to the caller. It returns false if the caller has disconnected or stopped reading.
+func (f *forwarder) deliverEvent(a *attempt, r report) (connected bool) {
+	f.sendStreamHeader(a.answer)
+	if err := f.newCallerWriter().writeEvent(r.event); err != nil {
+		f.endCall(errCallerLeft)
+		return false
+	}
+	if r.kind == reportEvent {
+		if a.firstEvent.IsZero() {
+			a.firstEvent = time.Now()
+		}
+		f.stream.recordEvent(r.event, f.arrived)
+	}
+	return true
+}
+
+// deliverStreamEnd ends the caller's stream in order.
+func (f *forwarder) deliverStreamEnd(a *attempt) {
+	f.g.recordSuccess(a.endpoint)
+	f.g.recordAnswer(a.endpoint, false)
+	f.recordWholeAnswer(a)
+	f.sendStreamHeader(a.answer)
 }
 
 // sendStreamHeader sends the answer's header to the caller unless a header was sent already.
 func (f *forwarder) sendStreamHeader(answer *dispatch.Response) {
+	if f.stream == nil {
+		f.stream = &streamState{}
+	}
 	if f.stream.headerSent {
 		return
 	}
--- a/internal/gateway/turn_share.go
+++ b/internal/gateway/turn_share.go
@@ -9,7 +9,6 @@
 	"github.com/phuslu/log"
 
 	"github.com/lovageglade/lovageglade/internal/bootclock"
-	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/quarantine"
 )
@@ -97,35 +96,13 @@
 }
 
 // takeTurn takes the turn to send the call if it is suspect. It returns a refusalError if another send has the turn.
-func (f *forwarder) takeTurn() (*turn, error) {
+func (f *forwarder) takeTurn(ctx context.Context) (*turn, error) {
 	part := f.parts[len(f.parts)-1]
 	if !f.g.quarantine.IsSuspect(part) {
 		return nil, nil
 	}
-	if taken := f.g.turns.take(f.ctx, part, min(maxTurn, f.deadline-bootclock.Now()), f.g.now()); taken != nil {
+	if taken := f.g.turns.take(ctx, part, min(maxTurn, f.deadline-bootclock.Now()), f.g.now()); taken != nil {
 		return taken, nil
 	}
 	return nil, &refusalError{reason: "an equal request, under which endpoints have ended, is being sent elsewhere", suspect: true}
 }
-
-// attempt sends the call to one endpoint, in its turn if it is suspect. It returns true when the caller has its answer.
-func (f *forwarder) attempt(endpoint *catalog.Endpoint) bool {
-	taken, err := f.takeTurn()
-	if err != nil {
-		f.recordNoAnswer(endpoint, err)
-		return false
-	}
-	if taken == nil {
-		return f.offer(endpoint)
-	}
-	runs, answered := f.possibleRuns, false
-	defer func() { // also if the caller's connection is aborted
-		if answered || f.possibleRuns == runs {
-			taken.end(0)
-			return
-		}
-		taken.end(turnSettleTime)
-	}()
-	answered = f.offer(endpoint)
-	return answered
-}
--- a/internal/gateway/where.go
+++ b/internal/gateway/where.go
@@ -104,8 +104,8 @@
 		answer.Result, answer.Reason = where.Refused, fault.Explain(f.finalError())
 		return
 	}
-	answer.Result, answer.First = where.Served, first.ID
-	f.tried[first.ID] = true
+	answer.Result, answer.First = where.Served, first.endpoint.ID
+	f.tried[first.endpoint.ID] = true
 	if next := f.g.placer.Pick(available, f.query(f.g.follower.View())); next != nil {
 		answer.Alternative = next.ID
 	}
