Gateway: a silent endpoint is ended only when another one has gone on

A timer ended an attempt for its endpoint's silence (1.2 s for streams, 1.3 times the objective for plain answers) before another endpoint had taken the call. If the other one refused, could not be reached or was not there, the caller's answer was cut although its endpoint was sound: a stream without its end, or 502.

On a silence another endpoint is asked at the same moment and under the same conditions as before, but the silent one stays open. openAttempts decides after each report, without clock or network: an event, the end of a stream or a whole usable answer decides for its endpoint and ends the others; if all that are open are silent, one more is asked. The last open attempt is ended only by the caller, a timeout or its endpoint. The silence counts as a failure of the endpoint from the moment at which another may run the call, as before, and is taken back when the endpoint goes on.

Weighed: no timer (a host that is cut off would cost its callers the whole timeout); a longer one (cuts fewer sound answers, not none, and makes the others later).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,11 +31,12 @@
 // attempt is one send of a call to one endpoint. Its goroutine reports to that of the call, which alone decides and writes to the
 // caller.
 type attempt struct {
+	id       int        // index in forwarder.attempts
 	f        *forwarder // of which the attempt's goroutine uses only what does not change
 	endpoint *catalog.Endpoint
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
-	next     chan bool // the answer to a report: whether what it holds was delivered; one is buffered
+	next     chan bool // whether the content of a report was delivered; buffered for an attempt that no longer waits for it
 
 	// What held for the call when the endpoint was picked.
 	query           placement.Query
@@ -46,7 +47,8 @@
 	waits           bool // the call may wait at the endpoint for its start
 
 	// Set by the attempt's goroutine, and read by that of the call at any time.
-	sentAt   atomic.Int64 // on the boot clock
+	sentAt   atomic.Int64 // on the boot clock; 0 before
+	sending  atomic.Bool  // the endpoint or its sidecar may have received a byte of the call
 	bypasses atomic.Bool  // it was sent past an unreachable sidecar, and holds a direct slot
 	stall    stallTimer
 
@@ -60,9 +62,20 @@
 
 	// Of the call's goroutine.
 	pick       *pickRecord
-	reach      reach
-	firstEvent time.Time // when its first event arrived
-	ended      bool      // its last report has come
+	failedAt   time.Duration // when its endpoint's silence was counted as a failure; 0 if it was not
+	firstEvent time.Time     // when its first event arrived
+	ended      bool          // its last report has come
+}
+
+// reach returns how far the call has come at the endpoint, or may have while the attempt goes on.
+func (a *attempt) reach() reach {
+	switch {
+	case a.ended:
+		return a.outcome
+	case a.sending.Load():
+		return reachRun
+	}
+	return reachNone
 }
 
 // reportKind is what an attempt has come to.
@@ -76,7 +89,7 @@
 	reportFailed                    // there is no whole answer; the last report of its attempt
 )
 
-// report is sent by an attempt to the goroutine of the call. After an event, a comment or a whole answer the attempt waits for next.
+// report is sent by an attempt to the goroutine of the call. After one with content the attempt waits for next.
 type report struct {
 	attempt *attempt
 	kind    reportKind
@@ -87,6 +100,9 @@
 // isLast reports whether the attempt sends no further report, but perhaps a late reportSilent.
 func (r report) isLast() bool { return r.kind == reportWhole || r.kind == reportFailed }
 
+// hasContent reports whether the report holds something for the caller.
+func (r report) hasContent() bool { return r.kind != reportSilent && r.kind != reportFailed }
+
 // run sends the call and reports what comes of it. Its last report comes when the endpoint no longer counts the call.
 func (a *attempt) run() {
 	err := errAttemptPanicked
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -31,22 +31,22 @@
 	body   []byte
 }
 
-// deliverWhole forwards a whole answer, or one of which the first maxBufferedBytes are there. It returns false if nothing was sent to
-// the caller, because the answer is unusable or another endpoint may give a better one.
-func (f *forwarder) deliverWhole(a *attempt) bool {
+// deliverWhole forwards the end of a stream, or an answer whose first maxBufferedBytes are there.
+func (f *forwarder) deliverWhole(a *attempt) {
 	if f.isStream(a.answer) {
-		f.deliverStreamEnd(a)
-		return true
-	}
-	if !f.isUsable(a) {
-		return false
+		f.sendStreamHeader(a.answer)
+		return
 	}
 	f.writeAnswer(a.answer, a.body)
-	return true
 }
 
-// isUsable reports whether the answer, which is not a stream, is for the caller, and records what it tells of its endpoint.
+// isUsable reports whether the answer is for the caller, and records what it tells of its endpoint. It is not if another endpoint may
+// give a better one.
 func (f *forwarder) isUsable(a *attempt) bool {
+	if f.isStream(a.answer) {
+		f.recordWholeStream(a)
+		return true
+	}
 	status, isShort := a.answer.Status, len(a.body) < maxBufferedBytes
 	if f.stream != nil && f.stream.headerSent {
 		f.recordBrokenAnswer(a, fault.New(fault.EndpointFault, "the endpoint did not resume the stream", "check the endpoint's logs"))
--- a/internal/gateway/check_send.go
+++ b/internal/gateway/check_send.go
@@ -22,5 +22,6 @@
 	case a.f.g.recheck(a.f.acceptedCall) != nil:
 		return &refusalError{reason: "the key is no longer valid, or the store could not be read for too long to judge it", outdated: true}
 	}
+	a.sending.Store(true)
 	return nil
 }
--- a/internal/gateway/end_reason.go
+++ b/internal/gateway/end_reason.go
@@ -16,7 +16,7 @@
 	errCallerLeft    = errors.New("caller left")
 	errCallerStopped = errors.New("caller does not read")
 	errGraceExpired  = errors.New("grace period")
-	errSilent        = errors.New("silence of the endpoint")
+	errOvertaken     = errors.New("overtaken by another endpoint")
 	errCallEnded     = errors.New("end of the call")
 )
 
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -11,7 +11,6 @@
 
 // recordFailed records an attempt that gave no whole answer.
 func (f *forwarder) recordFailed(a *attempt, err error) {
-	a.reach = a.outcome
 	switch {
 	case a.outcome == reachRefused:
 		f.lastErr = err
@@ -23,6 +22,13 @@
 	}
 }
 
+// recordEndpointFailure tells the placer that the endpoint failed the call, unless its silence was counted already.
+func (f *forwarder) recordEndpointFailure(a *attempt) {
+	if f.ctx.Err() == nil && a.failedAt == 0 {
+		f.g.recordFailure(a.endpoint)
+	}
+}
+
 // recordNoAnswer records an attempt without an answer. The error is a refusalError if the sidecar or this gateway refused
 // the call.
 func (f *forwarder) recordNoAnswer(a *attempt, err error) {
@@ -36,9 +42,7 @@
 		f.ranking.recordForecast(a.endpoint.ID, refusal)
 		return
 	}
-	if f.ctx.Err() == nil {
-		f.g.recordFailure(a.endpoint)
-	}
+	f.recordEndpointFailure(a)
 	if !dispatch.NotSent(err) {
 		f.recordBreak(a)
 	}
@@ -50,9 +54,7 @@
 func (f *forwarder) recordBrokenAnswer(a *attempt, err error) {
 	f.lastErr = err
 	a.pick.recordOutcome(err)
-	if f.ctx.Err() == nil {
-		f.g.recordFailure(a.endpoint)
-	}
+	f.recordEndpointFailure(a)
 	f.recordBreak(a)
 	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(a.endpoint.ID)).Str("framing", string(a.framing)).Err(err)
 	f.addEndReason(f.addIdentity(entry), a).Msg("answer broken off")
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -54,6 +54,7 @@
 	picks        []*pickRecord
 	ranking      ranking // of which attempts use what newRanking sets
 	attempts     []*attempt
+	open         openAttempts
 
 	reports chan report // of the attempts
 	running conc.WaitGroup
@@ -98,14 +99,11 @@
 	defer func() { f.newCallerWriter().extendDeadline() }() // for the end of the answer, which net/http writes
 	defer f.endAttempts()
 	f.g.retryBudget(f.service).Deposit()
-	for current := f.ask(); current != nil; {
-		r := <-f.reports
-		switch answered := f.handle(r); {
-		case answered:
+	f.ask()
+	for len(f.open) > 0 {
+		if r := <-f.reports; f.handle(r) {
 			f.logAnswered(r.attempt)
 			return
-		case current.ended:
-			current = f.askAnother()
 		}
 	}
 	f.returnUnusedTrial()
@@ -116,28 +114,66 @@
 func (f *forwarder) handle(r report) (answered bool) {
 	a := r.attempt
 	a.ended = a.ended || r.isLast()
+	if !f.open.has(a.id) || r.kind == reportSilent && !a.stall.isDue() {
+		return false
+	}
+	kind := f.judge(r)
+	open, next := f.open.after(kind, a.id)
+	f.open = open
+	for _, id := range next.overtaken {
+		f.overtake(f.attempts[id], a)
+	}
+	answered = f.settle(r, next.deliver)
+	switch {
+	case next.ask && kind == reportSilent:
+		f.askBeside(a)
+	case next.ask:
+		f.askAnother()
+	}
+	return answered
+}
+
+// judge records what the report tells of its endpoint. It returns the kind that the report has for the call: reportFailed for an
+// answer that is not for the caller.
+func (f *forwarder) judge(r report) reportKind {
+	a := r.attempt
 	switch r.kind {
 	case reportSilent:
-		if !a.ended && a.stall.isDue() && f.possibleRunsWith(a) < f.route.MaxAttempts {
-			a.cancel(errSilent)
-		}
-		return false
-	case reportComment, reportEvent:
-		connected := f.deliverEvent(a, r)
-		a.next <- connected
-		return !connected
+		f.recordSilence(a)
+	case reportEvent:
+		f.recordProgress(a)
 	case reportWhole:
-		a.reach = reachRun
-		answered = f.deliverWhole(a)
-		a.next <- answered
-		return answered
+		f.recordProgress(a)
+		if !f.isUsable(a) {
+			return reportFailed
+		}
 	case reportFailed:
 		f.recordFailed(a, r.err)
 	}
-	return false
+	return r.kind
 }
 
-// askAnother sends the call to another endpoint after one that gave no answer, if it may run there. It returns nil if not.
+// settle passes the content of the report on to the caller if it is to be delivered, and lets the attempt go on. It returns true when
+// the caller has its whole answer or has left.
+func (f *forwarder) settle(r report, deliver bool) (answered bool) {
+	if !r.hasContent() {
+		return false
+	}
+	delivered := false
+	defer func() { r.attempt.next <- delivered }() // also if the caller's connection is aborted
+	switch {
+	case !deliver:
+		return false
+	case r.kind == reportWhole:
+		f.deliverWhole(r.attempt)
+		delivered = true
+		return true
+	}
+	delivered = f.deliverEvent(r.attempt, r)
+	return !delivered
+}
+
+// askAnother sends the call to another endpoint after one that gave no answer or is silent, if it may run there. It returns nil if not.
 func (f *forwarder) askAnother() *attempt {
 	if f.ctx.Err() != nil || !f.mayRetry() {
 		return nil
@@ -170,7 +206,9 @@
 		a.resumeAfter = f.stream.lastEventID
 	}
 	a.ctx, a.cancel = context.WithCancelCause(f.ctx)
+	a.id = len(f.attempts)
 	f.attempts = append(f.attempts, a)
+	f.open = f.open.begin(a.id)
 	f.running.Go(a.run)
 }
 
@@ -197,21 +235,13 @@
 func (f *forwarder) reachedAtLeast(r reach) int {
 	count := 0
 	for _, a := range f.attempts {
-		if a.reach >= r {
+		if a.reach() >= r {
 			count++
 		}
 	}
 	return count
 }
 
-// possibleRunsWith returns the number of endpoints that have run the call or may have, with that of the attempt.
-func (f *forwarder) possibleRunsWith(a *attempt) int {
-	if a.reach == reachRun {
-		return f.possibleRuns()
-	}
-	return f.possibleRuns() + 1
-}
-
 // possibleRuns returns the number of endpoints that have run the call or may have. While it is 0, no endpoint will.
 func (f *forwarder) possibleRuns() int { return f.reachedAtLeast(reachRun) }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -90,12 +90,11 @@
 	return true
 }
 
-// deliverStreamEnd ends the caller's stream in order.
-func (f *forwarder) deliverStreamEnd(a *attempt) {
+// recordWholeStream records that the endpoint has sent the stream to its end.
+func (f *forwarder) recordWholeStream(a *attempt) {
 	f.g.recordSuccess(a.endpoint)
 	f.g.recordAnswer(a.endpoint, false)
 	f.recordWholeAnswer(a)
-	f.sendStreamHeader(a.answer)
 }
 
 // sendStreamHeader sends the answer's header to the caller unless a header was sent already.
--- a/internal/placement/error_share.go
+++ b/internal/placement/error_share.go
@@ -59,8 +59,11 @@
 }
 
 // weight returns what an answer at the last update counts now.
-func (r *errorRecord) weight(now time.Duration) float64 {
-	return math.Exp2(-float64(max(0, now-r.updatedAt)) / float64(errorHalfLife))
+func (r *errorRecord) weight(now time.Duration) float64 { return weightOf(now - r.updatedAt) }
+
+// weightOf returns what an answer of that age counts.
+func weightOf(age time.Duration) float64 {
+	return math.Exp2(-float64(max(0, age)) / float64(errorHalfLife))
 }
 
 // share returns the endpoint's share of errors, or 0 without enough evidence. The caller holds s.mu.
@@ -110,6 +113,22 @@
 	return !before && p.errors.isSuspect(id, now)
 }
 
+// TakeBackError takes back that the endpoint failed a request, which was recorded at that time, and the request with it.
+func (p *Placer) TakeBackError(id catalog.EndpointID, recordedAt, now time.Duration) {
+	p.errors.takeBack(id, recordedAt, now)
+}
+
+func (s *errorShares) takeBack(id catalog.EndpointID, recordedAt, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[id]
+	if r == nil {
+		return
+	}
+	weight, share := r.weight(now), weightOf(now-recordedAt)
+	r.answers, r.errors, r.updatedAt = max(0, r.answers*weight-share), max(0, r.errors*weight-share), now
+}
+
 func (s *errorShares) isSuspect(id catalog.EndpointID, now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -19,6 +19,7 @@
 	rankedReturns       = expvar.NewMap("lovage_returns_by_rank")   // refused callers that a gateway told when to return by a forecast, by rank
 	stoppedCallers      = expvar.NewInt("lovage_callers_stopped")   // callers that were given up because they did not read their answer
 	endedAttempts       = expvar.NewMap("lovage_ended_attempts")    // attempts without a whole answer, by who or what ended them
+	silentEndpoints     = expvar.NewMap("lovage_silent_endpoints")  // silences of endpoints that another could take over from, by what followed
 	answerFramings      = expvar.NewMap("lovage_answer_framing")    // answers of endpoints, by how their end is marked
 	loadReports         = expvar.NewMap("lovage_load_reports")      // stated loads, by the use that was made of them
 	picks               = expvar.NewMap("lovage_picks")             // endpoints that were picked, by region
@@ -60,6 +61,9 @@
 // AttemptEnded counts an attempt without a whole answer by who or what ended it.
 func AttemptEnded(by string) { endedAttempts.Add(by, 1) }
 
+// EndpointSilent counts what was done about the silence of an endpoint, and who went on.
+func EndpointSilent(outcome string) { silentEndpoints.Add(outcome, 1) }
+
 // AnswerReceived counts an endpoint's answer by its framing.
 func AnswerReceived(framing string) { answerFramings.Add(framing, 1) }
 
