Retries: a token goes back when no other endpoint can be asked

Cause: a stream of one sound endpoint that is often silent would take a token of its service's retry budget at each silence, though there is no other endpoint that could be asked, and leave none for others.

The token is returned if nothing is sent. Test: TestRetryThatIsNotSentCostsNothing.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -173,12 +173,24 @@
 	return !delivered
 }
 
-// askAnother sends the call to another endpoint after one that gave no answer or is silent, if it may run there. It returns nil if not.
+// askAnother sends the call to another endpoint after one that gave no answer or is silent, if it may run there. It takes a token of
+// the retry budget if an endpoint may have received the call already. It returns nil if the call is sent nowhere.
 func (f *forwarder) askAnother() *attempt {
-	if f.ctx.Err() != nil || !f.mayRetry() {
+	if f.ctx.Err() != nil || !f.mayRunAgain() {
 		return nil
 	}
-	return f.ask()
+	if f.sendCount() == 0 {
+		return f.ask()
+	}
+	budget := f.g.retryBudget(f.service)
+	if !budget.TryWithdraw() {
+		return nil
+	}
+	asked := f.ask()
+	if asked == nil {
+		budget.Return()
+	}
+	return asked
 }
 
 // ask picks an endpoint and begins an attempt there. It returns nil if there is none that may run the call.
@@ -314,14 +326,11 @@
 	return query
 }
 
-// mayRetry reports whether another endpoint may be tried after an attempt that gave the caller no answer. It takes a token
-// of the retry budget if an endpoint may have received the call already.
-func (f *forwarder) mayRetry() bool {
-	if f.possibleRuns() > 0 && (f.trialOf != "" || f.route.Repeat != catalog.Idempotent) {
-		return false
-	}
-	if f.possibleRuns() >= max(1, f.route.MaxAttempts) {
+// mayRunAgain reports whether another endpoint may run the call after those that have run it or may have.
+func (f *forwarder) mayRunAgain() bool {
+	runs := f.possibleRuns()
+	if runs > 0 && (f.trialOf != "" || f.route.Repeat != catalog.Idempotent) {
 		return false
 	}
-	return f.sendCount() == 0 || f.g.retryBudget(f.service).TryWithdraw()
+	return runs < max(1, f.route.MaxAttempts)
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -30,6 +30,13 @@
 	b.tokens = min(b.maxTokens, b.tokens+b.ratio)
 }
 
+// Return gives a token back that was withdrawn for a retry which was not sent.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.maxTokens, b.tokens+1)
+}
+
 // TryWithdraw takes a token for a retry and returns true, or returns false if less than one token is left.
 func (b *Budget) TryWithdraw() bool {
 	b.mu.Lock()
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -88,3 +88,17 @@
 		first.Record(extreme)
 	}
 }
+
+func TestRetryThatIsNotSentCostsNothing(t *testing.T) {
+	b := NewBudget(0, 1)
+	for range 3 {
+		if !b.TryWithdraw() {
+			t.Fatal("no token is left after one was given back")
+		}
+		b.Return()
+	}
+	b.Return()
+	if !b.TryWithdraw() || b.TryWithdraw() {
+		t.Error("the budget is not bounded")
+	}
+}
