--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -66,7 +66,8 @@
 		a.pick.recordOutcome(f.lastErr)
 		return false
 	}
-	if status >= http.StatusInternalServerError && f.route.Repeat == catalog.Idempotent && isShort {
+	refusesBeside := slices.Contains(notRunStatuses, status) && len(f.open) > 1
+	if (status >= http.StatusInternalServerError || refusesBeside) && f.route.Repeat == catalog.Idempotent && isShort {
 		f.fallback = &fallbackAnswer{answer: a.answer, body: a.body}
 		a.pick.recordOutcome(fault.New(fault.EndpointFault, "the endpoint answered "+strconv.Itoa(status), "check the endpoint's logs"))
 		return false
--- a/internal/placement/error_share_test.go
+++ b/internal/placement/error_share_test.go
@@ -61,3 +61,19 @@
 		t.Error("chose the endpoint that fails requests")
 	}
 }
+
+func TestErrorThatIsTakenBackLeavesNoTrace(t *testing.T) {
+	s := newErrorShares()
+	endpoints := []*catalog.Endpoint{newEndpoint("a", "east", 0), newEndpoint("b", "east", 0)}
+	s.record("a", true, 0)
+	s.record("a", true, 0)
+	s.takeBack("a", 0, errorHalfLife)
+	s.record("a", true, errorHalfLife)
+	if r := s.records["a"]; r.answers != 1.5 || r.errors != 1.5 {
+		t.Errorf("%v errors in %v answers, want half of the one that is left and the new one", r.errors, r.answers)
+	}
+	s.takeBack("b", 0, 0)
+	if got := joinIDs(s.exclude(endpoints, errorHalfLife)); got != "ab" {
+		t.Errorf("%s are left of endpoints with few errors", got)
+	}
+}
