Gateway: an attempt waits until what it reports is no longer used

Cause: an attempt whose call had ended stopped waiting for the call's goroutine, and closed the endpoint's answer while that still forwarded the rest of a long one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,7 +36,7 @@
 	endpoint *catalog.Endpoint
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
-	next     chan bool // whether the content of a report was delivered; buffered for an attempt that no longer waits for it
+	next     chan bool // answers each report that has content: whether that was delivered
 
 	// What held for the call when the endpoint was picked.
 	query           placement.Query
@@ -89,7 +89,7 @@
 	reportFailed                    // there is no whole answer; the last report of its attempt
 )
 
-// report is sent by an attempt to the goroutine of the call. After one with content the attempt waits for next.
+// report is sent by an attempt to the goroutine of the call. After one with content the attempt waits for the answer.
 type report struct {
 	attempt *attempt
 	kind    reportKind
@@ -176,15 +176,9 @@
 	}
 }
 
-// hand reports and waits until the call's goroutine has dealt with it. It returns whether the content was delivered to the caller;
-// false also if the attempt was ended.
-func (a *attempt) hand(r report) bool {
+// hand reports and waits until the call's goroutine no longer uses the content. It returns whether that was delivered to the caller.
+func (a *attempt) hand(r report) (delivered bool) {
 	r.attempt = a
 	a.f.reports <- r
-	select {
-	case delivered := <-a.next:
-		return delivered
-	case <-a.ctx.Done():
-		return false
-	}
+	return <-a.next
 }
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -115,7 +115,7 @@
 	a := r.attempt
 	a.ended = a.ended || r.isLast()
 	if !f.open.has(a.id) || r.kind == reportSilent && !a.stall.isDue() {
-		return false
+		return f.settle(r, false)
 	}
 	kind := f.judge(r)
 	open, next := f.open.after(kind, a.id)
@@ -235,6 +235,7 @@
 		for !a.ended {
 			r := <-f.reports
 			r.attempt.ended = r.attempt.ended || r.isLast()
+			f.settle(r, false)
 		}
 	}
 	f.running.Wait()
@@ -308,7 +309,7 @@
 	if endpoint == nil {
 		return nil
 	}
-	return &attempt{f: f, endpoint: endpoint, query: f.lastQuery, pickedAt: pickedAt, next: make(chan bool, 1)}
+	return &attempt{f: f, endpoint: endpoint, query: f.lastQuery, pickedAt: pickedAt, next: make(chan bool)}
 }
 
 // query returns the query for the next pick.
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -238,6 +238,21 @@
 	}
 }
 
+func TestLongAnswerThatItsTimeoutEndsDoesNotLookComplete(t *testing.T) {
+	fx := newFixture(t)
+	closed := make(signal)
+	runners := fx.startInOrder(func(r *platformtest.Runner, w http.ResponseWriter, run platformtest.Run) {
+		r.Sign(w, run)
+		_, _ = w.Write(make([]byte, 2*maxBufferedBytes))
+		untilClosed(0, make(signal), closed)(r, w, run)
+	})
+	if got, err := fx.tryCall(t.Context(), pathShortTimeout, nil); err == nil && got.err == nil {
+		t.Errorf("status %d and %d bytes end in order", got.status, len(got.body))
+	}
+	closed.await(t, "the endpoint's connection to be closed")
+	fx.waitForRelease(runners)
+}
+
 func TestSilentCallThatMayRunOnceIsAskedOnce(t *testing.T) {
 	fx := newFixture(t)
 	var asked atomic.Int32
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,7 +59,8 @@
 			kind = reportEvent
 		}
 		a.stall.pause() // while the caller reads slowly, the endpoint is not at fault
-		if !a.hand(report{kind: kind, event: events.Bytes()}) && a.ctx.Err() != nil {
+		a.hand(report{kind: kind, event: events.Bytes()})
+		if a.ctx.Err() != nil {
 			return context.Cause(a.ctx)
 		}
 		if kind == reportEvent {
