Node: tables are compared with hosts that are known from the host list alone

What operators saw: a configuration that was in force at every host, while entries did not route to some of them (systemtest .TestDomainOutReachesEntryWithoutPlatform once, 30 s). Cause: hosts that start together exchange with those whose records they have. If two groups had formed, each knew the other's hosts from the host list alone. One in five exchanges tried such a host, but without a digest of the table, and the gossip queues were empty by then; the difference that its answer showed set off a comparison with the next random peer, one of the own group. Nothing else brought the groups together. Class: a repair that is sent to another peer than the one that showed the need. Change: an exchange with a host that is listed and has sent no record always carries a digest. Ruled out: sequence numbers, verdicts and listings (equal in the simulation), unreachable marks and exchanges in flight (none).

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -174,9 +174,10 @@
 	s.sendExchange(host.ID, host.ControlAddress, message)
 }
 
-// sendExchange starts an exchange and attaches a digest of the table if a full comparison is due.
+// sendExchange starts an exchange and attaches a digest of the table if a full comparison is due. It always compares tables with
+// a peer that it knows from the host list alone: no other peer may know what that one knows.
 func (s *State) sendExchange(peer core.HostID, address string, message wire.Exchange) {
-	if s.exchange.tablesDiffer && s.now >= s.exchange.syncDue || s.table.Len() == 1 {
+	if s.exchange.tablesDiffer && s.now >= s.exchange.syncDue || s.table.Len() == 1 || s.isOnlyListed(peer) {
 		s.exchange.syncDue = s.now + s.nextSyncDelay()
 		s.exchange.tablesDiffer = false
 		message.Digest = s.table.Digest(s.random.Uint64())
@@ -184,6 +185,12 @@
 	s.perform(SendExchange{Peer: peer, Address: address, SentAt: s.now, Message: message})
 }
 
+// isOnlyListed reports whether the host is listed but no record of its process has been received.
+func (s *State) isOnlyListed(id core.HostID) bool {
+	member := s.table.Member(id)
+	return member != nil && member.Record.StartEpoch == 0
+}
+
 // nextSyncDelay returns the time until the next full table comparison. It grows with the number of members, as does the
 // size of the digest.
 func (s *State) nextSyncDelay() time.Duration {
