--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -99,7 +100,7 @@
 	defer func() { f.newCallerWriter().extendDeadline() }() // for the end of the answer, which net/http writes
 	defer f.endAttempts()
 	f.g.retryBudget(f.service).Deposit()
-	f.ask()
+	_, _ = f.ask() // answerFailure tells the caller why it was sent nowhere
 	for len(f.open) > 0 {
 		if r := <-f.reports; f.handle(r) {
 			f.logAnswered(r.attempt)
@@ -128,7 +129,7 @@
 	case next.ask && kind == reportSilent:
 		f.askBeside(a)
 	case next.ask:
-		f.askAnother()
+		_, _ = f.askAnother() // as for the first endpoint
 	}
 	return answered
 }
@@ -173,40 +174,55 @@
 	return !delivered
 }
 
+// Reasons for which a call is sent to no further endpoint. Their texts stand in the log.
+var (
+	errCallOver      = errors.New("time or caller is gone")
+	errMaxRuns       = errors.New("it may run no more often")
+	errNoRetryBudget = errors.New("retry budget is used up")
+	errMaxOffers     = errors.New("it was offered to enough endpoints")
+	errRefusedForAll = errors.New("it was refused for all endpoints")
+	errNoneAvailable = errors.New("no endpoint is available")
+)
+
 // askAnother sends the call to another endpoint after one that gave no answer or is silent, if it may run there. It takes a token of
-// the retry budget if an endpoint may have received the call already. It returns nil if the call is sent nowhere.
-func (f *forwarder) askAnother() *attempt {
-	if f.ctx.Err() != nil || !f.mayRunAgain() {
-		return nil
-	}
-	if f.sendCount() == 0 {
+// the retry budget if an endpoint may have received the call already. An error says why the call is sent nowhere.
+func (f *forwarder) askAnother() (*attempt, error) {
+	switch {
+	case f.ctx.Err() != nil:
+		return nil, errCallOver
+	case !f.mayRunAgain():
+		return nil, errMaxRuns
+	case f.sendCount() == 0:
 		return f.ask()
 	}
 	budget := f.g.retryBudget(f.service)
 	if !budget.TryWithdraw() {
-		return nil
+		return nil, errNoRetryBudget
 	}
-	asked := f.ask()
-	if asked == nil {
+	asked, err := f.ask()
+	if err != nil {
 		budget.Return()
 	}
-	return asked
+	return asked, err
 }
 
-// ask picks an endpoint and begins an attempt there. It returns nil if there is none that may run the call.
-func (f *forwarder) ask() *attempt {
-	if f.offers() >= f.endpointLimit() || f.refusedEverywhere() || f.isQuarantined() {
-		return nil
+// ask picks an endpoint and begins an attempt there. An error says why there is none that may run the call.
+func (f *forwarder) ask() (*attempt, error) {
+	switch {
+	case f.offers() >= f.endpointLimit():
+		return nil, errMaxOffers
+	case f.refusedEverywhere() || f.isQuarantined():
+		return nil, errRefusedForAll
 	}
 	a := f.pick()
 	if a == nil {
-		return nil
+		return nil, errNoneAvailable
 	}
 	if f.withheld = f.g.recheck(f.acceptedCall); f.withheld != nil {
-		return nil
+		return nil, f.withheld
 	}
 	f.begin(a)
-	return a
+	return a, nil
 }
 
 // begin starts the attempt.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/lovageglade/lovageglade/internal/telemetry"
+import (
+	"errors"
+
+	"github.com/lovageglade/lovageglade/internal/telemetry"
+)
 
 // recordSilence records that the attempt's endpoint is silent. If another endpoint may run the call, the silence counts as a failure
 // until the endpoint goes on.
@@ -25,16 +29,17 @@
 	a.failedAt = 0
 }
 
-// askBeside asks another endpoint while that of the attempt is silent. The attempt stays open.
+// askBeside asks another endpoint while that of the attempt is silent. The attempt stays open. A call that may run no more often is
+// left to its endpoint without a word in the log.
 func (f *forwarder) askBeside(silent *attempt) {
-	asked := f.askAnother()
-	if asked == nil && f.possibleRuns() >= f.route.MaxAttempts {
+	asked, err := f.askAnother()
+	if errors.Is(err, errMaxRuns) {
 		return
 	}
 	entry := f.g.logger.Info().Str("request", string(f.call.ID)).Str("endpoint", string(silent.endpoint.ID))
-	if asked == nil {
+	if err != nil {
 		telemetry.EndpointSilent("no other asked")
-		entry.Msg("endpoint is silent, and no other one can be asked")
+		entry.Err(err).Msg("endpoint is silent, and no other one can be asked")
 		return
 	}
 	telemetry.EndpointSilent("other asked")
