Graceful: the last look at a closing listener is an accept

Change: in place of poll, the listener accepts with a short deadline once its bound has passed; the standard library suffices. The look after the quiet time is dropped: it left a gap of the same kind.

--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -6,10 +6,9 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -19,18 +18,27 @@
 	// longestFinish is the time after which a listener that is to be closed is closed as soon as no connection waits, if
 	// callers never stop connecting.
 	longestFinish = time.Second
+	// lastLook is long enough for an accept that need not wait, with little of a processor.
+	lastLook = 10 * time.Millisecond
 )
 
 // listener is a listener that can be closed without resetting the connections that wait to be accepted.
 type listener struct {
 	*net.TCPListener
 	finishBy atomic.Pointer[time.Time] // nil until the listener is to be closed
+	closing  sync.Once
 }
 
 func newListener(tcp *net.TCPListener) *listener {
 	return &listener{TCPListener: tcp}
 }
 
+// Close implements net.Listener. Later calls do nothing.
+func (l *listener) Close() (err error) {
+	l.closing.Do(func() { err = l.TCPListener.Close() })
+	return err
+}
+
 // finish makes Accept return http.ErrServerClosed as soon as no connection waits, and closes the listener then.
 func (l *listener) finish(ctx context.Context) {
 	by := time.Now().Add(longestFinish)
@@ -45,41 +53,27 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		finishBy := l.finishBy.Load()
-		if finishBy != nil && time.Now().After(*finishBy) && !l.connWaits() {
-			return nil, l.end()
-		}
 		if finishBy != nil {
-			_ = l.SetDeadline(time.Now().Add(quietTime)) // fails only on a closed listener, as does accepting
+			_ = l.SetDeadline(time.Now().Add(quietTimeAt(*finishBy))) // fails only on a closed listener, as does accepting
 		}
 		tcp, err := l.AcceptTCP()
 		switch {
 		case err == nil:
 			return newConn(tcp)
+		case finishBy != nil:
+			_ = l.Close() // fails only if it is closed
+			return nil, http.ErrServerClosed
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case finishBy != nil && !l.connWaits(): // one may have arrived while the process was held off
-			return nil, l.end()
 		}
 	}
 }
 
-// end closes the listener, which resets connections that arrive from now on, and returns the error for Accept.
-func (l *listener) end() error {
-	_ = l.Close() // fails only if it is closed
-	return http.ErrServerClosed
-}
-
-// connWaits reports whether a connection waits to be accepted.
-func (l *listener) connWaits() bool {
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return false // the listener is closed
+// quietTimeAt returns how long no connection may arrive before the listener is closed. After finishBy it only lets the
+// connections be accepted that wait already.
+func quietTimeAt(finishBy time.Time) time.Duration {
+	if time.Now().After(finishBy) {
+		return lastLook
 	}
-	waits := false
-	err = raw.Control(func(fd uintptr) {
-		ready := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, pollErr := unix.Poll(ready, 0)
-		waits = pollErr == nil && n > 0
-	})
-	return err == nil && waits
+	return quietTime
 }
