Entry, agent: requests that have arrived are answered in a planned stop

What callers saw: a request on a kept connection that had arrived when an entry stopped got no answer (1 to 4 of 200). Cause: fasthttp closes connections that it has not read since their last answer, whether or not a request waits in them, and drops requests that it reads once it stops. Gateway and sidecar use internal/graceful, entry and agent did not. Change: graceful.NewFiberServer serves a fiber app in the same way; answers during the stop say that the connection closes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,10 +4,10 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
-	"github.com/gofiber/fiber/v3"
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
 
@@ -15,11 +15,11 @@
 	"github.com/lovageglade/lovageglade/internal/attempt"
 	"github.com/lovageglade/lovageglade/internal/backend"
 	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/graceful"
 	"github.com/lovageglade/lovageglade/internal/node"
 	"github.com/lovageglade/lovageglade/internal/platform"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
-	"github.com/lovageglade/lovageglade/internal/stream"
 	"github.com/lovageglade/lovageglade/internal/suspect"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/weights"
@@ -84,18 +84,20 @@
 	}
 	server := rpc.Serve(control, a.methods())
 	defer server.Close()
-	app := a.routes()
+	front := graceful.NewFiberServer(a.routes(), data.(*net.TCPListener), writeTimeout)
 	serveCtx, stop := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	tasks.Go(func() { a.node.Run(serveCtx) })
 	tasks.Go(func() { a.loader.run(serveCtx) })
 	tasks.Go(func() { a.sweep(serveCtx) })
 	tasks.Go(func() {
-		_ = app.Listener(stream.NewListener(data, writeTimeout), fiber.ListenConfig{DisableStartupMessage: true})
+		if err := front.Serve(); err != nil {
+			a.logger.Error().Err(err).Msg("listener failed")
+		}
 	})
 	a.logger.Info().Uint64("incarnation", uint64(a.incarnation)).Msg("agent started")
 	<-ctx.Done()
-	a.drain(serveCtx, app)
+	a.drain(serveCtx, front)
 	stop()
 	tasks.Wait()
 	a.peers.Close()
@@ -103,7 +105,7 @@
 	return nil
 }
 
-func (a *Agent) drain(ctx context.Context, app *fiber.App) {
+func (a *Agent) drain(ctx context.Context, front *graceful.Server) {
 	a.draining.Store(true)
 	a.node.Loop.Post(ctx, node.DrainStarted{})
 	timeout := time.Duration(a.settings.DrainS) * time.Second
@@ -117,7 +119,12 @@
 	case <-time.After(timeout):
 		a.logger.Warn().Msg("drain time elapsed with attempts still running")
 	}
-	_ = app.ShutdownWithTimeout(timeout)
+	drainCtx, stop := context.WithTimeout(context.Background(), timeout)
+	defer stop()
+	if err := front.Shutdown(drainCtx); err != nil {
+		a.logger.Warn().Err(err).Msg("drain time elapsed with connections still in use")
+		_ = front.Close() // its error is that of the shutdown
+	}
 }
 
 func (a *Agent) sweep(ctx context.Context) {
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/lovageglade/lovageglade/internal/attempt"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/graceful"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -22,6 +23,7 @@
 
 func (a *Agent) routes() *fiber.App {
 	app := fiber.New(fiber.Config{BodyLimit: maxBodyBytes})
+	app.Use(graceful.CloseWhile(&a.draining))
 	app.Use(expvar.New())
 	app.Post(wire.PathAttempts, a.handleDispatch)
 	app.Get(wire.PathAttempts+"/:id", a.handleAttach)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,14 +4,15 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
-	"github.com/gofiber/fiber/v3"
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
 
 	"github.com/lovageglade/lovageglade/internal/core"
+	"github.com/lovageglade/lovageglade/internal/graceful"
 	"github.com/lovageglade/lovageglade/internal/node"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
@@ -66,16 +67,18 @@
 	}
 	server := rpc.Serve(control, e.methods())
 	defer server.Close()
-	app := e.routes()
+	front := graceful.NewFiberServer(e.routes(), data.(*net.TCPListener), writeTimeout)
 	serveCtx, stop := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	tasks.Go(func() { e.node.Run(serveCtx) })
 	tasks.Go(func() {
-		_ = app.Listener(stream.NewListener(data, writeTimeout), fiber.ListenConfig{DisableStartupMessage: true})
+		if err := front.Serve(); err != nil {
+			e.logger.Error().Err(err).Msg("listener failed")
+		}
 	})
 	e.logger.Info().Msg("entry started")
 	<-ctx.Done()
-	e.drain(serveCtx, app)
+	e.drain(serveCtx, front)
 	stop()
 	tasks.Wait()
 	e.peers.Close()
@@ -85,11 +88,14 @@
 
 // drain first reports not ready, so that the load balancer stops sending requests, and then waits for open
 // requests, at most for the drain time.
-func (e *Entry) drain(ctx context.Context, app *fiber.App) {
+func (e *Entry) drain(ctx context.Context, front *graceful.Server) {
 	e.draining.Store(true)
 	e.node.Loop.Post(ctx, node.DrainStarted{})
 	timeout := time.Duration(e.settings.DrainS) * time.Second
-	if err := app.ShutdownWithTimeout(timeout); err != nil {
+	drainCtx, stop := context.WithTimeout(context.Background(), timeout)
+	defer stop()
+	if err := front.Shutdown(drainCtx); err != nil {
 		e.logger.Warn().Err(err).Msg("drain time elapsed with requests still open")
+		_ = front.Close() // its error is that of the shutdown
 	}
 }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -8,11 +8,13 @@
 	"github.com/gofiber/fiber/v3/middleware/expvar"
 
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/graceful"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
 func (e *Entry) routes() *fiber.App {
 	app := fiber.New(fiber.Config{BodyLimit: e.settings.MaxBodyBytes, ErrorHandler: handleHTTPError})
+	app.Use(graceful.CloseWhile(&e.draining))
 	app.Use(expvar.New())
 	app.Get("/readyz", e.handleReady)
 	app.All(pathChat, e.handleRequest)
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -20,9 +20,16 @@
 	firstRequestTimeout = 5 * time.Second
 )
 
+// httpServer is the part of http.Server that a Server needs.
+type httpServer interface {
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // Server serves HTTP on one listener.
 type Server struct {
-	server   *http.Server
+	server   httpServer
 	listener *listener
 	serving  atomic.Bool   // Serve has been called
 	served   chan struct{} // closed when Serve ends
@@ -39,11 +46,15 @@
 
 // NewServer returns a server that has not started. It sets the server's ConnState.
 func NewServer(server *http.Server, tcp *net.TCPListener) *Server {
-	s := &Server{server: server, listener: newListener(tcp), served: make(chan struct{}), conns: make(map[*conn]connState)}
+	s := newServer(server, tcp)
 	server.ConnState = s.recordState
 	return s
 }
 
+func newServer(server httpServer, tcp *net.TCPListener) *Server {
+	return &Server{server: server, listener: newListener(tcp), served: make(chan struct{}), conns: make(map[*conn]connState)}
+}
+
 // Serve serves until Shutdown or Close. Its error is that of http.Server.Serve.
 func (s *Server) Serve() error {
 	s.serving.Store(true)
@@ -82,6 +93,9 @@
 
 // recordState records the state of a connection for Shutdown.
 func (s *Server) recordState(netConn net.Conn, state http.ConnState) {
+	if wrapped, ok := netConn.(interface{ NetConn() net.Conn }); ok {
+		netConn = wrapped.NetConn()
+	}
 	c, ok := netConn.(*conn)
 	if !ok {
 		return
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/gofiber/fiber/v3"
 )
 
 const testTimeout = 20 * time.Second
@@ -60,6 +62,21 @@
 // Requests had been sent on connections that waited to be accepted, and on kept connections, when the server was told to stop.
 func TestRequestsThatHaveArrivedAreAnswered(t *testing.T) {
 	s, address := startServer(t, func(w http.ResponseWriter, r *http.Request) { time.Sleep(time.Millisecond) })
+	requireAnswersToArrived(t, s, address)
+}
+
+func TestRequestsThatHaveArrivedAtAFiberServerAreAnswered(t *testing.T) {
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	app := fiber.New()
+	app.Post("/", func(c fiber.Ctx) error { return c.SendString("answer") })
+	requireAnswersToArrived(t, NewFiberServer(app, tcp, testTimeout), tcp.Addr().String())
+}
+
+func requireAnswersToArrived(t *testing.T, s *Server, address string) {
+	t.Helper()
 	go func() { _ = s.Serve() }()
 	const connections = 100
 	var conns []net.Conn
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -56,3 +56,6 @@
 	}
 	return c.Conn.Write(data)
 }
+
+// NetConn returns the connection that c wraps.
+func (c *writeTimeoutConn) NetConn() net.Conn { return c.Conn }
