Planned stop: a late request is refused rather than cut

What callers saw: a request on a connection that was opened before the stop and first used more than 3 s after SIGTERM was passed on and cut at the end of the grace period, if it lasted that long. Cause: connections without a request are kept for 5 s, since callers may connect before they have one; a request on them was served as if the process had its whole time left. Change: from 3 s after SIGTERM on, a gateway refuses (503, not run) requests whose time reaches beyond the moment at which it ends open requests. Shorter ones are served.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,8 +50,9 @@
 	draining          atomic.Bool
 	graceExpired      atomic.Bool // open connections are being closed
 	open              graceful.OpenRequests
-	invalidLoads      sync.Map    // services of which an invalid load report has been logged
-	lastReportedReady atomic.Bool // the last answer to the load balancer's readiness check
+	stop              atomic.Pointer[plannedStop] // nil until the gateway is told to stop
+	invalidLoads      sync.Map                    // services of which an invalid load report has been logged
+	lastReportedReady atomic.Bool                 // the last answer to the load balancer's readiness check
 
 	mu           sync.Mutex
 	retryBudgets map[core.Service]*retry.Budget
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -24,7 +24,13 @@
 		g.writeError(w, accepted, err, nil)
 		return
 	}
-	g.newForwarder(w, r, accepted, arrived).run()
+	f := g.newForwarder(w, r, accepted, arrived)
+	if err := g.checkStop(f.deadline); err != nil {
+		f.cancel()
+		g.writeError(w, accepted, err, nil)
+		return
+	}
+	f.run()
 }
 
 // acceptedCall is a call that the configuration allows, with the view, route and workspace that it was checked against.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/bootclock"
+	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/graceful"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
@@ -21,8 +23,27 @@
 	balancerNoticeTime = 2500 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the process to exit by itself.
 	exitMargin = 500 * time.Millisecond
+	// lateRequestTime is how long after the stop began a request is served even if it may last longer than the process. Few
+	// last that long, and until then new callers may not know of the stop.
+	lateRequestTime = 3 * time.Second
 )
 
+// plannedStop holds the times of a planned stop on the boot clock.
+type plannedStop struct {
+	lateFrom time.Duration // a request from then on must be sure to end before the process does
+	end      time.Duration // open requests are ended
+}
+
+// checkStop returns fault.NotReady for a request with the deadline, on the boot clock, that arrives late in a planned stop and
+// may last longer than the process.
+func (g *Gateway) checkStop(deadline time.Duration) error {
+	stop := g.stop.Load()
+	if stop == nil || bootclock.Now() < stop.lateFrom || deadline <= stop.end {
+		return nil
+	}
+	return fault.New(fault.NotReady, "the gateway stops before the request's time has passed", "send it again on a new connection")
+}
+
 // frontServer returns the server for callers. It uses net/http, since fasthttp does not tell a handler that its caller has
 // disconnected.
 func (g *Gateway) frontServer() *http.Server {
@@ -68,11 +89,12 @@
 // drain turns readiness off, keeps serving until the load balancer has noticed, and then waits for open requests and for those
 // that have reached the listener.
 func (g *Gateway) drain(server *graceful.Server) {
-	startedAt := time.Now()
+	startedAt, timeToEnd := time.Now(), g.settings.GraceMs.Duration()-exitMargin
+	g.stop.Store(&plannedStop{lateFrom: bootclock.Now() + lateRequestTime, end: bootclock.Now() + timeToEnd})
 	g.draining.Store(true)
 	g.logger.Info().Msg("gateway draining")
 	time.Sleep(balancerNoticeTime)
-	ctx, stop := context.WithDeadline(context.Background(), startedAt.Add(g.settings.GraceMs.Duration()-exitMargin))
+	ctx, stop := context.WithDeadline(context.Background(), startedAt.Add(timeToEnd))
 	defer stop()
 	if err := server.Shutdown(ctx); err != nil {
 		g.graceExpired.Store(true)
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -84,3 +85,54 @@
 		t.Errorf("%d lines of %d servers", len(logged), len(servers))
 	}
 }
+
+// Callers may connect before they have a request, and send it when the end of the grace period is near.
+func TestLateRequestToAStoppingGatewayIsRefusedRatherThanCut(t *testing.T) {
+	fx := newFixture(t)
+	r := fx.startBackend("r1", "e")
+	r.SetHandler(func(w http.ResponseWriter, run platformtest.Run) {
+		if run.Target != pathStreamOnce {
+			r.Reply(w, run, http.StatusOK, "done")
+			return
+		}
+		r.SendEvents(w, run, 1)
+		<-t.Context().Done()
+	})
+	listener, err := listen("127.0.0.1:0", "front")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := graceful.NewServer(fx.gateway.frontServer(), listener)
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve() }()
+	drained := make(chan struct{})
+	go func() {
+		fx.gateway.drain(server)
+		close(drained)
+	}()
+	<-time.After(balancerNoticeTime - 200*time.Millisecond)
+	answers := make(map[string]string)
+	conns := make(map[string]net.Conn)
+	for _, path := range []string{pathStreamOnce, pathShortTimeout} {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(testTimeout))
+		conns[path] = c
+	}
+	<-time.After(time.Second)
+	for path, c := range conns {
+		_, _ = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h.example\r\n"+platformtest.HeaderAttempt+": attempt-1\r\n"+platformtest.HeaderKey+": "+platformtest.KeyScheme+"key-1\r\n\r\n")
+		if answer, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			_, err := io.Copy(io.Discard, answer.Body)
+			answers[path] = fmt.Sprint(answer.StatusCode, " ", err)
+			_ = answer.Body.Close()
+		}
+	}
+	if answers[pathStreamOnce] != "503 <nil>" || answers[pathShortTimeout] != "200 <nil>" {
+		t.Errorf("%q, want a refusal of the request that may last longer than the process", answers)
+	}
+	<-drained
+}
