Sidecar: a planned stop ends within the grace period

What was seen: a sidecar with an open request and a peer's open request for a chunk ran until it was killed; its last log lines were lost. Cause: the server of chunks was told to stop after the grace period less 500 ms, and given another 500 ms. Class: bounds that add up. Change: it stops beside the server of requests, within the same time. Peers whose fetches end fetch the chunks elsewhere, as before. Result: TestSidecarExitsWithinItsGracePeriod failed before (still running 200 ms before the end) and passes 3 of 3; internal/sidecar passes under the race detector.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -230,8 +230,10 @@
 	tasks.Go(func() { s.logListenerEnd("relay", server.Serve()) })
 	s.logger.Info().Str("engine", s.settings.EngineAddress).Msg("sidecar started")
 	<-ctx.Done()
+	tasks.Go(func() {
+		_ = app.ShutdownWithTimeout(s.settings.GraceMs.Duration() - exitMargin) // peers fetch interrupted chunks from other hosts
+	})
 	s.drain(server)
-	_ = app.ShutdownWithTimeout(exitMargin) // peers fetch interrupted chunks from other hosts
 	stop()
 	tasks.Wait()
 	s.peerClient.Close()
