Planned stop: calls without an answer do not hold a process until it is killed

Gateways that read the store exited up to 0.9 s after their last answer, others 0.01 s. Cause: the exit waits for the tasks of the process, and calls to the store and to engines end with their own timeouts, not with their contexts. Class: a wait without a bound of its own. Change: gateway and sidecar wait for their tasks until 250 ms before the end of the grace period, and log if calls are under way then.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,10 +110,11 @@
 	tasks.Go(func() { g.logServeEnd(server.Serve(), front) })
 	g.logger.Info().Str("front", g.settings.FrontAddress).Msg("gateway started")
 	<-ctx.Done()
+	exitBy := time.Now().Add(g.settings.GraceMs.Duration() - graceful.LogTime)
 	g.drain(server)
 	_ = readiness.Close() // the load balancer no longer checks it
 	stop()
-	tasks.Wait()
+	graceful.WaitForTasks(&tasks, exitBy, g.logger)
 	g.pool.Close()
 	g.rates.group.peers.Close()
 	g.turns.group.peers.Close()
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -13,7 +13,10 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/lovageglade/lovageglade/internal/follow"
 	"github.com/lovageglade/lovageglade/internal/graceful"
+	"github.com/lovageglade/lovageglade/internal/settings"
+	"github.com/lovageglade/lovageglade/platform"
 	"github.com/lovageglade/lovageglade/platform/platformtest"
 )
 
@@ -136,3 +139,42 @@
 	}
 	<-drained
 }
+
+// silentStore does not answer, and its calls do not end with their contexts.
+type silentStore struct{ answer chan struct{} }
+
+func (s silentStore) Operator(context.Context, follow.Cursor, time.Duration) (follow.OperatorChanges, error) {
+	<-s.answer
+	return follow.OperatorChanges{}, nil
+}
+
+func (s silentStore) Endpoints(context.Context, follow.Cursor) (follow.EndpointChanges, error) {
+	<-s.answer
+	return follow.EndpointChanges{}, nil
+}
+
+func TestGatewayExitsWithinItsGracePeriodWhileTheStoreIsSilent(t *testing.T) {
+	const (
+		grace   = 3500 * time.Millisecond
+		logTime = 200 * time.Millisecond // for the last log lines
+	)
+	store := silentStore{answer: make(chan struct{})}
+	t.Cleanup(func() { close(store.answer) })
+	logger := &log.Logger{Level: log.PanicLevel}
+	config := settings.Gateway{GraceMs: settings.Millis(grace.Milliseconds()), FrontAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ControlAddress: "127.0.0.1:0"}
+	config.Ports = []int{1, 3}
+	g := New(config, platform.Headers{}, follow.New(store, follow.Intervals{OperatorWait: time.Second, EndpointsInterval: time.Second}, follow.Delegates{}, logger), logger)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	<-time.After(100 * time.Millisecond) // until the store has been asked
+	stop()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(grace - logTime):
+		t.Error("the process runs until it is killed")
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -230,12 +230,13 @@
 	tasks.Go(func() { s.logListenerEnd("relay", server.Serve()) })
 	s.logger.Info().Str("engine", s.settings.EngineAddress).Msg("sidecar started")
 	<-ctx.Done()
+	exitBy := time.Now().Add(s.settings.GraceMs.Duration() - graceful.LogTime)
 	tasks.Go(func() {
 		_ = app.ShutdownWithTimeout(s.settings.GraceMs.Duration() - exitMargin) // peers fetch interrupted chunks from other hosts
 	})
 	s.drain(server)
 	stop()
-	tasks.Wait()
+	graceful.WaitForTasks(&tasks, exitBy, s.logger)
 	s.peerClient.Close()
 	s.pool.Close()
 	s.logger.Info().Msg("sidecar stopped")
