--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,11 +48,11 @@
 	crashes           *crashDetectors
 	start             time.Duration // on the boot clock
 	draining          atomic.Bool
-	stopBegan         atomic.Int64 // boot clock in nanoseconds of SIGTERM; 0 before
-	graceExpired      atomic.Bool  // open connections are being closed
+	graceExpired      atomic.Bool // open connections are being closed
 	open              graceful.OpenRequests
-	invalidLoads      sync.Map    // services of which an invalid load report has been logged
-	lastReportedReady atomic.Bool // the last answer to the load balancer's readiness check
+	stop              atomic.Pointer[plannedStop] // nil until the gateway is told to stop
+	invalidLoads      sync.Map                    // services of which an invalid load report has been logged
+	lastReportedReady atomic.Bool                 // the last answer to the load balancer's readiness check
 
 	mu           sync.Mutex
 	retryBudgets map[core.Service]*retry.Budget
@@ -110,11 +110,11 @@
 	tasks.Go(func() { g.logServeEnd(server.Serve(), front) })
 	g.logger.Info().Str("front", g.settings.FrontAddress).Msg("gateway started")
 	<-ctx.Done()
-	g.stopBegan.Store(int64(bootclock.Now()))
+	exitBy := time.Now().Add(g.settings.GraceMs.Duration() - graceful.LogTime)
 	g.drain(server)
 	_ = readiness.Close() // the load balancer no longer checks it
 	stop()
-	tasks.Wait()
+	graceful.WaitForTasks(&tasks, exitBy, g.logger)
 	g.pool.Close()
 	g.rates.group.peers.Close()
 	g.turns.group.peers.Close()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -25,7 +25,7 @@
 		return
 	}
 	f := g.newForwarder(w, r, accepted, arrived)
-	if err := f.checkGracePeriod(); err != nil {
+	if err := g.checkStop(f.deadline); err != nil {
 		f.cancel()
 		g.writeError(w, accepted, err, nil)
 		return
--- a/internal/gateway/late_request.go
+++ b/internal/gateway/late_request.go
@@ -7,19 +7,22 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
-// lateRequestDelay is the time after SIGTERM within which a request may be read although its answer could be cut off with the
-// grace period. Callers are told to expect that for three seconds; a busy process notices the signal later than it was sent.
-const lateRequestDelay = 2900 * time.Millisecond
+// lateRequestTime is how long after the stop began a request is served even if it may last longer than the process. Few last that
+// long, and callers are told to expect it for three seconds. A busy process notices the signal later than it was sent.
+const lateRequestTime = 2900 * time.Millisecond
 
-// checkGracePeriod returns fault.NotReady for a call that was read late while the gateway stops, if its time outlasts the grace
-// period. Another gateway can answer it.
-func (f *forwarder) checkGracePeriod() error {
-	began := time.Duration(f.g.stopBegan.Load())
-	if began == 0 || bootclock.Now()-began < lateRequestDelay {
-		return nil
-	}
-	if f.deadline < began+f.g.settings.GraceMs.Duration()-exitMargin {
+// plannedStop holds the times of a planned stop on the boot clock.
+type plannedStop struct {
+	lateFrom time.Duration // a request from then on must be sure to end before the process does
+	end      time.Duration // open requests are ended
+}
+
+// checkStop returns fault.NotReady for a request with the deadline, on the boot clock, that arrives late in a planned stop and may
+// last longer than the process. Another gateway can answer it.
+func (g *Gateway) checkStop(deadline time.Duration) error {
+	stop := g.stop.Load()
+	if stop == nil || bootclock.Now() < stop.lateFrom || deadline <= stop.end {
 		return nil
 	}
-	return fault.New(fault.NotReady, "this gateway stops before the time of the request has passed", "use another gateway")
+	return fault.New(fault.NotReady, "the gateway stops before the request's time has passed", "send it again on a new connection")
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/graceful"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
@@ -68,11 +69,12 @@
 // drain turns readiness off, keeps serving until the load balancer has noticed, and then waits for open requests and for those
 // that have reached the listener.
 func (g *Gateway) drain(server *graceful.Server) {
-	startedAt := time.Now()
+	startedAt, timeToEnd := time.Now(), g.settings.GraceMs.Duration()-exitMargin
+	g.stop.Store(&plannedStop{lateFrom: bootclock.Now() + lateRequestTime, end: bootclock.Now() + timeToEnd})
 	g.draining.Store(true)
 	g.logger.Info().Msg("gateway draining")
 	time.Sleep(balancerNoticeTime)
-	ctx, stop := context.WithDeadline(context.Background(), startedAt.Add(g.settings.GraceMs.Duration()-exitMargin))
+	ctx, stop := context.WithDeadline(context.Background(), startedAt.Add(timeToEnd))
 	defer stop()
 	if err := server.Shutdown(ctx); err != nil {
 		g.graceExpired.Store(true)
