Soak: lost answers beside planned work

The fault soak knew neither endpoints that are silent for a second or so, nor SIGHUPs, nor storms of changes, and no check said that a request has to end with a complete answer. Change: stand-ins that send nothing for 0.8 to 1.8 s, one or all of a kind, whatever they are at; SIGHUPs in series; planned stops that overlap; storms of changes of timeouts and attempts. TestPlannedWorkLosesNoAnswers injects these without unplanned faults; TestShortSeeds and TestFreshSeeds draw them beside the others, and the seeds of regressions draw what they drew. Checks: a request of which a sound endpoint has the last run, or that reached none though its gateway had 200 ms to read it, doesn't end with a cut or closed connection before its route's timeout, unless its caller left or its gateway, sidecar or endpoint was disturbed unplanned in the 3 s before it; a process that was stopped by SIGTERM exits with 0. The stand-in frames a stream that is resumed after its last event: without framing and events it looks like a crash.

--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -8,7 +8,7 @@
 workdir=$(mktemp -d)
 trap 'rm -rf "$workdir"' EXIT
 
-# name | check that must report it | file | sed script
+# name | check that must report it | files | sed script
 mutants='
 repeats-lost-outcomes|at most once:|internal/gateway/forwarder.go|s/f.trialOf != "" \|\| f.route.Repeat != catalog.Idempotent/f.trialOf != ""/
 refuses-what-ran|true refusals:|internal/gateway/forwarder.go|s/^\tcase f.certainlyNotRun:$/\tcase true:/
@@ -28,23 +28,32 @@
 forgets-crashes|crashing prompts:|internal/quarantine/evidence.go|s/minCrashes = 3$/minCrashes = 3000/
 reads-heads-without-end|memory:|internal/dispatch/conn.go|s/if !h.limited \{/if true {/
 never-reads-for-delegates|configuration in force:|internal/follow/delegate.go|s/if err != nil \&\& !storeBackoff.due\(bootclock.Now\(\)\) \{/if err != nil {/
+cuts-at-sigterm|lost answers:|internal/graceful/server.go|s/^\ts.listener.finish\(ctx\)$/&; _ = s.server.Close()/
+leaves-write-deadline-armed|lost answers:|internal/gateway/forwarder.go internal/gateway/caller_writer.go|s/.*extendDeadline\(\) \}\(\).*//; s/(callerReadTimeout =) 3 \* time.Second/\1 time.Second/
+shortens-timeouts|lost answers:|internal/gateway/forwarder.go|s/^\ttimeout := defaultTimeout$/\ttimeout := time.Second; return timeout/
 passes-keys-on|unasked:|platform/headers.go|s/headerPriority, headerKey, headerDeadline/headerPriority, headerDeadline/
 '
 
 status=0
-while IFS='|' read -r name check file sed_script; do
+while IFS='|' read -r name check files sed_script; do
   [ -n "$name" ] || continue
   if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
   copy="$workdir/$name"
   mkdir "$copy"
   tar cf - --exclude=.git --exclude=journal --exclude=target --exclude=bin . | tar xf - -C "$copy"
-  sed -i -E "$sed_script" "$copy/$file"
-  if cmp -s "$file" "$copy/$file"; then
-    echo "$name: the change does not fit $file any more"
-    status=1
-    continue
-  fi
-  output=$(cd "$copy" && go test ./systemtest/soak -run TestFreshSeeds -count=1 -parallel 4 -timeout 10m -args -seeds "$seeds" -first 1 -length "$length" 2>&1) || true
+  for file in $files; do
+    sed -i -E "$sed_script" "$copy/$file"
+    if cmp -s "$file" "$copy/$file"; then
+      echo "$name: the change does not fit $file any more"
+      status=1
+      continue 2
+    fi
+  done
+  case $check in
+  "lost answers:" | "planned stops:") tests=TestPlannedWorkWithFreshSeeds ;;
+  *) tests=TestFreshSeeds ;;
+  esac
+  output=$(cd "$copy" && go test ./systemtest/soak -run $tests -count=1 -parallel 4 -timeout 10m -args -seeds "$seeds" -first 1 -length "$length" 2>&1) || true
   matches=$(grep -c "$check" <<<"$output" || true)
   echo "$name: $matches reports of \"${check%:}\""
   if [ "$matches" -eq 0 ]; then
--- a/systemtest/soak/answers_test.go
+++ b/systemtest/soak/answers_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -45,6 +46,7 @@
 func (s *system) backendHandler(b *backend) func(http.ResponseWriter, platformtest.Run) {
 	return func(rw http.ResponseWriter, run platformtest.Run) {
 		b.rates.add(run)
+		b.waitForSilence()
 		if b.holdsOff.Load() {
 			b.withdrawals.addRefused(run)
 			b.Reject(rw, run)
@@ -63,13 +65,18 @@
 			s.crashEngine(b, rw, run)
 		}
 		if draw < rejectedShare+lostShare {
+			b.breakOff(run)
 			platformtest.AbortConnection()
 		}
 		if draw > 1-endlessShare && draw < 1 {
+			b.breakOff(run)
 			sendEndlessly(rw)
 			return
 		}
 		truncate := draw < rejectedShare+lostShare+truncatedShare
+		if truncate {
+			b.breakOff(run)
+		}
 		if b.engine != nil {
 			b.sendStream(rw, run, truncate)
 			return
@@ -89,18 +96,24 @@
 	if truncate {
 		sendAndReset(rw, body[:len(body)/2])
 	}
-	_, _ = io.WriteString(rw, body) // fails only if the caller has disconnected
+	for part := range slices.Chunk([]byte(body), (len(body)+1)/2) {
+		b.waitForSilence()
+		_, _ = rw.Write(part) // fails only if the caller has disconnected
+		rw.(http.Flusher).Flush()
+	}
+	b.waitForSilence()
 }
 
 func (b *backend) sendStream(rw http.ResponseWriter, run platformtest.Run, truncate bool) {
 	from, _ := strconv.Atoi(run.ResumeAfter) // an empty or invalid id resumes from the start
 	b.Sign(rw, run)
 	rw.Header().Set("Content-Type", "text/event-stream")
-	unframed := rand.Float64() < unframedShare
+	unframed := from < streamEvents && rand.Float64() < unframedShare // without events, that would look like a crash
 	if unframed {
 		platformtest.OmitFraming(rw)
 	}
 	for number := from + 1; number <= streamEvents; number++ {
+		b.waitForSilence()
 		event := streamEvent(run.ID, number)
 		if truncate && number > streamEvents/2 {
 			b.truncateStream(rw, event[:len(event)/2], unframed)
@@ -112,6 +125,7 @@
 		rw.(http.Flusher).Flush()
 		time.Sleep(eventInterval)
 	}
+	b.waitForSilence()
 }
 
 // truncateStream ends the stream inside an event: unframed streams and half of the others in order, and the rest without the
--- a/systemtest/soak/checks_test.go
+++ b/systemtest/soak/checks_test.go
@@ -36,6 +36,7 @@
 	}
 	runs := s.runsByRequest(requests)
 	s.checkAtMostOnce(requests, runs)
+	s.checkLostAnswers(requests, runs)
 	var all []backendRun
 	for _, list := range runs {
 		all = append(all, list...)
--- a/systemtest/soak/clients_test.go
+++ b/systemtest/soak/clients_test.go
@@ -9,13 +9,15 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lovageglade/lovageglade/platform/platformtest"
 )
 
 const (
-	clientTimeout      = 5 * time.Second // one second longer than the timeouts of the routes
+	clientTimeout      = 5 * time.Second // longer than the deadline that is sent with each request
+	requestDeadlineMs  = "4500"
 	maxClientPause     = 8 * time.Millisecond
 	newConnectionShare = 0.1 // share of requests that are sent on a new connection
 )
@@ -28,6 +30,7 @@
 	gateway     int
 	incarnation int // of the gateway at the time of sending
 	sent        time.Time
+	written     atomic.Int64 // Unix time in nanoseconds at which it had been sent completely; 0 before
 	ended       time.Time
 	status      int // 0 if there was no answer
 	signature   string
@@ -90,7 +93,7 @@
 	defer cancel()
 	gateway := s.gateways[r.gateway]
 	r.incarnation = gateway.currentIncarnation()
-	httpRequest, err := http.NewRequestWithContext(callCtx, http.MethodPost, "http://"+gateway.frontAddress+"/"+r.route+"/x", strings.NewReader("body of "+r.id))
+	httpRequest, err := http.NewRequestWithContext(r.noteWritten(callCtx), http.MethodPost, "http://"+gateway.frontAddress+"/"+r.route+"/x", strings.NewReader("body of "+r.id))
 	if err != nil {
 		s.t.Error(err)
 		return
@@ -98,7 +101,7 @@
 	httpRequest.Host = platformtest.Host
 	httpRequest.Header.Set(platformtest.HeaderAttempt, r.id)
 	httpRequest.Header.Set(platformtest.HeaderKey, platformtest.KeyScheme+r.apiKey)
-	httpRequest.Header.Set(platformtest.HeaderDeadline, "4500")
+	httpRequest.Header.Set(platformtest.HeaderDeadline, requestDeadlineMs)
 	if r.route == "stream" {
 		httpRequest.Header.Set(platformtest.HeaderModel, testWeights.Model)
 		httpRequest.Header.Set(platformtest.HeaderTokens, "500,40")
--- a/systemtest/soak/disruptions_test.go
+++ b/systemtest/soak/disruptions_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 type disruption struct {
 	target   string
 	from, to time.Time
+	planned  bool // a stop by SIGTERM
 }
 
 // disruptions records when each process was disturbed. It is safe for concurrent use.
@@ -63,7 +65,15 @@
 
 // begin records the start of a disruption of the target. The returned function records its end.
 func (d *disruptions) begin(target string) (end func()) {
-	period := &disruption{target: target, from: time.Now()}
+	return d.beginPeriod(&disruption{target: target, from: time.Now()})
+}
+
+// beginPlanned is like begin for a planned stop of the target.
+func (d *disruptions) beginPlanned(target string) (end func()) {
+	return d.beginPeriod(&disruption{target: target, from: time.Now(), planned: true})
+}
+
+func (d *disruptions) beginPeriod(period *disruption) (end func()) {
 	d.add(period)
 	return func() {
 		d.mu.Lock()
@@ -82,14 +92,30 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, period := range d.list {
-		concerns := period.target == target || period.target == allProcesses
-		if concerns && period.from.Before(to) && (period.to.IsZero() || period.to.After(from)) {
+		if period.concerns(target) && period.overlaps(from, to) {
 			return false
 		}
 	}
 	return true
 }
 
+// unharmedBetween reports whether the targets were undisturbed between the two times, other than by planned stops.
+func (d *disruptions) unharmedBetween(from, to time.Time, targets ...string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !slices.ContainsFunc(d.list, func(period *disruption) bool {
+		return !period.planned && period.overlaps(from, to) && slices.ContainsFunc(targets, period.concerns)
+	})
+}
+
+func (p *disruption) concerns(target string) bool {
+	return p.target == target || p.target == allProcesses
+}
+
+func (p *disruption) overlaps(from, to time.Time) bool {
+	return p.from.Before(to) && (p.to.IsZero() || p.to.After(from))
+}
+
 // stalledSince returns how long all processes were disturbed in disruptions that began after the given time and have
 // ended.
 func (d *disruptions) stalledSince(since time.Time) time.Duration {
--- a/systemtest/soak/faults_test.go
+++ b/systemtest/soak/faults_test.go
@@ -85,20 +85,28 @@
 	{"key revoked while all are cut off", (*system).revokeKeyDuringOutage},
 }
 
+// schedule is a choice of faults. Each run begins with one of the openings.
+type schedule struct{ openings, faults []fault }
+
+var (
+	disruptiveSchedule = schedule{openings, faults} // a change of it changes what the seeds of regressions draw
+	anySchedule        = schedule{openings, slices.Concat(faults, plannedWork)}
+)
+
 // openingDuration is long enough for crashes to be known, see crashesUntilKnown, and for further requests.
 const openingDuration = 4 * time.Second
 
 // injectFaults starts faults, drawn from the seed, for the given time and returns when all of them have ended.
-func (s *system) injectFaults(length time.Duration) {
+func (s *system) injectFaults(length time.Duration, from schedule) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	end := time.Now().Add(length)
 	time.Sleep(firstFaultDelay)
-	opening := openings[s.seed%uint64(len(openings))]
+	opening := from.openings[s.seed%uint64(len(from.openings))]
 	s.t.Logf("%6.2f s: %s", time.Since(s.started).Seconds(), opening.name)
 	running.Go(func() { opening.run(s, int(s.seed), openingDuration) })
 	for time.Now().Before(end) {
-		drawn := faults[s.faultRandom.IntN(len(faults))]
+		drawn := from.faults[s.faultRandom.IntN(len(from.faults))]
 		pick := s.faultRandom.IntN(1 << 16)
 		duration := minFaultDuration + time.Duration(s.faultRandom.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		gap := s.gapFactor * (minFaultGap + time.Duration(s.faultRandom.Int64N(int64(maxFaultGap-minFaultGap))))
@@ -116,7 +124,11 @@
 		return
 	}
 	defer n.disruptionMu.Unlock()
-	defer s.disruptions.begin(n.name)()
+	begin := s.disruptions.begin
+	if signal == syscall.SIGTERM {
+		begin = s.disruptions.beginPlanned
+	}
+	defer begin(n.name)()
 	n.signal(syscall.SIGCONT)
 	n.stop(signal)
 	time.Sleep(restartDelay)
@@ -147,12 +159,13 @@
 	n.storeProxy.setMode(passThrough)
 }
 
-// disturbBackendConnection disturbs the connections of all processes to one back end. It is not recorded as a
-// disruption: at-most-once execution, complete answers and true refusals must hold whatever the network does.
+// disturbBackendConnection disturbs the connections of all processes to one back end. It is not recorded as a disruption of
+// these: at-most-once execution, complete answers and true refusals must hold whatever the network does.
 func (s *system) disturbBackendConnection(backends []*backend, pick int, duration time.Duration) {
 	b := backends[pick%len(backends)]
 	mode := proxyMode(1 + pick/len(backends)%int(modeCount-1))
 	s.t.Logf("%6.2f s: connections to %s: %s", time.Since(s.started).Seconds(), b.ID, modeNames[mode])
+	defer s.disruptions.begin(b.ID)()
 	b.proxy.setMode(mode)
 	time.Sleep(duration)
 	b.proxy.setMode(passThrough)
--- a/systemtest/soak/process_test.go
+++ b/systemtest/soak/process_test.go
@@ -25,6 +25,7 @@
 	command     *exec.Cmd
 	done        chan struct{}
 	incarnation int // number of starts so far
+	startedAt   time.Time
 }
 
 func newProcess(t testing.TB, folder, binary, name string, settings any) *process {
@@ -58,11 +59,12 @@
 	}
 	done := make(chan struct{})
 	go func() {
-		_ = command.Wait() // a signal ends it, so that an error is expected
+		_ = command.Wait() // stop looks at the error
 		close(done)
 	}()
 	p.command, p.done = command, done
 	p.incarnation++
+	p.startedAt = time.Now()
 }
 
 // signal sends a signal to the current incarnation of the process.
@@ -72,15 +74,27 @@
 	_ = p.command.Process.Signal(signal) // fails only if the process has ended meanwhile
 }
 
+// signalIfOlder sends a signal to the current incarnation if it is at least of the given age.
+func (p *process) signalIfOlder(signal syscall.Signal, age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.startedAt) >= age {
+		_ = p.command.Process.Signal(signal) // fails only if the process has ended meanwhile
+	}
+}
+
 // stop sends the signal and waits until the process has ended. After stopTimeout it reports an error and kills the
 // process.
 func (p *process) stop(signal syscall.Signal) {
 	p.signal(signal)
 	p.mu.Lock()
-	done := p.done
+	command, done := p.command, p.done
 	p.mu.Unlock()
 	select {
 	case <-done:
+		if signal == syscall.SIGTERM && !command.ProcessState.Success() {
+			p.t.Errorf("planned stops: %s ended after SIGTERM with %q", p.name, command.ProcessState)
+		}
 	case <-time.After(stopTimeout):
 		p.t.Errorf("%s did not end within %v of %v", p.name, stopTimeout, signal)
 		p.signal(syscall.SIGKILL)
--- a/systemtest/soak/soak_test.go
+++ b/systemtest/soak/soak_test.go
@@ -44,15 +44,17 @@
 
 func TestShortSeeds(t *testing.T) {
 	for _, seed := range shortSeeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, shortFaultDuration) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, shortFaultDuration, anySchedule) })
 	}
 	for _, r := range regressions {
-		t.Run(fmt.Sprint("regression ", r.seed), func(t *testing.T) { runSoak(t, r.seed, shortFaultDuration) })
+		t.Run(fmt.Sprint("regression ", r.seed), func(t *testing.T) { runSoak(t, r.seed, shortFaultDuration, disruptiveSchedule) })
 	}
 }
 
 // TestFreshSeeds runs the seeds that the flags select.
-func TestFreshSeeds(t *testing.T) {
+func TestFreshSeeds(t *testing.T) { runFreshSeeds(t, anySchedule) }
+
+func runFreshSeeds(t *testing.T, drawn schedule) {
 	if *seedCount == 0 {
 		t.Skip("no seeds are selected; see the package comment")
 	}
@@ -60,13 +62,13 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, seed, *faultDuration)
+			runSoak(t, seed, *faultDuration, drawn)
 		})
 	}
 }
 
 // runSoak injects faults into a new system for the given time, lets it recover, and checks all promises.
-func runSoak(t *testing.T, seed uint64, faultDuration time.Duration) {
+func runSoak(t *testing.T, seed uint64, faultDuration time.Duration, drawn schedule) {
 	s := newSystem(t, seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -78,7 +80,7 @@
 	}
 	done := make(chan struct{})
 	clients.Go(func() { s.watchMemory(done) })
-	s.injectFaults(faultDuration)
+	s.injectFaults(faultDuration, drawn)
 	s.checkRecovery(ctx)
 	stopTraffic()
 	close(done)
--- a/systemtest/soak/system_test.go
+++ b/systemtest/soak/system_test.go
@@ -24,6 +24,8 @@
 	movingBackendCount = 4 // services that the route "moving" uses, one after another
 	engineSlots        = 4
 	clientCount        = 12
+	routeTimeoutMs     = 4000
+	routeAttempts      = 3
 
 	frontPort   = 7100
 	readyPort   = 7101
@@ -104,8 +106,11 @@
 	holdsOff     atomic.Bool  // it refuses requests and asks for no more of them
 	withdrawals  withdrawalLog
 	rates        rateLog
-	rateMu       sync.Mutex // held while it states a rate
-	crashMu      sync.Mutex // held while the engine is down after a crash
+	rateMu       sync.Mutex                    // held while it states a rate
+	crashMu      sync.Mutex                    // held while the engine is down after a crash
+	silenceMu    sync.Mutex                    // held while it is silent
+	silence      atomic.Pointer[chan struct{}] // closed at the end of the last silence
+	brokenOff    sync.Map                      // runs that the back end broke off by itself, by runKey
 }
 
 // recordedWrite is a change that an operator or a back end wrote. Later runs must respect it.
@@ -223,7 +228,7 @@
 
 func (s *system) configure() {
 	route := func(name, kind, service string) platformtest.Route {
-		return platformtest.Route{Name: name, Kind: kind, Service: service, TimeoutMs: 4000, MaxAttempts: 3}
+		return platformtest.Route{Name: name, Kind: kind, Service: service, TimeoutMs: routeTimeoutMs, MaxAttempts: routeAttempts}
 	}
 	stream := route("stream", "stream", "models")
 	stream.Resumable, stream.Generates = true, true
