Tests: endpoints that crash stop listening before their answers break off

Cause: tests that timed out at machine loads of 34 to 40 ("waiting for a crash", "waiting for the quarantine"). A gateway tells a crash by its endpoint's socket, which refuses connections 30 or 60 ms after an answer broke off. The tests broke the answer off and closed the listening socket in another goroutine, after all connections; where that gets no processor for 60 ms, no crash is seen, and no endpoint is left that could crash once more. When a process ends, the system closes its sockets together, so the gateway is not at fault. Change: the stand-in stops listening first, in the handler. What has to follow, and how soon, stays as it was.

--- a/internal/gateway/crashing_service_test.go
+++ b/internal/gateway/crashing_service_test.go
@@ -131,6 +131,7 @@
 	delete(s.up, r)
 	s.crashes = append(s.crashes, time.Now())
 	s.store.Unregister(r)
+	r.StopListening()
 	go r.Close() // waits for the requests that it runs
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -86,6 +86,7 @@
 	fx := newFixture(t)
 	backend := fx.startBackend("r1", "e")
 	backend.SetHandler(func(http.ResponseWriter, platformtest.Run) {
+		backend.StopListening()
 		go backend.Close()
 		platformtest.AbortConnection()
 	})
@@ -109,6 +110,7 @@
 		time.Sleep(200 * time.Millisecond) // simultaneous crashes count as one
 		backend := fx.startBackend(id, "e")
 		backend.SetHandler(func(http.ResponseWriter, platformtest.Run) {
+			backend.StopListening()
 			go backend.Close()
 			platformtest.AbortConnection()
 		})
