--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -28,6 +28,8 @@
 forgets-crashes|crashing prompts:|internal/quarantine/evidence.go|s/minCrashes = 3$/minCrashes = 3000/
 reads-heads-without-end|memory:|internal/dispatch/conn.go|s/if !h.limited \{/if true {/
 never-reads-for-delegates|configuration in force:|internal/follow/delegate.go|s/if err != nil \&\& !storeBackoff.due\(bootclock.Now\(\)\) \{/if err != nil {/
+ends-silent-attempts|lost answers:|internal/gateway/stall_timer.go|s/s.timer = time.AfterFunc\(timeout, func\(\) \{/& a.cancel(errOvertaken);/
+dies-of-sighup-while-it-drains|planned stops:|internal/telemetry/process.go|s/^\t\tcase <-ctx.Done\(\):$/&\n\t\t\tsignal.Reset(syscall.SIGHUP)/
 cuts-at-sigterm|lost answers:|internal/graceful/server.go|s/^\ts.listener.finish\(ctx\)$/&; _ = s.server.Close()/
 leaves-write-deadline-armed|lost answers:|internal/gateway/forwarder.go internal/gateway/caller_writer.go|s/.*extendDeadline\(\) \}\(\).*//; s/(callerReadTimeout =) 3 \* time.Second/\1 time.Second/
 shortens-timeouts|lost answers:|internal/gateway/forwarder.go|s/^\ttimeout := defaultTimeout$/\ttimeout := time.Second; return timeout/
--- a/systemtest/soak/soak_test.go
+++ b/systemtest/soak/soak_test.go
@@ -8,7 +8,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -39,6 +42,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) // under nohup, the processes would inherit that it is ignored
 	programs.RunTests(m, func(folder string) { binaryFolder = folder }, "lovage-gateway", "lovage-sidecar")
 }
 
