Tests: a slow caller's stream has a route with time for it

Cause: TestSlowCallerDoesNotEndASoundStream, "unexpected EOF" at a machine load of 40. The gateway's log gives the route's timeout as the end of 12 of 15 such streams: the test's route has 5 s, of which the caller sleeps 1.5 s; on a starved machine 33 MB take longer than the rest. The gateway has to end a call at its route's timeout; the test is about silence and slow reading. Change: a route with 60 s. What has to arrive, the pause of the caller and the one run stay.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -37,6 +37,7 @@
 	pathAtMostOnce   = "/once/1"
 	pathIdempotent   = "/safe/1"
 	pathStream       = "/stream/1"
+	pathLongStream   = "/long-stream/1"
 	pathStreamOnce   = "/stream-once/1" // not resumable
 	pathPublic       = "/public/1"
 	pathShortTimeout = "/short/1"
@@ -58,6 +59,7 @@
 		route("once", "unsafe", nil),
 		route("safe", "safe", nil),
 		route("stream", "stream", document{"resumable": true}),
+		route("long-stream", "stream", document{"resumable": true, "timeout-ms": 60_000}),
 		route("stream-once", "stream", nil),
 		route("public", "safe", document{"public": true}),
 		route("short", "unsafe", document{"timeout-ms": 300}),
