Sidecar, gateway: a refusal by the bound names the delay

Cause: a sidecar that expects the first event later than the gateway's bound refuses and names no forecast, so that the last offer goes to a further engine, unknown and often as busy, although one of those that refused by a bound of 45 to 85 % of the aim would have served the request on time. Change: such a refusal of a request with an aim states in the header of the forecast by how much its first event would be later than at an idle engine. An older gateway takes it for such a forecast; an older sidecar names none. Requests without an aim are treated as before.

--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -21,7 +21,7 @@
 	refusedBadRequest     = "bad request"
 	refusedLoading        = "weights are loading"
 	refusedNoCapacity     = "no room"
-	refusedLateFirstEvent = "first event later than the bound"
+	refusedLateFirstEvent = wire.RefusedLateFirstEvent
 	refusedCold           = "engine is cold and has reached its request rate"
 	refusedVersionChange  = "it would run into a change of weights"
 	refusedUnreachable    = "engine cannot be reached"
@@ -81,12 +81,14 @@
 	if ticket.Waited > noticeableWait {
 		bound = 0 // the forecast that let it wait has held; to refuse it now would waste the wait
 	}
-	removeRequestHeaders(c.Forward)
 	s.updateSlowdown()
 	now := bootclock.Now()
-	prompt, estimate, limit := s.prompts.Admit(promptDemand(c, r, arrived, now), bound, now)
+	demand := promptDemand(c, r, arrived, now)
+	removeRequestHeaders(c.Forward)
+	prompt, estimate, limit := s.prompts.Admit(demand, bound, now)
 	if prompt == nil {
 		ticket.ReleaseUnmeasured()
+		s.setDelayHeader(w.Header(), demand, estimate, limit)
 		s.refuse(w, c, refusedByPrompts[limit], nil)
 		return
 	}
@@ -346,7 +348,7 @@
 	}
 	if forecast := forecastIn(cause); forecast > 0 {
 		entry.Dur("forecast", forecast)
-		w.Header().Set(wire.HeaderForecast, strconv.FormatInt(forecast.Milliseconds()+1, 10))
+		setForecastHeader(w.Header(), forecast)
 	}
 	entry.Msg("request not admitted")
 	w.Header().Set(wire.HeaderRefused, reason)
