--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -43,8 +43,8 @@
 	// HeaderReturned is set to "1" on a request that was refused before and has come back.
 	HeaderReturned = "Lovage-Returned"
 	// HeaderForecast is set by a sidecar on refusals for lack of room to the time until a request of the same rank would begin,
-	// in milliseconds. On a refusal with RefusedLateFirstEvent of a request that would meet its aim, it is the time by which the
-	// first event would come later than at an idle engine. Earlier releases do not state the latter.
+	// in milliseconds. On a refusal with RefusedLateFirstEvent of a request that states an aim, it is the time by which the first
+	// event would come later than at an idle engine. Earlier releases do not state the latter.
 	HeaderForecast = "Lovage-Forecast-Ms"
 	// HeaderMinVersion is the minimum version of the weights that may run the request. A sidecar whose engine
 	// serves an older one refuses it.
