--- a/internal/sidecar/aims.go
+++ b/internal/sidecar/aims.go
@@ -30,9 +30,9 @@
 }
 
 // setDelayHeader tells the gateway of a refused request with an aim by how much its first event would come later than at an idle
-// engine, so that the request can come back here if other engines would delay it more. It does not if the aim would be missed.
-func (s *Sidecar) setDelayHeader(header http.Header, demand admission.Demand, estimate, now time.Duration, limit admission.PromptLimit) {
-	if limit != admission.BoundLimit || now+estimate > demand.FirstEventBy {
+// engine, so that the request can come back here if other engines would delay it more.
+func (s *Sidecar) setDelayHeader(header http.Header, demand admission.Demand, estimate time.Duration, limit admission.PromptLimit) {
+	if limit != admission.BoundLimit || demand.FirstEventBy == 0 {
 		return
 	}
 	if delay := s.prompts.CostModel().Delay(estimate, demand.PromptTokens); delay > 0 {
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -89,7 +89,7 @@
 	prompt, estimate, limit := s.prompts.Admit(demand, bound, now)
 	if prompt == nil {
 		ticket.ReleaseUnmeasured()
-		s.setDelayHeader(w.Header(), demand, estimate, now, limit)
+		s.setDelayHeader(w.Header(), demand, estimate, limit)
 		s.refuse(w, c, refusedByPrompts[limit], nil)
 		return
 	}
