--- a/internal/admission/prefill.go
+++ b/internal/admission/prefill.go
@@ -34,13 +34,6 @@
 	return m.slowed(time.Duration(passesUntilFirstEvent*float64(m.decodeTime(decoding))) + readTime)
 }
 
-// Delay returns by how much a first event that is expected after the estimate comes later than at an idle engine that works at
-// its published costs.
-func (m CostModel) Delay(estimate time.Duration, promptTokens int) time.Duration {
-	m.SlowdownFactor = 1
-	return max(0, estimate-m.FirstEvent(0, promptTokens))
-}
-
 // ReadTime returns the published time to read one prompt; 0 if the costs are unknown.
 func (m CostModel) ReadTime(promptTokens int) time.Duration {
 	if m.PrefillTokensPerSecond <= 0 {
--- a/internal/admission/prefill_test.go
+++ b/internal/admission/prefill_test.go
@@ -20,9 +20,6 @@
 	if slow.FirstEvent(0, 1000) != 2*idle {
 		t.Error("the slowdown of the engine does not scale the estimate")
 	}
-	if delay := slow.Delay(slow.FirstEvent(0, 1000), 1000); delay != idle {
-		t.Errorf("an engine that takes twice as long delays the first event by %v, want %v", delay, idle)
-	}
 	if (CostModel{}).FirstEvent(3, 1000) != 0 {
 		t.Error("the estimate without a cost model is not 0")
 	}
--- a/internal/gateway/ranked.go
+++ b/internal/gateway/ranked.go
@@ -18,22 +18,21 @@
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
-// ranking is the rank of a call, and the forecasts of the sidecars that refused it.
+// ranking is the rank of a call, and the forecasts of the sidecars that refused it for lack of room.
 type ranking struct {
 	ranked    bool
-	rank      int                                  // of the workspace or route, which the engine is told
-	place     int                                  // catalog.Precedence, which the sidecar is told
-	forecasts map[catalog.EndpointID]time.Duration // until it would begin there, for lack of room
-	delays    map[catalog.EndpointID]time.Duration // of its first event, where that was later than the bound
-	changing  int                                  // refusals by engines that were changing their weights
-	waiting   bool                                 // the call has been offered again to the endpoint with the earliest forecast, to wait there
+	rank      int // of the workspace or route, which the engine is told
+	place     int // catalog.Precedence, which the sidecar is told
+	forecasts map[catalog.EndpointID]time.Duration
+	changing  int  // refusals by engines that were changing their weights
+	waiting   bool // the call has been offered again to the endpoint with the earliest forecast, to wait there
 }
 
 func (f *forwarder) newRanking() ranking {
 	if !f.route.Generates || !f.view.Ranked(f.service, f.g.settings.Admission) {
 		return ranking{}
 	}
-	return ranking{ranked: true, rank: catalog.RankOf(f.route, f.workspace), place: catalog.Precedence(f.route, f.workspace), forecasts: make(map[catalog.EndpointID]time.Duration), delays: make(map[catalog.EndpointID]time.Duration)}
+	return ranking{ranked: true, rank: catalog.RankOf(f.route, f.workspace), place: catalog.Precedence(f.route, f.workspace), forecasts: make(map[catalog.EndpointID]time.Duration)}
 }
 
 // urgency returns the urgency that is stated to the engine; nil for a call without a rank.
@@ -87,7 +86,7 @@
 	return min(max(share, minDialTimeout), dispatch.DefaultDialTimeout)
 }
 
-// forecastOf returns the sidecar's forecast, as wire.HeaderForecast describes it; 0 if it states none.
+// forecastOf returns the sidecar's forecast of when a request of the same rank would start; 0 if it states none.
 func forecastOf(header http.Header) time.Duration {
 	ms, err := strconv.Atoi(header.Get(wire.HeaderForecast))
 	if err != nil || ms < 0 {
@@ -98,11 +97,7 @@
 
 // recordForecast keeps the forecast of a sidecar that refused the call.
 func (r *ranking) recordForecast(id catalog.EndpointID, refusal *refusalError) {
-	switch {
-	case !r.ranked || refusal.forecast <= 0:
-	case refusal.reason == wire.RefusedLateFirstEvent:
-		r.delays[id] = refusal.forecast
-	default:
+	if r.ranked && refusal.forecast > 0 {
 		r.forecasts[id] = refusal.forecast
 	}
 	if r.ranked && refusal.changing {
@@ -136,9 +131,8 @@
 // is for the prompt.
 const maxWaitShare = 0.5
 
-// pickToWait returns the endpoint with the earliest forecast or the shortest delay when the call may be offered only once more,
-// and nil if the first event could not be on time there or the endpoint may no longer be used. The call is offered to it again,
-// and waits.
+// pickToWait returns the endpoint with the earliest forecast when the call may be offered only once more, and nil if the first
+// event could not be on time there or the endpoint may no longer be used. The call is offered to it again, and waits.
 func (f *forwarder) pickToWait(endpoints []*catalog.Endpoint, query placement.Query) *catalog.Endpoint {
 	if f.ranking.waiting || f.possibleRuns() > 0 || f.offers() != f.endpointLimit()-1 {
 		return nil
@@ -146,10 +140,8 @@
 	earliest := time.Duration(maxWaitShare * float64(f.aimLeft()))
 	var best *catalog.Endpoint
 	for _, endpoint := range endpoints {
-		for _, forecasts := range []map[catalog.EndpointID]time.Duration{f.ranking.forecasts, f.ranking.delays} {
-			if forecast, known := forecasts[endpoint.ID]; known && forecast < earliest {
-				best, earliest = endpoint, forecast
-			}
+		if forecast, known := f.ranking.forecasts[endpoint.ID]; known && forecast < earliest {
+			best, earliest = endpoint, forecast
 		}
 	}
 	if best == nil {
--- a/internal/gateway/ranked_test.go
+++ b/internal/gateway/ranked_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -86,38 +85,6 @@
 	}
 }
 
-// An engine that has prompts to read refuses by the bound of an early offer. A later offer may go back there, as it names when
-// they are read.
-func TestLastOfferGoesBackToTheEngineThatHasLeastToRead(t *testing.T) {
-	fx := newFixture(t)
-	f := newRankedForwarder(fx, 2)
-	var endpoints []*catalog.Endpoint
-	for id, forecast := range map[catalog.EndpointID]string{"a": "300", "b": "100", "c": ""} {
-		sidecar := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(wire.HeaderRefused, wire.RefusedLateFirstEvent)
-			w.Header().Set(wire.HeaderForecast, forecast)
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}))
-		defer sidecar.Close()
-		answer, err := fx.gateway.pool.Send(t.Context(), &dispatch.Request{Address: sidecar.Listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "x"})
-		if err != nil {
-			t.Fatal(err)
-		}
-		endpoint := &catalog.Endpoint{ID: id, Slots: 1}
-		_, _, err = f.readSidecarAnswer(endpoint, answer, call.ResponseInfo{})
-		f.ranking.recordForecast(id, asRefusal(err))
-		f.tried[id] = true
-		endpoints = append(endpoints, endpoint)
-	}
-	if after := f.ranking.returnForecasts(); len(after) > 0 {
-		t.Errorf("the caller's return rests on %v, when prompts are read and not when there is room", after)
-	}
-	endpoint := f.pickToWait(endpoints, placement.Query{Now: fx.gateway.now()})
-	if endpoint == nil || endpoint.ID != "b" {
-		t.Errorf("offered to %v, want b", endpoint)
-	}
-}
-
 func TestForecastOfARefusalReachesTheCallersReturn(t *testing.T) {
 	fx := newFixture(t)
 	f := newRankedForwarder(fx, 2)
--- a/internal/sidecar/aims.go
+++ b/internal/sidecar/aims.go
@@ -2,12 +2,10 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/admission"
 	"github.com/lovageglade/lovageglade/internal/call"
-	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
 // refusedByPrompts holds the reasons of refusals by what limits the prompt.
@@ -28,19 +26,3 @@
 	demand.LongestPause = pause
 	return demand
 }
-
-// setDelayHeader tells the gateway of a refused request with an aim by how much its first event would come later than at an idle
-// engine, so that the request can come back here if other engines would delay it more.
-func (s *Sidecar) setDelayHeader(header http.Header, demand admission.Demand, estimate time.Duration, limit admission.PromptLimit) {
-	if limit != admission.BoundLimit || demand.FirstEventBy == 0 {
-		return
-	}
-	if delay := s.prompts.CostModel().Delay(estimate, demand.PromptTokens); delay > 0 {
-		setForecastHeader(header, delay)
-	}
-}
-
-// setForecastHeader states the forecast, rounded up to milliseconds.
-func setForecastHeader(header http.Header, forecast time.Duration) {
-	header.Set(wire.HeaderForecast, strconv.FormatInt(forecast.Milliseconds()+1, 10))
-}
--- a/internal/sidecar/ranked_test.go
+++ b/internal/sidecar/ranked_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/lovageglade/lovageglade/internal/admission"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -62,18 +61,3 @@
 		}
 	}
 }
-
-func TestRefusalForPromptsThatAreUnreadNamesWhenTheyAreRead(t *testing.T) {
-	s := newSidecar(t, &fakeEngine{staged: make(map[int][]byte), corruptChunk: -1, version: 1}, &fakeOrigin{}, &fakeSource{}, "127.0.0.1:9")
-	waitFor(t, "the gate to open", func() bool { return s.servingVersion.Load() == 1 && s.gate.Load().Limit == 2 })
-	waitFor(t, "the engine's costs", func() bool { return s.prompts.CostModel().PrefillTokensPerSecond == 1000 })
-	unread, _, _ := s.prompts.Admit(admission.Demand{PromptTokens: 200}, 0, 0)
-	defer unread.Finish()
-	relay := serve(t, s.serveRelay)
-	for aim, want := range map[string]int{"60000,400": 201, "": 0} { // 200 ms, rounded up
-		got := ask(t, relay, map[string]string{wire.HeaderFirstEvent: "50", wire.HeaderRank: "1", wire.HeaderAim: aim})
-		if forecast, _ := strconv.Atoi(got.Get(wire.HeaderForecast)); got.Get(wire.HeaderRefused) != wire.RefusedLateFirstEvent || forecast != want {
-			t.Errorf("with the aim %q: %v, want a refusal with a forecast of %d ms", aim, got, want)
-		}
-	}
-}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -21,7 +21,7 @@
 	refusedBadRequest     = "bad request"
 	refusedLoading        = "weights are loading"
 	refusedNoCapacity     = "no room"
-	refusedLateFirstEvent = wire.RefusedLateFirstEvent
+	refusedLateFirstEvent = "first event later than the bound"
 	refusedCold           = "engine is cold and has reached its request rate"
 	refusedVersionChange  = "it would run into a change of weights"
 	refusedUnreachable    = "engine cannot be reached"
@@ -82,14 +82,12 @@
 	if ticket.Waited > noticeableWait {
 		bound = 0 // the forecast that let it wait has held; to refuse it now would waste the wait
 	}
+	removeRequestHeaders(c.Forward)
 	s.updateSlowdown()
 	now := bootclock.Now()
-	demand := promptDemand(c, r, arrived, now)
-	removeRequestHeaders(c.Forward)
-	prompt, estimate, limit := s.prompts.Admit(demand, bound, now)
+	prompt, estimate, limit := s.prompts.Admit(promptDemand(c, r, arrived, now), bound, now)
 	if prompt == nil {
 		ticket.ReleaseUnmeasured()
-		s.setDelayHeader(w.Header(), demand, estimate, limit)
 		s.refuse(w, c, refusedByPrompts[limit], nil)
 		return
 	}
@@ -349,7 +347,7 @@
 	}
 	if forecast := forecastIn(cause); forecast > 0 {
 		entry.Dur("forecast", forecast)
-		setForecastHeader(w.Header(), forecast)
+		w.Header().Set(wire.HeaderForecast, strconv.FormatInt(forecast.Milliseconds()+1, 10))
 	}
 	entry.Msg("request not admitted")
 	w.Header().Set(wire.HeaderRefused, reason)
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -8,8 +8,6 @@
 	// HeaderRefused is set by a sidecar on the response to a request that it refused and did not run. Its value is the
 	// reason.
 	HeaderRefused = "Lovage-Refused"
-	// RefusedLateFirstEvent is the value of HeaderRefused if the first event is expected later than HeaderFirstEvent states.
-	RefusedLateFirstEvent = "first event later than the bound"
 	// HeaderRequest is set by a sidecar on refusals to the id of the request, which tells them from late responses.
 	HeaderRequest = "Lovage-Request"
 	// HeaderLoad reports the requests running and waiting at the endpoint, its concurrency limit, how long work takes now in
@@ -43,8 +41,7 @@
 	// HeaderReturned is set to "1" on a request that was refused before and has come back.
 	HeaderReturned = "Lovage-Returned"
 	// HeaderForecast is set by a sidecar on refusals for lack of room to the time until a request of the same rank would begin,
-	// in milliseconds. On a refusal with RefusedLateFirstEvent of a request that states an aim, it is the time by which the first
-	// event would come later than at an idle engine. Earlier releases do not state the latter.
+	// in milliseconds.
 	HeaderForecast = "Lovage-Forecast-Ms"
 	// HeaderMinVersion is the minimum version of the weights that may run the request. A sidecar whose engine
 	// serves an older one refuses it.
