Daemon: SIGHUP writes the log level only if it differs

Cause: found by TestPlannedWorkLosesNoAnswers under the race detector: processes that had got a SIGHUP ended with status 66 when they were stopped. On amd64 such a read gives the old or the new level; callers saw nothing. Change: the level is stored only if it differs. A reload that changes it still races with the logger's reads, by the design of the library.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,7 +64,7 @@
 	go telemetry.ReloadOnSIGHUP(ctx, logger, func() error {
 		reloaded, err := program.Load(flags.Settings)
 		if err == nil {
-			logger.SetLevel(telemetry.ParseLevel(program.HostSettings(reloaded).LogLevel))
+			setLevel(logger, telemetry.ParseLevel(program.HostSettings(reloaded).LogLevel))
 		}
 		return err
 	})
@@ -73,3 +73,10 @@
 	defer peers.Close()
 	return program.Run(ctx, config, peers, logger)
 }
+
+// setLevel sets the logger's level if it differs: the logger reads it without synchronization.
+func setLevel(logger *log.Logger, level log.Level) {
+	if level != logger.Level {
+		logger.SetLevel(level)
+	}
+}
