--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -64,7 +64,10 @@
 		if f.ranking.ranked {
 			entry.Int("rank", f.ranking.place)
 		}
-		f.addPickFields(entry).Int("runs", f.possibleRuns()).Str("ended_by", f.endReason()).Dur("took", time.Since(f.arrived))
+		if reason := f.endReason(); reason != "" {
+			entry.Str("ended_by", reason)
+		}
+		f.addPickFields(entry).Int("runs", f.possibleRuns()).Dur("took", time.Since(f.arrived))
 	}
 	entry.Msg("request refused")
 	w.Header().Set("Content-Type", "application/json")
