Graceful: a connection is idle only while the server waits for bytes

What callers saw: a caller that sends requests without waiting for the answers got none to a request that the process had read whole. Cause: net/http sets a connection idle between two requests that it read together; the bytes of the second are in its buffer, and the count of received bytes starts again with the idle state. Class: something known about one request is taken for the next. Change: a connection is closed as idle only while a read is under way. The server reads only when it has used all that it has read.

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -14,6 +14,7 @@
 
 	mu       sync.Mutex // held during a read, so that bytes are either unread or known to be read
 	received bool       // bytes were read since the connection became idle
+	reading  bool       // the server waits for bytes, so it has used all that it has read
 	closing  bool       // nothing more is read
 }
 
@@ -27,6 +28,8 @@
 	if len(buffer) == 0 {
 		return 0, nil
 	}
+	c.setReading(true)
+	defer c.setReading(false)
 	var n int
 	var readErr error
 	err := c.raw.Read(func(fd uintptr) (done bool) {
@@ -53,6 +56,12 @@
 	return n, nil
 }
 
+func (c *conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
 // becomeIdle records that the last request has been answered.
 func (c *conn) becomeIdle() {
 	c.mu.Lock()
@@ -60,7 +69,7 @@
 	c.received = false
 }
 
-// closeIfIdle closes the connection unless bytes of a request have arrived since it became idle, read or not. It returns whether
+// closeIfIdle closes the connection unless bytes of a request that is not answered have arrived, read or not. It returns whether
 // the connection is closed.
 func (c *conn) closeIfIdle() bool {
 	if !c.stopIfIdle() {
@@ -75,8 +84,8 @@
 func (c *conn) stopIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.received {
-		return false
+	if c.received || !c.reading {
+		return false // a request may have been read together with the one before it
 	}
 	unread := 0
 	err := c.raw.Control(func(fd uintptr) {
