Tests: the identity test waits until the gateway has read the registry

Cause: TestGatewayAndSidecarComputeTheSameIdentityOfARequest failed once in a run of the package ("the registry could not be read for too long"). The fixture waits for the configuration; the endpoints are read after it. Change: the test starts an endpoint, for which the fixture waits. What is compared stays.

--- a/internal/gateway/identity_test.go
+++ b/internal/gateway/identity_test.go
@@ -42,6 +42,7 @@
 
 func TestGatewayAndSidecarComputeTheSameIdentityOfARequest(t *testing.T) {
 	fx := newFixture(t)
+	fx.startBackend("r1", "e") // the gateway accepts requests once it has read the registry
 	atGateway, atSidecar := fx.identitiesOf("key-1", "")
 	if !slices.Equal(atGateway, atSidecar) || len(atGateway) != 2 {
 		t.Errorf("the parts are %v at the gateway and %v at the sidecar", atGateway, atSidecar)
