Soak: a run that was broken off without a useful part excuses no lost answer

Cause: gateways may keep a silent endpoint at work while they ask another one. The check looked at the last run alone, so that a second endpoint that broke off excused a gateway that then ended the first. Change: runs that broke off before any event, or within an answer that has to be whole, are left out; the last of the others decides.

--- a/systemtest/soak/answers_test.go
+++ b/systemtest/soak/answers_test.go
@@ -65,17 +65,17 @@
 			s.crashEngine(b, rw, run)
 		}
 		if draw < rejectedShare+lostShare {
-			b.breakOff(run)
+			b.breakOff(run, false)
 			platformtest.AbortConnection()
 		}
 		if draw > 1-endlessShare && draw < 1 {
-			b.breakOff(run)
+			b.breakOff(run, false)
 			sendEndlessly(rw)
 			return
 		}
 		truncate := draw < rejectedShare+lostShare+truncatedShare
 		if truncate {
-			b.breakOff(run)
+			b.breakOff(run, b.engine != nil)
 		}
 		if b.engine != nil {
 			b.sendStream(rw, run, truncate)
--- a/systemtest/soak/crashing_prompt_test.go
+++ b/systemtest/soak/crashing_prompt_test.go
@@ -74,7 +74,7 @@
 // crashEngine ends the engine as it begins to write the answer to the run. It starts again after engineDownTime.
 func (s *system) crashEngine(b *backend, rw http.ResponseWriter, run platformtest.Run) {
 	s.crashingPrompts.add(b, run)
-	b.breakOff(run)
+	b.breakOff(run, false)
 	b.Sign(rw, run)
 	rw.Header().Set("Content-Type", "text/event-stream")
 	if rand.IntN(2) == 0 {
--- a/systemtest/soak/lost_test.go
+++ b/systemtest/soak/lost_test.go
@@ -31,8 +31,23 @@
 
 func keyOf(run platformtest.Run) runKey { return runKey{run.ID, run.StartedAt.UnixNano()} }
 
-// breakOff records that the back end breaks the run off by itself.
-func (b *backend) breakOff(run platformtest.Run) { b.brokenOff.Store(keyOf(run), true) }
+// breakOff records that the back end breaks the run off by itself, and whether it sends a part of the answer that a caller can use.
+func (b *backend) breakOff(run platformtest.Run, useful bool) { b.brokenOff.Store(keyOf(run), useful) }
+
+// decidingRun returns the last run that did anything for the caller. A run that was broken off without a useful part is no reason to
+// end another one. It returns false if there is none, or if the back end broke it off.
+func decidingRun(runs []backendRun) (backendRun, bool) {
+	runs = slices.DeleteFunc(slices.Clone(runs), func(run backendRun) bool {
+		useful, broken := run.backend.brokenOff.Load(keyOf(run.Run))
+		return broken && !useful.(bool)
+	})
+	if len(runs) == 0 {
+		return backendRun{}, false
+	}
+	last := slices.MaxFunc(runs, func(a, b backendRun) int { return a.StartedAt.Compare(b.StartedAt) })
+	_, broken := last.backend.brokenOff.Load(keyOf(last.Run))
+	return last, !broken
+}
 
 // checkLostAnswers checks that no request ends without a complete answer that a sound endpoint had begun to process, or that a
 // gateway had time to read and no endpoint received.
@@ -52,11 +67,8 @@
 			}
 			continue
 		}
-		last := slices.MaxFunc(runs[id], func(a, b backendRun) int { return a.StartedAt.Compare(b.StartedAt) })
-		if _, broken := last.backend.brokenOff.Load(keyOf(last.Run)); broken {
-			continue
-		}
-		if s.disruptions.unharmedBetween(r.sent.Add(-settleTime), r.ended, gateway, last.backend.ID, s.senderOf(last.backend, r).name) {
+		last, sound := decidingRun(runs[id])
+		if sound && s.disruptions.unharmedBetween(r.sent.Add(-settleTime), r.ended, gateway, last.backend.ID, s.senderOf(last.backend, r).name) {
 			s.t.Errorf("lost answers: %s on %s by gateway %d ended at %s after %v with status %d and %d bytes: %v; the last of its %d runs began after %v at %s, which was sound", id, r.route, r.gateway, s.sinceStart(r.ended), r.ended.Sub(r.sent), r.status, len(r.body), r.err, len(runs[id]), last.StartedAt.Sub(r.sent), last.backend.ID)
 		}
 	}
--- a/systemtest/soak/system_test.go
+++ b/systemtest/soak/system_test.go
@@ -110,7 +110,7 @@
 	crashMu      sync.Mutex                    // held while the engine is down after a crash
 	silenceMu    sync.Mutex                    // held while it is silent
 	silence      atomic.Pointer[chan struct{}] // closed at the end of the last silence
-	brokenOff    sync.Map                      // runs that the back end broke off by itself, by runKey
+	brokenOff    sync.Map                      // by runKey, whether runs that the back end broke off by itself sent something useful
 }
 
 // recordedWrite is a change that an operator or a back end wrote. Later runs must respect it.
