Gateway: a call that was being sent when its attempt panicked counts as run

What callers saw: by the test of the review, a call that may run once ran twice after a panic while its answer was read. Cause: the reach of an attempt that panics was not set, so the call was taken for not sent. Change: an attempt that panics after its last check before the first byte has run. Result: TestCallThatMayRunOnceIsNotRepeatedAfterAPanic failed before (2 runs) and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,6 +107,9 @@
 func (a *attempt) run() {
 	err := errAttemptPanicked
 	defer func() {
+		if errors.Is(err, errAttemptPanicked) && a.sending.Load() {
+			a.outcome = reachRun
+		}
 		if err != nil {
 			a.f.reports <- report{attempt: a, kind: reportFailed, err: err}
 		}
