Gateway: silence counts once, and another endpoint is sought until one is found

Cause: (1) an open attempt that has not sent yet was not counted as a possible run; (2) a timer that was due fired again after each comment; (3) another endpoint was sought once a silence. Change: open attempts count for max-attempts and the retry budget; a silence is recorded once; while all endpoints that are asked are silent, another one is sought every 250 ms, and a server error is held back for 500 ms at most. A panic while a report is dealt with no longer leaves its attempt waiting.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -56,6 +56,7 @@
 	ranking      ranking // of which attempts use what newRanking sets
 	attempts     []*attempt
 	open         openAttempts
+	silence      silence
 
 	reports chan report // of the attempts
 	running conc.WaitGroup
@@ -102,9 +103,14 @@
 	f.g.retryBudget(f.service).Deposit()
 	_, _ = f.ask() // answerFailure tells the caller why it was sent nowhere
 	for len(f.open) > 0 {
-		if r := <-f.reports; f.handle(r) {
-			f.logAnswered(r.attempt)
-			return
+		select {
+		case r := <-f.reports:
+			if f.handle(r) {
+				f.logAnswered(r.attempt)
+				return
+			}
+		case <-f.silence.recheck:
+			f.recheckSilence()
 		}
 	}
 	f.returnUnusedTrial()
@@ -115,8 +121,12 @@
 func (f *forwarder) handle(r report) (answered bool) {
 	a := r.attempt
 	a.ended = a.ended || r.isLast()
+	delivered := false
+	if r.hasContent() {
+		defer func() { a.next <- delivered }() // also after a panic, such as the one that aborts the caller's connection
+	}
 	if !f.open.has(a.id) || r.kind == reportSilent && !a.stall.isDue() {
-		return f.settle(r, false)
+		return false
 	}
 	kind := f.judge(r)
 	open, next := f.open.after(kind, a.id)
@@ -124,12 +134,14 @@
 	for _, id := range next.overtaken {
 		f.overtake(f.attempts[id], a)
 	}
-	answered = f.settle(r, next.deliver)
+	if next.deliver {
+		answered, delivered = f.deliver(r)
+	}
 	switch {
 	case next.ask && kind == reportSilent:
 		f.askBeside(a)
 	case next.ask:
-		_, _ = f.askAnother() // as for the first endpoint
+		f.askAfterFailure()
 	}
 	return answered
 }
@@ -154,24 +166,14 @@
 	return r.kind
 }
 
-// settle passes the content of the report on to the caller if it is to be delivered, and lets the attempt go on. It returns true when
-// the caller has its whole answer or has left.
-func (f *forwarder) settle(r report, deliver bool) (answered bool) {
-	if !r.hasContent() {
-		return false
-	}
-	delivered := false
-	defer func() { r.attempt.next <- delivered }() // also if the caller's connection is aborted
-	switch {
-	case !deliver:
-		return false
-	case r.kind == reportWhole:
+// deliver passes the content of the report on to the caller. The call is answered when the caller has its whole answer or has left.
+func (f *forwarder) deliver(r report) (answered, delivered bool) {
+	if r.kind == reportWhole {
 		f.deliverWhole(r.attempt)
-		delivered = true
-		return true
+		return true, true
 	}
 	delivered = f.deliverEvent(r.attempt, r)
-	return !delivered
+	return !delivered, delivered
 }
 
 // Reasons for which a call is sent to no further endpoint. Their texts stand in the log.
@@ -192,7 +194,7 @@
 		return nil, errCallOver
 	case !f.mayRunAgain():
 		return nil, errMaxRuns
-	case f.sendCount() == 0:
+	case f.sendCount() == 0 && len(f.open) == 0:
 		return f.ask()
 	}
 	budget := f.g.retryBudget(f.service)
@@ -251,7 +253,9 @@
 		for !a.ended {
 			r := <-f.reports
 			r.attempt.ended = r.attempt.ended || r.isLast()
-			f.settle(r, false)
+			if r.hasContent() {
+				r.attempt.next <- false
+			}
 		}
 	}
 	f.running.Wait()
@@ -343,9 +347,15 @@
 	return query
 }
 
-// mayRunAgain reports whether another endpoint may run the call after those that have run it or may have.
+// mayRunAgain reports whether another endpoint may run the call after those that have run it or may still. The latter include
+// endpoints to which an open attempt has not sent it yet.
 func (f *forwarder) mayRunAgain() bool {
-	runs := f.possibleRuns()
+	runs := 0
+	for _, a := range f.attempts {
+		if !a.ended || a.reach() == reachRun {
+			runs++
+		}
+	}
 	if runs > 0 && (f.trialOf != "" || f.route.Repeat != catalog.Idempotent) {
 		return false
 	}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -2,13 +2,28 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
+const (
+	// silenceRecheckInterval is the time after which another endpoint is sought again while all that are asked are silent.
+	silenceRecheckInterval = 250 * time.Millisecond
+	// fallbackHold is how long a server error of one endpoint is held back while another one is silent and may give a better answer.
+	fallbackHold = 500 * time.Millisecond
+)
+
+// silence is the state of a call while all endpoints that are asked are silent and no other one could be asked.
+type silence struct {
+	recheck     <-chan time.Time // nil while nothing is to be checked again
+	fallbackDue time.Time        // when the fallback answer is sent; zero without one
+}
+
 // recordSilence records that the attempt's endpoint is silent. If another endpoint may run the call, the silence counts as a failure
 // until the endpoint goes on.
 func (f *forwarder) recordSilence(a *attempt) {
+	a.stall.seen.Store(true)
 	if a.sentAt.Load() == 0 || f.possibleRuns() >= f.route.MaxAttempts {
 		return
 	}
@@ -33,6 +48,9 @@
 // left to its endpoint without a word in the log.
 func (f *forwarder) askBeside(silent *attempt) {
 	asked, err := f.askAnother()
+	if err != nil {
+		f.waitInSilence(err)
+	}
 	if errors.Is(err, errMaxRuns) {
 		return
 	}
@@ -46,6 +64,43 @@
 	entry.Str("asked", string(asked.endpoint.ID)).Msg("endpoint is silent, another one is asked")
 }
 
+// askAfterFailure asks another endpoint after one that gave no whole answer. Those that are still open are silent.
+func (f *forwarder) askAfterFailure() {
+	if _, err := f.askAnother(); err != nil && len(f.open) > 0 {
+		f.waitInSilence(err)
+	}
+}
+
+// waitInSilence has the search for another endpoint repeated after it ended with the error. An endpoint that is silent may be dead, and
+// another one may be available shortly, or a retry be allowed again.
+func (f *forwarder) waitInSilence(err error) {
+	if f.fallback != nil && f.silence.fallbackDue.IsZero() {
+		f.silence.fallbackDue = time.Now().Add(fallbackHold)
+	}
+	if f.fallback != nil || !errors.Is(err, errMaxRuns) {
+		f.silence.recheck = time.After(silenceRecheckInterval)
+	}
+}
+
+// recheckSilence asks another endpoint if all that are open are still silent. If none can be asked, a fallback answer that was held
+// back long enough is sent.
+func (f *forwarder) recheckSilence() {
+	f.silence.recheck = nil
+	if !f.open.allSilent() {
+		return
+	}
+	asked, err := f.askAnother()
+	switch {
+	case err == nil:
+		telemetry.EndpointSilent("other asked")
+		f.g.logger.Info().Str("request", string(f.call.ID)).Str("asked", string(asked.endpoint.ID)).Msg("endpoint is silent, another one is asked")
+	case f.fallback != nil && !time.Now().Before(f.silence.fallbackDue):
+		f.open = nil
+	default:
+		f.waitInSilence(err)
+	}
+}
+
 // overtake ends an attempt because another one has gone on.
 func (f *forwarder) overtake(loser, winner *attempt) {
 	outcome := "other took over"
--- a/internal/gateway/silence_faults_test.go
+++ b/internal/gateway/silence_faults_test.go
@@ -120,3 +120,42 @@
 		t.Error("one silence makes the endpoint one that fails a share of its requests")
 	}
 }
+
+// answersInTime sends a call that has 20 s to a first endpoint that is silent for good and a second one, and returns the status if the
+// answer comes long before that.
+func (fx *fixture) answersInTime(second serveFunc, meanwhile func()) int {
+	fx.t.Helper()
+	const enough = 8 * time.Second
+	changed := routes()
+	for _, route := range changed {
+		route["target-latency-ms"], route["timeout-ms"], route["max-attempts"] = 300, 20_000, 3
+	}
+	fx.publishConfiguration(changed, "key-1")
+	fx.waitFor("the configuration", func() bool { return fx.gateway.follower.View().Configuration.Version == int64(fx.configVersion) })
+	fx.startInOrder(untilClosed(0, make(signal), make(signal)), func(r *platformtest.Runner, w http.ResponseWriter, run platformtest.Run) {
+		second(r, w, run)
+		meanwhile()
+	})
+	began := time.Now()
+	got := fx.mustCall(pathIdempotent, func(r *http.Request) { r.Header.Set(platformtest.HeaderDeadline, "20000") })
+	if took := time.Since(began); took > enough {
+		fx.t.Errorf("the answer came after %v", took)
+	}
+	return got.status
+}
+
+func TestEndpointThatAppearsIsAskedWhileAnotherIsSilent(t *testing.T) {
+	fx := newFixture(t)
+	if status := fx.answersInTime((*platformtest.Runner).Reject, func() { go fx.startBackend("r3", "e") }); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
+
+func TestServerErrorIsNotHeldBackForASilentEndpoint(t *testing.T) {
+	fx := newFixture(t)
+	if status := fx.answersInTime(func(r *platformtest.Runner, w http.ResponseWriter, run platformtest.Run) {
+		r.Reply(w, run, http.StatusInternalServerError, "failed")
+	}, func() {}); status != http.StatusInternalServerError {
+		t.Errorf("status %d", status)
+	}
+}
--- a/internal/gateway/stall_timer.go
+++ b/internal/gateway/stall_timer.go
@@ -31,6 +31,7 @@
 	timer *time.Timer // nil if no other endpoint may run the call
 	due   atomic.Int64
 	left  time.Duration // until it is due, while it is paused
+	seen  atomic.Bool   // the silence was recorded; it is reported once
 }
 
 // start starts the timer of an attempt that another endpoint may take over.
@@ -64,11 +65,20 @@
 	s.left = max(0, time.Duration(s.due.Swap(neverDue))-bootclock.Now())
 }
 
-// resume restarts a paused timer with the time that is left.
-func (s *stallTimer) resume() { s.restart(s.left) }
+// resume restarts a paused timer with the time that is left, unless the silence was recorded.
+func (s *stallTimer) resume() {
+	if !s.seen.Load() {
+		s.run(s.left)
+	}
+}
 
-// restart restarts the timer with a new time.
+// restart restarts the timer with a new time, after progress.
 func (s *stallTimer) restart(timeout time.Duration) {
+	s.seen.Store(false)
+	s.run(timeout)
+}
+
+func (s *stallTimer) run(timeout time.Duration) {
 	if s.timer == nil {
 		return
 	}
