Graceful: a listener that is to be closed does not wait for callers that never stop connecting

What callers saw: by the review's test, with four callers that connect without a pause the listener of a stopping process was open after 6 s, so that its open requests would be cut with the grace period. Cause: after its bound the listener closed only after 10 ms without a connection. Class: a bound that can be put off without end. Change: half a second after the bound it closes whatever waits.

--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -18,6 +18,8 @@
 	// longestFinish is the time after which a listener that is to be closed is closed as soon as no connection waits, if
 	// callers never stop connecting.
 	longestFinish = time.Second
+	// longestLastLooks bounds the time after that in which connections that wait are accepted.
+	longestLastLooks = 500 * time.Millisecond
 	// lastLook is long enough for an accept that need not wait, with little of a processor.
 	lastLook = 10 * time.Millisecond
 )
@@ -53,6 +55,10 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		finishBy := l.finishBy.Load()
+		if finishBy != nil && time.Now().After(finishBy.Add(longestLastLooks)) {
+			_ = l.Close() // what waits is reset; the open requests need the rest of the grace period
+			return nil, http.ErrServerClosed
+		}
 		if finishBy != nil {
 			_ = l.SetDeadline(time.Now().Add(quietTimeAt(*finishBy))) // fails only on a closed listener, as does accepting
 		}
