Node: comparisons with hosts that may never have started have a schedule of their own

Cause: sent a digest to each peer that is known from the host list alone and counted it as the comparison that was due. Change: such peers are compared with at most as often as others are, apart from these. Result: TestHostThatNeverStartedDoesNotPutOffComparisonsWithOthers failed before; with TestGroupsOfHostsThatStartedTogetherFindOneAnother and the rest of internal/node it passes.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -26,12 +26,13 @@
 
 // exchangeSchedule is the schedule of exchanges with peers.
 type exchangeSchedule struct {
-	due          time.Duration
-	tokens       int // early exchanges that are allowed now
-	refillAt     time.Duration
-	earlyDue     time.Duration // time of the next early exchange; 0 if none is scheduled
-	syncDue      time.Duration
-	tablesDiffer bool // the table of a peer differed from this node's since the last full comparison
+	due           time.Duration
+	tokens        int // early exchanges that are allowed now
+	refillAt      time.Duration
+	earlyDue      time.Duration // time of the next early exchange; 0 if none is scheduled
+	syncDue       time.Duration
+	listedSyncDue time.Duration // the same for peers that are known from the host list alone
+	tablesDiffer  bool          // the table of a peer differed from this node's since the last full comparison
 }
 
 // indirectProbe is an indirect probe: other nodes are asked to contact a member that this node cannot reach.
@@ -172,17 +173,33 @@
 	s.sendExchange(host.ID, host.ControlAddress, message)
 }
 
-// sendExchange starts an exchange and attaches a digest of the table if a full comparison is due. It always compares tables with
-// a peer that it knows from the host list alone: no other peer may know what that one knows.
+// sendExchange starts an exchange and attaches a digest of the table if a full comparison is due.
 func (s *State) sendExchange(peer core.HostID, address string, message wire.Exchange) {
-	if s.exchange.tablesDiffer && s.now >= s.exchange.syncDue || s.table.Len() == 1 || s.isOnlyListed(peer) {
-		s.exchange.syncDue = s.now + s.nextSyncDelay()
-		s.exchange.tablesDiffer = false
+	if s.takeComparison(peer) {
 		message.Digest = s.table.Digest(s.random.Uint64())
 	}
 	s.perform(SendExchange{Peer: peer, Address: address, SentAt: s.now, Message: message})
 }
 
+// takeComparison reports whether a full comparison with the peer is due, and schedules the next one. Peers that are known from the
+// host list alone have a schedule of their own: no other peer may know what they know, but they may also never have started, and
+// must not put off the comparisons with others.
+func (s *State) takeComparison(peer core.HostID) bool {
+	if s.isOnlyListed(peer) {
+		due := s.now >= s.exchange.listedSyncDue
+		if due {
+			s.exchange.listedSyncDue = s.now + s.nextSyncDelay()
+		}
+		return due
+	}
+	due := s.exchange.tablesDiffer && s.now >= s.exchange.syncDue || s.table.Len() == 1
+	if due {
+		s.exchange.syncDue = s.now + s.nextSyncDelay()
+		s.exchange.tablesDiffer = false
+	}
+	return due
+}
+
 // isOnlyListed reports whether the host is listed but no record of its process has been received.
 func (s *State) isOnlyListed(id core.HostID) bool {
 	member := s.table.Member(id)
