Entry, agent: SIGHUP does not end the process

What callers saw: by the test, half of the requests under way were cut when the processes of one failure domain got SIGHUP. Cause: no handler; the default action ends a process. Change: the signal is ignored; the settings of these programs are read at the start only.

--- a/cmd/lovage-agent/main.go
+++ b/cmd/lovage-agent/main.go
@@ -21,6 +21,7 @@
 }
 
 func main() {
+	signal.Ignore(syscall.SIGHUP) // the settings are read at the start only
 	var args commandLine
 	kong.Parse(&args, kong.Name("lovage-agent"), kong.Description("Admits requests to the local back end, keeps their outcomes, fetches weights and gives the engine its orders."))
 	config, err := settings.LoadAgent(args.Settings)
--- a/cmd/lovage-entry/main.go
+++ b/cmd/lovage-entry/main.go
@@ -22,6 +22,7 @@
 }
 
 func main() {
+	signal.Ignore(syscall.SIGHUP) // the settings are read at the start only
 	var args commandLine
 	kong.Parse(&args, kong.Name("lovage-entry"), kong.Description("Takes callers' requests, picks an endpoint for each and passes the whole answer on."))
 	config, err := settings.LoadEntry(args.Settings)
--- a/systemtest/shutdown_test.go
+++ b/systemtest/shutdown_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/load"
 )
 
@@ -39,3 +40,16 @@
 		t.Errorf("the entry exited with code %d", code)
 	}
 }
+
+// The settings of entry and agent are read at the start only. The default action of SIGHUP ends a process with its open requests.
+func TestSIGHUPEndsNeitherEntryNorAgent(t *testing.T) {
+	c := newTwoDomainCluster(t)
+	c.awaitAnswers()
+	for _, id := range []core.HostID{"entry-a", "runner-a", "plain-a"} {
+		c.signal(id, syscall.SIGHUP)
+	}
+	report := load.Run(context.Background(), c.loadOptions(time.Second))
+	if report.Completed != report.Sent {
+		t.Errorf("not every answer was complete: %+v", report)
+	}
+}
