--- a/internal/sidecar/unanswered_order_test.go
+++ b/internal/sidecar/unanswered_order_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -158,6 +159,18 @@
 }
 
 func TestUnansweredOrderOfAStoppedSidecarDoesNotLoadAMixtureOfVersions(t *testing.T) {
+	acceptOrderOfPredecessor(t, testTimeout) // the order is accepted within it, however slow the machine is
+}
+
+// The engine accepts the order when the successor no longer expects it.
+func TestOrderOfAKilledSidecarThatIsAcceptedLateDoesNotLoadAMixtureOfVersions(t *testing.T) {
+	acceptOrderOfPredecessor(t, 0)
+}
+
+// acceptOrderOfPredecessor has the engine accept an order without an answer once the successor of the sidecar that gave it has staged a
+// chunk of the next version, or has left it unstaged.
+func acceptOrderOfPredecessor(t *testing.T, inheritedOrderTime time.Duration) {
+	t.Helper()
 	engine, origin, source := newDelayingEngine(), newPartialOrigin(3), &fakeSource{version: 2}
 	_, stopPredecessor := startSidecar(engine, origin, source, "127.0.0.1:9", &log.Logger{Level: log.PanicLevel}, func(*Sidecar) {})
 	t.Cleanup(stopPredecessor)
@@ -166,7 +179,7 @@
 	engine.setDelaying(false)
 	source.requestVersion(3)
 	successor, stopSuccessor := startSidecar(engine, origin, source, "127.0.0.1:9", &log.Logger{Level: log.PanicLevel}, func(s *Sidecar) {
-		s.inheritedOrderTime = testTimeout // the order is accepted within it, however slow the machine is
+		s.inheritedOrderTime = inheritedOrderTime
 	})
 	t.Cleanup(stopSuccessor)
 	waitUntilStagedOrSettled(t, successor, engine, origin, 3)
--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -11,10 +11,10 @@
 # name | check that must report it | files | sed script
 mutants='
 repeats-lost-outcomes|at most once:|internal/gateway/forwarder.go|s/f.trialOf != "" \|\| f.route.Repeat != catalog.Idempotent/f.trialOf != ""/
-refuses-what-ran|true refusals:|internal/gateway/forwarder.go|s/^\tcase f.certainlyNotRun:$/\tcase true:/
-delivers-halves|whole answers:|internal/gateway/buffered.go|s/^\tbody, err := io.ReadAll\(io.LimitReader\(answer, maxBufferedBytes\)\)$/\tbody, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes)); err = nil/
+refuses-what-ran|true refusals:|internal/gateway/failure.go|s/^\tcase f.possibleRuns\(\) == 0:$/\tcase true:/
+delivers-halves|whole answers:|internal/gateway/attempt.go|s/a.body, err = io.ReadAll\(io.LimitReader\(answer, maxBufferedBytes\)\)$/&; err = nil/
 accepts-cut-events|streams:|internal/gateway/events.go|s/if len\(bytes.Trim\(data, lineBreaks\)\) == 0 \{/if true {/
-resumes-from-the-start|streams:|internal/gateway/send.go|s/send.ResumeAfter = f.stream.lastEventID/send.ResumeAfter = ""/
+resumes-from-the-start|streams:|internal/gateway/send.go|s/send.ResumeAfter = a.resumeAfter/send.ResumeAfter = ""/
 loads-unread|verified weights:|internal/sidecar/staging.go|s/if err != nil \|\| weights.Sum\(raw\) != digest/& \&\& len(raw) == 0/
 forgets-open-orders|verified weights:|internal/sidecar/order.go|s/return o != nil \&\& !o.report.differs\(report\)/return false/
 trusts-old-keys|revoked keys:|internal/gateway/freshness.go|s/case !ages.operators.within\(l.revocation\) \|\| !ages.answer.within\(l.configuration\):/case false:/
