--- a/internal/gateway/early_end_test.go
+++ b/internal/gateway/early_end_test.go
@@ -11,7 +11,7 @@
 	"github.com/lovageglade/lovageglade/platform/platformtest"
 )
 
-// silent lets the given time pass in a handler of a sound endpoint.
+// silent lets the given time pass in the handler of an endpoint that goes on afterwards.
 func silent(length time.Duration) { <-time.After(length) }
 
 // firstServesOthersRefuse makes the endpoint that gets the first request serve it and all others refuse.
--- a/systemtest/soak/lost_test.go
+++ b/systemtest/soak/lost_test.go
@@ -49,7 +49,7 @@
 	return last, !broken
 }
 
-// checkLostAnswers checks that no request ends without a complete answer that a sound endpoint had begun to process, or that a
+// checkLostAnswers checks that no request ends without a complete answer that a healthy endpoint had begun to process, or that a
 // gateway had time to read and no endpoint received.
 func (s *system) checkLostAnswers(requests map[string]*request, runs map[string][]backendRun) {
 	for id, r := range requests {
