--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -33,6 +33,9 @@
 	weights platformtest.Weights
 	server  *http.Server
 
+	listenAddress string
+	pieceTime     time.Duration // to read or to write a staged piece
+
 	mu sync.Mutex
 	// afterReport is called after a report that follows a read of all staged pieces, and onOrder when an order arrives; either may
 	// be nil.
@@ -50,11 +53,16 @@
 }
 
 func (s *system) newEngine(i int, weights platformtest.Weights) *engine {
-	e := &engine{s: s, name: fmt.Sprintf("i-m%d", i), ip: s.sideIP(i), zone: zones[i%len(zones)], weights: weights, born: time.Now().UnixMilli(), version: 1, staged: make(map[int][]byte), spoiltAt: make(map[int]time.Time)}
+	return s.newEngineAt(i, weights, fmt.Sprintf("%s:%d", s.sideIP(i), runnerPort), 0)
+}
+
+// newEngineAt starts an engine that takes pieceTime to read or write a staged piece. It listens at the address, of which its registered address may be a proxy.
+func (s *system) newEngineAt(i int, weights platformtest.Weights, listenAddress string, pieceTime time.Duration) *engine {
+	e := &engine{listenAddress: listenAddress, pieceTime: pieceTime, s: s, name: fmt.Sprintf("i-m%d", i), ip: s.sideIP(i), zone: zones[i%len(zones)], weights: weights, born: time.Now().UnixMilli(), version: 1, staged: make(map[int][]byte), spoiltAt: make(map[int]time.Time)}
 	for num := range weights.Chunks {
 		e.staged[num] = weights.Chunk(1, num)
 	}
-	listener, err := net.Listen("tcp", e.address())
+	listener, err := net.Listen("tcp", listenAddress)
 	if err != nil {
 		panic(err)
 	}
@@ -135,6 +143,7 @@
 func (e *engine) serveStaged(w http.ResponseWriter, request *http.Request) {
 	num, err := strconv.Atoi(request.FormValue("num"))
 	raw, readErr := io.ReadAll(request.Body)
+	time.Sleep(e.pieceTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
--- a/review/stand/frozen_order.go
+++ b/review/stand/frozen_order.go
@@ -22,7 +22,7 @@
 	// spoiltPiece turns bad while the machine stands still: one piece of 48.
 	spoiltPiece = 7
 	bumpEvery   = 8500 * time.Millisecond
-	bumps       = 11
+	bumps       = 10
 )
 
 // freezer freezes one machine at a time, when its process has verified the staged weights and has not yet sent the order.
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -25,9 +25,6 @@
 const (
 	eventTokens   = 5                     // tokens in an event of a stream
 	eventInterval = 45 * time.Millisecond // five steps of 8.87 ms
-	plainBytes    = 800
-	plainSlots    = 6
-	plainWork     = 30 * time.Millisecond
 )
 
 // runnerMain serves as a runner until the process ends. It writes what it does to standard output, a line of JSON each.
@@ -35,7 +32,7 @@
 	flags := flag.NewFlagSet("runner", flag.ExitOnError)
 	address := flags.String("address", "", "IP:port")
 	id := flags.String("id", "", "id of the incarnation")
-	model := flags.String("model", "", "name of the model; empty for a plain service")
+	model := flags.String("model", "", "name of the model")
 	born := flags.Int64("born", 0, "Unix millisecond of the start")
 	_ = flags.Parse(arguments)
 	r := &runnerServer{id: *id, model: *model, born: *born, out: json.NewEncoder(os.Stdout)}
@@ -61,7 +58,7 @@
 	Attempt  string
 	What     string // begin, event, end
 	Event    int    `json:",omitempty"` // number of the event that was sent
-	Total    int    `json:",omitempty"` // events, or bytes of a plain answer
+	Total    int    `json:",omitempty"` // events of the whole stream
 	Unframed bool   `json:",omitempty"`
 }
 
@@ -108,12 +105,8 @@
 	}
 	running := r.active.Add(1)
 	defer r.active.Add(-1)
-	limit := int64(slots)
-	if r.model == "" {
-		limit = plainSlots
-	}
-	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", min(running, limit), limit))
-	if running > limit {
+	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", min(running, slots), slots))
+	if running > slots {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -123,10 +116,6 @@
 	if unframed {
 		w.Header().Set("Transfer-Encoding", "identity") // net/http then marks the end by the end of the connection
 	}
-	if r.model == "" {
-		r.runPlain(w, attempt, unframed)
-		return
-	}
 	r.runStream(w, request, attempt, unframed)
 }
 
@@ -164,20 +153,6 @@
 	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("t", 50))
 }
 
-// runPlain sends a body in two parts, with its work between them.
-func (r *runnerServer) runPlain(w http.ResponseWriter, attempt string, unframed bool) {
-	r.report(runLine{Attempt: attempt, What: "begin", Total: plainBytes, Unframed: unframed})
-	body := strings.Repeat("p", plainBytes)
-	if !unframed {
-		w.Header().Set("Content-Length", strconv.Itoa(plainBytes))
-	}
-	_, _ = io.WriteString(w, body[:plainBytes/2])
-	w.(http.Flusher).Flush()
-	time.Sleep(plainWork)
-	_, _ = io.WriteString(w, body[plainBytes/2:])
-	r.report(runLine{Attempt: attempt, What: "end", Total: plainBytes, Unframed: unframed})
-}
-
 // runner is a runner's process as the platform sees it.
 type runner struct {
 	s                              *system
@@ -203,13 +178,6 @@
 
 func (r *runner) id() string { return fmt.Sprintf("i-%s-%d", r.name, r.number) }
 
-func (r *runner) slots() int {
-	if r.model == "" {
-		return plainSlots
-	}
-	return slots
-}
-
 // start starts the runner as a new incarnation.
 func (r *runner) start() {
 	r.mu.Lock()
@@ -257,11 +225,7 @@
 }
 
 func (r *runner) register(id string) {
-	document := map[string]any{"service": r.service, "address": r.address(), "zone": r.zone, "version": "v1", "slots": r.slots(), "state": "ready", "cold-left-ms": 0, "seq": 0, "born": r.born}
-	if r.model != "" {
-		document["models"] = []map[string]any{{"name": r.model, "version": 1, "adapters": []string{}}}
-		document["stage"] = "mixed"
-	}
+	document := map[string]any{"service": r.service, "address": r.address(), "zone": r.zone, "version": "v1", "slots": slots, "state": "ready", "cold-left-ms": 0, "seq": 0, "born": r.born, "stage": "mixed", "models": []map[string]any{{"name": r.model, "version": 1, "adapters": []string{}}}}
 	raw, err := json.Marshal(document)
 	if err != nil {
 		panic(err)
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -109,7 +109,9 @@
 
 func (s *system) gatewayIP(i int) string { return fmt.Sprintf("%s.%d", s.prefix, 10+i) }
 func (s *system) sideIP(i int) string    { return fmt.Sprintf("%s.%d", s.prefix, 50+i) }
-func (s *system) plainIP(i int) string   { return fmt.Sprintf("%s.%d", s.prefix, 150+i) }
+
+// hiddenIP returns the address at which a runner listens whose registered address is a proxy.
+func (s *system) hiddenIP(i int) string { return fmt.Sprintf("%s.%d", s.prefix, 150+i) }
 
 // place returns the settings that gateways and sidecars share, as the templates of the deploy file have them.
 func (s *system) place(name, ip, zone string) map[string]any {
@@ -228,7 +230,6 @@
 			"size-mb": 266000.0, "step_ms": 8.87, "per_seq_ms": 0.0388, "context_per_k": 0.0227, "read_per_s": 19100.0, "pairs_per_m": 1.47, "chunk": 2048, "report_lag_ms": 200.0,
 			"usual": map[string]any{"prompt": 977, "answer": 94}, "layers": 16, "layer_mb": 4540.0, "chunks": weights.Chunks, "chunk-bytes": weights.ChunkBytes,
 		}},
-		{"name": "ledger", "health-path": "/healthz", "max-conns": 49, "cold-start-s": 0.0, "cold-per-s": 0.0},
 	}
 	if origin != "" {
 		services = append(services, map[string]any{"name": "weights", "origin": origin, "zone": "ie-a", "link-mbps": 15.0, "max-conns": 48})
@@ -254,8 +255,3 @@
 func streamRoute() map[string]any {
 	return map[string]any{"name": "r-stream", "host": host, "prefix": "/stream/", "route-kind": "stream", "timeout-ms": 6000, "target-latency-ms": 500, "target-gap-ms": 400, "priority": 1, "service": "models", "max-attempts": 2, "public": false, "sticky": true, "resumable": true, "allowed-regions": []string{}}
 }
-
-// plainRoute is a route to the plain service.
-func plainRoute(kind string) map[string]any {
-	return map[string]any{"name": "r-" + kind, "host": host, "prefix": "/" + kind + "/", "route-kind": kind, "timeout-ms": 1500, "target-latency-ms": 150, "priority": 2, "service": "ledger", "max-attempts": map[string]int{"safe": 2, "unsafe": 1}[kind], "public": false, "allowed-regions": []string{}}
-}
