--- a/review/stand/proxy.go
+++ b/review/stand/proxy.go
@@ -82,40 +82,93 @@
 	go onCut()
 }
 
+// segment is what was read at once, and when the network delivers it.
+type segment struct {
+	data []byte
+	at   time.Time
+	end  bool // the sender closed the connection in order
+}
+
+// serve forwards a connection. One whose sender gave up before its first packet could arrive never came about.
 func (p *cutProxy) serve(client net.Conn) {
 	defer client.Close()
-	time.Sleep(time.Until(p.delivery(firstSYNRetry)))
+	reset := make(chan struct{})
+	fromClient, ended := p.read(client, reset, true)
+	if established := p.delivery(firstSYNRetry); time.Now().Before(established) {
+		select {
+		case <-time.After(time.Until(established)):
+		case <-ended:
+			return
+		case <-reset:
+			return
+		}
+	}
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
 	}
 	defer server.Close()
-	go p.copy(client, server, false)
-	p.copy(server, client, true)
+	serverReset := make(chan struct{})
+	fromServer, _ := p.read(server, serverReset, false)
+	go forward(client, fromServer, serverReset)
+	forward(server, fromClient, reset)
 }
 
-// copy forwards what arrives, when the network would deliver it. A reset discards what is held up.
-func (p *cutProxy) copy(to, from net.Conn, toRunner bool) {
-	buffer := make([]byte, 64<<10)
-	for {
-		n, err := from.Read(buffer)
-		if n > 0 {
-			if toRunner {
+// read reads the connection to its end and sends what it gets with its time of delivery. It closes ended at an orderly end, and reset
+// if the sender resets the connection.
+func (p *cutProxy) read(from net.Conn, reset chan struct{}, toRunner bool) (segments chan segment, ended chan struct{}) {
+	segments, ended = make(chan segment, 10_000), make(chan struct{})
+	go func() {
+		for {
+			buffer := make([]byte, 64<<10)
+			n, err := from.Read(buffer)
+			if n > 0 && toRunner {
 				p.begin(buffer[:n])
 			}
-			time.Sleep(time.Until(p.delivery(firstRetransmission)))
-			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+			if n > 0 {
+				segments <- segment{data: buffer[:n], at: p.delivery(firstRetransmission)}
+			}
+			if err == io.EOF {
+				segments <- segment{end: true, at: p.delivery(firstRetransmission)}
+				close(ended)
+				return
+			}
+			if err != nil {
+				close(reset)
 				return
 			}
 		}
-		if err == io.EOF {
+	}()
+	return segments, ended
+}
+
+// forward delivers the segments in order, each at its time. A reset discards what is not delivered yet.
+func forward(to net.Conn, segments <-chan segment, reset <-chan struct{}) {
+	for {
+		var next segment
+		select {
+		case next = <-segments:
+		case <-reset:
+			discard(to)
+			return
+		}
+		select {
+		case <-time.After(time.Until(next.at)):
+		case <-reset:
+			discard(to)
+			return
+		}
+		if next.end {
 			_ = to.(*net.TCPConn).CloseWrite()
 			return
 		}
-		if err != nil {
-			_ = to.(*net.TCPConn).SetLinger(0)
-			_ = to.Close()
+		if _, err := to.Write(next.data); err != nil {
 			return
 		}
 	}
 }
+
+func discard(to net.Conn) {
+	_ = to.(*net.TCPConn).SetLinger(0)
+	_ = to.Close()
+}
