--- a/internal/stream/client_test.go
+++ b/internal/stream/client_test.go
@@ -71,3 +71,28 @@
 		}
 	}
 }
+
+// A back end that ends its connection within the head of a response has given none.
+func TestResponseThatEndsWithinItsHeadIsAnError(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 0\r\n", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + framing + "\r\n"
+		for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"} {
+			for length := 1; length < len(head); length++ {
+				for _, reset := range []bool{false, true} {
+					client := NewClient(testTimeout, 1)
+					arrived := make(chan struct{})
+					close(arrived)
+					address := serveOnce(t, interim+head[:length], reset, arrived)
+					response, err := client.Do(Request{Method: "GET", URL: "http://" + address + "/", NewConn: true})
+					if err != nil {
+						continue
+					}
+					if body, err := io.ReadAll(response); err == nil {
+						t.Errorf("%d bytes of the head %q, reset %v: status %d, body %q", length, interim+head, reset, response.Status, body)
+					}
+					response.Close()
+				}
+			}
+		}
+	}
+}
--- a/systemtest/soak/process_test.go
+++ b/systemtest/soak/process_test.go
@@ -20,6 +20,7 @@
 	binary       string
 	settingsFile string
 	log          *os.File
+	address      string // at which it takes requests; "" if clients do not use it
 
 	mu          sync.Mutex
 	command     *exec.Cmd
--- a/systemtest/soak/system_test.go
+++ b/systemtest/soak/system_test.go
@@ -304,17 +304,20 @@
 }
 
 // saveLogs copies the logs of a failed soak to a folder that remains after the test.
-func (s *system) saveLogs() {
-	if !s.t.Failed() {
+func (s *system) saveLogs() { keepLogs(s.t, s.folder, s.t.Failed()) }
+
+// keepLogs copies the folder to one that remains after the test, if keep is true.
+func keepLogs(t testing.TB, folder string, keep bool) {
+	if !keep {
 		return
 	}
 	saved, err := os.MkdirTemp("", "lovage-soak")
 	if err != nil {
-		s.t.Log(err)
+		t.Log(err)
 		return
 	}
-	if err := os.CopyFS(filepath.Join(saved, "logs"), os.DirFS(s.folder)); err != nil {
-		s.t.Log(err)
+	if err := os.CopyFS(filepath.Join(saved, "logs"), os.DirFS(folder)); err != nil {
+		t.Log(err)
 	}
-	s.t.Logf("logs are in %s", saved)
+	t.Logf("logs are in %s", saved)
 }
