sidecar: correct forecasts of first events by what the engine did

Cause: near the deadline of the served version, a request is admitted by the forecast of its first event with half a second to spare. The forecast rests on the published costs and the slowdown that the engine states; what the engine had done was not used.

Evidence: TestRequestsAreNotAdmittedByForecastsThatTheEngineMisses failed before (the request was admitted) and passes now.

Why this fix works: requests that wait longer than forecast, now or in the last five seconds, add their delay or factor to the forecast that is compared with the deadline. So the admission stops earlier the slower the engine is.

--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -92,7 +92,7 @@
 		return
 	}
 	defer prompt.Finish()
-	if !s.beginsBeforeDeadline(estimate) {
+	if !s.beginsBeforeDeadline(s.forecastErrors.Worst(estimate, now)) {
 		ticket.ReleaseUnmeasured()
 		s.refuse(w, c, refusedVersionChange, nil)
 		return
@@ -153,7 +153,8 @@
 	ticket         *admission.Ticket
 	rank           int // noRank if it is unknown
 	prompt         *admission.Prompt
-	estimate       time.Duration    // estimated time to the first event
+	estimate       time.Duration // estimated time to the first event
+	forecast       *admission.Forecast
 	answerBegun    bool             // the first part of the answer has arrived
 	cleared        bool             // the parts of its prompt are recorded as not crashing the engine
 	firstByteAfter time.Duration    // time from arrival to the first part of the answer
@@ -188,11 +189,11 @@
 	return version > 0 && version >= minVersion && (serveDeadline == 0 || int64(bootclock.Now()) < serveDeadline)
 }
 
-// beginsBeforeDeadline reports whether a request whose first event is expected after the estimate begins before the deadline of the
-// served version, with serveMargin to spare.
-func (s *Sidecar) beginsBeforeDeadline(estimate time.Duration) bool {
+// beginsBeforeDeadline reports whether a request whose first event comes after the given time at the latest begins before the deadline
+// of the served version, with serveMargin to spare.
+func (s *Sidecar) beginsBeforeDeadline(after time.Duration) bool {
 	serveDeadline := s.serveDeadline.Load()
-	return serveDeadline == 0 || int64(bootclock.Now()+estimate) < serveDeadline
+	return serveDeadline == 0 || int64(bootclock.Now()+after) < serveDeadline
 }
 
 // serveTimeLeft returns the time left to serve the version; 0 if it is not being replaced.
@@ -229,6 +230,8 @@
 		timeout -= time.Since(arrived)
 	}
 	a.sentAt, a.engineStart = bootclock.Now(), s.engineStart.Load()
+	a.forecast = s.forecastErrors.Begin(a.estimate, a.sentAt)
+	defer func() { a.forecast.End(bootclock.Now()) }()
 	answer, err := s.pool.Send(r.Context(), &dispatch.Request{
 		Address:      s.settings.EngineAddress,
 		Method:       c.Method,
@@ -349,6 +352,7 @@
 		return
 	}
 	a.answerBegun = true
+	a.forecast.End(bootclock.Now())
 	a.prompt.RecordFirstEvent()
 	a.ticket.RecordFirstEvent()
 	a.firstByteAfter = time.Since(a.arrived)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -57,7 +57,8 @@
 	gate           *admission.Gate
 	prompts        admission.PrefillTracker
 	speed          engineSpeed
-	invalidLoad    sync.Once // logs the first invalid load report
+	forecastErrors admission.ForecastErrors // of first events
+	invalidLoad    sync.Once                // logs the first invalid load report
 	coldRate       admission.ColdRateLimiter
 	withdrawal     withdrawal
 	registryLeaves atomic.Bool // the registry lists the engine as draining
