sidecar: take requests back that have not begun by the bound of their version

Cause: a request that was admitted early, before any first event was late, stays at the engine whatever happens. A forecast cannot know that the engine falls behind later. Nothing ended the wait at the bound.

Only requests that may run more than once are taken back; the gateway says which. One that must not run again would end with an unknown outcome, and is left to the engine; forecasts alone guard the bound for it.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -85,6 +85,9 @@
 		header.Set(wire.HeaderMinVersion, strconv.FormatInt(a.query.MinVersion, 10))
 	}
 	a.setRankHeaders(header)
+	if a.f.route.Repeat == catalog.Idempotent || a.f.route.Resumable {
+		header.Set(wire.HeaderRepeatable, "1")
+	}
 	if a.trial {
 		header.Set(wire.HeaderTrial, "1")
 	}
--- a/internal/sidecar/ranked.go
+++ b/internal/sidecar/ranked.go
@@ -21,7 +21,7 @@
 
 // removeRequestHeaders removes what the gateway states about the request to the sidecar alone.
 func removeRequestHeaders(header http.Header) {
-	for _, name := range []string{wire.HeaderFirstEvent, wire.HeaderMinVersion, wire.HeaderTrial, wire.HeaderRank, wire.HeaderAim, wire.HeaderReturned} {
+	for _, name := range []string{wire.HeaderFirstEvent, wire.HeaderMinVersion, wire.HeaderTrial, wire.HeaderRank, wire.HeaderAim, wire.HeaderReturned, wire.HeaderRepeatable} {
 		header.Del(name)
 	}
 }
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -82,6 +84,7 @@
 	if ticket.Waited > noticeableWait {
 		bound = 0 // the forecast that let it wait has held; to refuse it now would waste the wait
 	}
+	repeatable := r.Header.Get(wire.HeaderRepeatable) != ""
 	removeRequestHeaders(c.Forward)
 	s.updateSlowdown()
 	now := bootclock.Now()
@@ -110,7 +113,7 @@
 	telemetry.RankedAdmitted(request.Demand.Rank, ticket.Waited > noticeableWait)
 	complete := false
 	defer func() { ticket.Release(complete) }()
-	a := &admittedCall{call: c, parts: parts, arrived: arrived, ticket: ticket, rank: request.Demand.Rank, prompt: prompt, estimate: estimate, running: s.gate.Load().Running, version: s.servingVersion.Load(), minVersion: minVersionOf(r), versionLeft: s.serveTimeLeft()}
+	a := &admittedCall{call: c, parts: parts, arrived: arrived, ticket: ticket, rank: request.Demand.Rank, prompt: prompt, estimate: estimate, running: s.gate.Load().Running, version: s.servingVersion.Load(), repeatable: repeatable, minVersion: minVersionOf(r), versionLeft: s.serveTimeLeft()}
 	defer s.logAdmitted(a)
 	complete = s.forward(w, r, a)
 }
@@ -161,6 +164,7 @@
 	running        int              // requests at the engine on admission, including this one
 	version        int64            // version of the weights
 	minVersion     int64            // that the gateway requires; 0 for any
+	repeatable     bool             // it may run more than once
 	answerVersion  int64            // that the engine states in its answer; 0 without one
 	versionLeft    time.Duration    // time left on admission to serve the version; 0 if it is not being replaced
 	framing        dispatch.Framing // of the engine's answer; "" without an answer
@@ -232,7 +236,13 @@
 	a.sentAt, a.engineStart = bootclock.Now(), s.engineStart.Load()
 	a.forecast = s.forecastErrors.Begin(a.estimate, a.sentAt)
 	defer func() { a.forecast.End(bootclock.Now()) }()
-	answer, err := s.pool.Send(r.Context(), &dispatch.Request{
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	begun := func() {}
+	if a.repeatable {
+		begun = s.unbegun.add(a, cancel)
+	}
+	answer, err := s.pool.Send(ctx, &dispatch.Request{
 		Address:      s.settings.EngineAddress,
 		Method:       c.Method,
 		Target:       c.Target,
@@ -244,6 +254,14 @@
 		Unidentified: func(header http.Header) bool { return s.codec.DecodeResponse(0, header).ID == "" },
 		Check:        func() error { return s.checkSend(a) },
 	})
+	begun()
+	if cause := context.Cause(ctx); errors.Is(cause, errNotBegun) {
+		if answer != nil {
+			answer.Close()
+		}
+		s.refuse(w, c, refusedVersionChange, cause)
+		return false
+	}
 	if dispatch.NotSent(err) {
 		s.refuse(w, c, reasonNotSent(err), err)
 		return true
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -79,6 +79,7 @@
 	viewUpdated    chan struct{}
 	orders         orderGate
 	open           graceful.OpenRequests
+	unbegun        unbegunCalls
 	graceExpired   atomic.Bool // open connections are being closed
 
 	inheritedOrderTime time.Duration // the constant of that name, except in tests
--- a/internal/sidecar/updater.go
+++ b/internal/sidecar/updater.go
@@ -129,7 +129,7 @@
 	u.setRequestTimes(view.Rollouts[model])
 	deadline, replaced := view.Rollouts[model].Deadline(loaded, s.settings.VersionRolloutMs.Duration())
 	pastServeDeadline := replaced && bootclock.Now() > deadline-serveMargin
-	s.serveDeadline.Store(serveDeadline(deadline, replaced))
+	s.setServeDeadline(serveDeadline(deadline, replaced))
 	var proofErr error
 	if reportErr == nil {
 		proofErr = u.proveLoad(ctx, view, report)
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -40,6 +40,8 @@
 	HeaderAim = "Lovage-Aim-Ms"
 	// HeaderReturned is set to "1" on a request that was refused before and has come back.
 	HeaderReturned = "Lovage-Returned"
+	// HeaderRepeatable is set to "1" on a request that may run more than once.
+	HeaderRepeatable = "Lovage-Repeatable"
 	// HeaderForecast is set by a sidecar on refusals for lack of room to the time until a request of the same rank would begin,
 	// in milliseconds.
 	HeaderForecast = "Lovage-Forecast-Ms"
