gateway: callers cannot mark requests as repeatable

Found when reading the diff: headers of callers are passed on, so a caller could send Lovage-Repeatable on a route whose requests run once. The sidecar would take such a request back near a version's bound, though it may have run, and another engine would run it again.

The header is removed from what callers send, as that of trials is. TestCallerCannotMakeARequestRepeatable failed before (the back end received "1") and passes now.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -159,7 +159,8 @@
 		send.ResumeAfter = a.resumeAfter
 	}
 	header := f.g.codec.Encode(f.call, send)
-	header.Del(wire.HeaderTrial) // a caller's
+	header.Del(wire.HeaderTrial)      // a caller's
+	header.Del(wire.HeaderRepeatable) // likewise
 	removeRankHeaders(header)
 	return &dispatch.Request{
 		Address:      a.endpoint.Address,
