Soak: a refused hold-off counts from the refusal, and only if it was received

Trace: gateway 2 sent c8-9 to plain-1, which was silent, and 49.682 s to plain-0, which was silent as well. Its attempt there ended at 50.016 when plain-1 went on ("attempt overtaken"). plain-0 refused c8-9 only when its silence ended, at 50.467, on a connection that was closed; the check counted the refusal from the arrival at 49.682. The gateway's first line "endpoint wants no requests" is of 50.467, and no request was sent there after it.

The check now counts the two seconds from the moment of the refusal, as the gateway can, and leaves out refusals whose gateway had left. The bound of two requests and the half second for those under way are the same.

--- a/systemtest/soak/withdrawal_test.go
+++ b/systemtest/soak/withdrawal_test.go
@@ -23,7 +23,14 @@
 type withdrawalLog struct {
 	mu           sync.Mutex
 	leavingSince time.Time
-	refused      []platformtest.Run
+	refused      []refusedRun
+}
+
+// refusedRun is a request that a back end refused. A silent back end refuses it later than it arrived.
+type refusedRun struct {
+	platformtest.Run
+	refusedAt time.Time
+	received  bool // the gateway had not left by then
 }
 
 func (l *withdrawalLog) setLeaving(at time.Time) {
@@ -32,10 +39,17 @@
 	l.leavingSince = at
 }
 
+// addRefused records a request that is refused now.
 func (l *withdrawalLog) addRefused(run platformtest.Run) {
+	refused := refusedRun{Run: run, refusedAt: time.Now(), received: true}
+	select {
+	case <-run.Done:
+		refused.received = false
+	default:
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refused = append(l.refused, run)
+	l.refused = append(l.refused, refused)
 }
 
 // leavePlainBackend replaces a plain back end that says only in its answers that it is leaving.
@@ -118,17 +132,17 @@
 	}
 	for _, refusal := range b.withdrawals.refused {
 		r := requests[refusal.ID]
-		if r == nil || r.status == 0 {
+		if r == nil || r.status == 0 || !refusal.received {
 			continue // the gateway may not have received the refusal
 		}
-		from, until := refusal.StartedAt.Add(holdOffNotice), refusal.StartedAt.Add(holdOffTime)
+		from, until := refusal.refusedAt.Add(holdOffNotice), refusal.refusedAt.Add(holdOffTime)
 		count := 0
 		for _, at := range arrivals[r.gateway] {
 			if at.After(from) && at.Before(until) {
 				count++
 			}
 		}
-		if count > maxHeldOffRequests && s.disruptions.undisturbedBetween(s.gateways[r.gateway].name, refusal.StartedAt, until) {
+		if count > maxHeldOffRequests && s.disruptions.undisturbedBetween(s.gateways[r.gateway].name, refusal.refusedAt, until) {
 			s.t.Errorf("held off: %d requests reached %s by gateway %d although it refused %s for %v", count, b.ID, r.gateway, refusal.ID, holdOffTime)
 		}
 	}
