knownred: a listed subtest no longer needs its parent in the list

A listed test covers its subtests.

A parent now counts as known red only if it wrote nothing itself and all its failed subtests are listed, so the parent's line is gone. New cases of TestReport: a listed subtest with its parent, an unlisted one beside it, a parent that fails by itself, too, a parent alone.

--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -115,7 +115,7 @@
 		r.knownFailures = append(r.knownFailures, name)
 		return
 	}
-	if e.Test == "" && r.causedByTests(e.Package) {
+	if e.Test == "" && r.causedByTests(e.Package) || e.Test != "" && r.causedBySubtests(name) {
 		return
 	}
 	r.failed = append(r.failed, name)
@@ -132,6 +132,19 @@
 	return false
 }
 
+// causedBySubtests reports whether the failure of a test follows from those of listed subtests alone: the test itself has written
+// nothing, and no other subtest has failed.
+func (r *report) causedBySubtests(name string) bool {
+	isSubtest := func(other string) bool { return strings.HasPrefix(other, name+"/") }
+	if !slices.ContainsFunc(r.knownFailures, isSubtest) || slices.ContainsFunc(r.failed, isSubtest) {
+		return false
+	}
+	return !slices.ContainsFunc(r.output[name], func(line string) bool {
+		line = strings.TrimSpace(line)
+		return line != "" && !strings.HasPrefix(line, "=== ") && !strings.HasPrefix(line, "--- FAIL")
+	})
+}
+
 // causedByTests reports whether the failure of a package follows from test failures that are already counted. After a
 // panic it returns false, because a panic keeps the other tests of the package from running.
 func (r *report) causedByTests(pkg string) bool {
