sidecar: tests of late first events have a limit for their calls

The test is not known: the dump was lost with the package's output. The calls of the new tests had no limit; they have one now, so that a hang there would name its test.

--- a/internal/sidecar/late_first_event_test.go
+++ b/internal/sidecar/late_first_event_test.go
@@ -51,7 +51,7 @@
 			return ""
 		}
 		request.Header.Set("X-Attempt-Id", id)
-		answer, err := http.DefaultClient.Do(request)
+		answer, err := (&http.Client{Timeout: testTimeout}).Do(request)
 		if err != nil {
 			t.Error(err)
 			return ""
--- a/internal/sidecar/unbegun_test.go
+++ b/internal/sidecar/unbegun_test.go
@@ -50,7 +50,7 @@
 		if repeatable {
 			request.Header.Set(wire.HeaderRepeatable, "1")
 		}
-		answer, err := http.DefaultClient.Do(request)
+		answer, err := (&http.Client{Timeout: testTimeout}).Do(request)
 		if err != nil {
 			t.Fatal(err)
 		}
