--- a/internal/sidecar/late_first_event_test.go
+++ b/internal/sidecar/late_first_event_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovageglade/lovageglade/internal/settings"
 	"github.com/lovageglade/lovageglade/internal/wire"
+	"github.com/lovageglade/lovageglade/platform/platformtest"
 )
 
 // An engine that is slower than it states begins requests later than forecast, also after the bound of the version by which they were
@@ -28,7 +29,7 @@
 		if count.Add(1) == 1 {
 			<-done
 		}
-		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set(platformtest.HeaderAttempt, r.Header.Get(platformtest.HeaderAttempt))
 		w.WriteHeader(http.StatusOK)
 	}))
 	t.Cleanup(server.Close)
@@ -50,7 +51,7 @@
 			t.Error(err)
 			return ""
 		}
-		request.Header.Set("X-Attempt-Id", id)
+		request.Header.Set(platformtest.HeaderAttempt, id)
 		answer, err := (&http.Client{Timeout: testTimeout}).Do(request)
 		if err != nil {
 			t.Error(err)
--- a/internal/sidecar/unbegun_test.go
+++ b/internal/sidecar/unbegun_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/lovageglade/lovageglade/internal/settings"
 	"github.com/lovageglade/lovageglade/internal/wire"
+	"github.com/lovageglade/lovageglade/platform/platformtest"
 )
 
 // An engine falls behind after a request was admitted, and would begin it on an old version after its bound. A request that may run again
@@ -26,7 +27,7 @@
 			case <-r.Context().Done():
 				left <- time.Now()
 			case <-timer.C:
-				w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+				w.Header().Set(platformtest.HeaderAttempt, r.Header.Get(platformtest.HeaderAttempt))
 				w.WriteHeader(http.StatusOK)
 			}
 		}))
@@ -46,7 +47,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		request.Header.Set("X-Attempt-Id", "slow")
+		request.Header.Set(platformtest.HeaderAttempt, "slow")
 		if repeatable {
 			request.Header.Set(wire.HeaderRepeatable, "1")
 		}
