--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -9,6 +9,7 @@
 
 // Place identifies the process and its location, and holds the settings that gateways and sidecars share.
 type Place struct {
+	Resources
 	Host          core.HostID                        `json:"host" validate:"required"`
 	FailureDomain core.FailureDomain                 `json:"failure_domain" validate:"required"`
 	Region        core.Region                        `json:"region" validate:"required"`
