Bound the connections and heads that callers hold (gateway, sidecar)

Callers saw: a gateway that a crowd sends heads of many short or odd lines, or that many connections reach, ends for want of memory or descriptors; its own connections fail with theirs.

Cause: the servers accepted connections without a limit; a head costs some 150 bytes a line parsed and again for each copy, and nothing bounded the sum; the configuration's limits of heads and idle times were decoded and not used.

Change: package ingress accounts for each connection (a third of the descriptors at a gateway, half at a sidecar) and for heads as parsed (a quarter of the memory). Beyond that, the incomplete request that holds most is refused, or the connection without a whole request for longest closed. The limits and times of the configuration are in force.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,7 +33,12 @@
 	Check    bool   `help:"Check the settings, print what is wrong, and exit."`
 }
 
-const exitFailed = 1
+const (
+	exitFailed = 1
+	// collectorShare of the memory is what the garbage collector tries to keep within, by running more often. The rest is for what it
+	// does not count.
+	collectorShare = 0.75
+)
 
 // Main runs the program until SIGTERM or SIGINT. It exits with status 1 if the program fails.
 func Main[T any](program Program[T]) {
@@ -59,6 +64,9 @@
 	if host.GCPercent > 0 {
 		debug.SetGCPercent(host.GCPercent)
 	}
+	if host.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(host.MemoryBytes())))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	logger, closeLog := telemetry.NewRateLimitedLogger(host.LogLevel, host.Host)
--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/ingress"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
@@ -48,13 +49,18 @@
 			status, known = mapped, true
 		}
 	}
+	var refusal *ingress.Refusal
+	if errors.As(err, &refusal) {
+		status, known = refusal.Status, true
+		w.Header().Set("Connection", "close") // the rest of the request is not read
+	}
 	if !known {
 		g.logger.Error().Err(err).Msg("request failed with an error of unknown kind")
 	}
 	entry := g.logger.Info().Str("outcome", fault.Kind(err)).Int("status", status).Str("cause", err.Error())
 	if status == http.StatusServiceUnavailable {
 		after := f.retryAfter()
-		if errors.Is(err, errStopsBefore) {
+		if errors.Is(err, errStopsBefore) || refusal != nil && refusal.RetryAfter == 0 {
 			after = 0
 		}
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lovageglade/lovageglade/internal/bootclock"
+	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/placement"
@@ -81,15 +82,18 @@
 	return f
 }
 
-// timeout returns how long the call may take: the route's timeout (or defaultTimeout if it sets none), or the caller's
+// timeout returns how long the call may take.
+func (f *forwarder) timeout() time.Duration { return timeoutOf(f.route, f.call) }
+
+// timeoutOf returns how long a call of the route may take: the route's timeout (or defaultTimeout if it sets none), or the caller's
 // timeout less replyMargin if that is shorter.
-func (f *forwarder) timeout() time.Duration {
+func timeoutOf(route *catalog.Route, c *call.Call) time.Duration {
 	timeout := defaultTimeout
-	if f.route.Timeout > 0 {
-		timeout = f.route.Timeout
+	if route.Timeout > 0 {
+		timeout = route.Timeout
 	}
-	if f.call.Timeout > 0 {
-		timeout = min(timeout, f.call.Timeout-replyMargin)
+	if c.Timeout > 0 {
+		timeout = min(timeout, c.Timeout-replyMargin)
 	}
 	return timeout
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,11 +23,13 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/follow"
 	"github.com/lovageglade/lovageglade/internal/graceful"
+	"github.com/lovageglade/lovageglade/internal/ingress"
 	"github.com/lovageglade/lovageglade/internal/placement"
 	"github.com/lovageglade/lovageglade/internal/quarantine"
 	"github.com/lovageglade/lovageglade/internal/retry"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
+	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/where"
 )
 
@@ -51,6 +53,7 @@
 	draining          atomic.Bool
 	graceExpired      atomic.Bool // open connections are being closed
 	open              graceful.OpenRequests
+	guard             *ingress.Guard              // of the callers' connections
 	stop              atomic.Pointer[plannedStop] // nil until the gateway is told to stop
 	invalidLoads      sync.Map                    // services of which an invalid load report has been logged
 	requiredVersions  sync.Map                    // by model: the newest version of which logRequiredVersion has told
@@ -64,7 +67,7 @@
 func New(config settings.Gateway, codec call.Codec, follower *follow.Follower, logger *log.Logger) *Gateway {
 	ledger := quarantine.NewLedger(config.Host, bootclock.Now)
 	ledger.OnVerdict = quarantine.LogVerdicts(logger)
-	return &Gateway{
+	g := &Gateway{
 		quarantine:   ledger,
 		spreader:     quarantine.NewSpreader(ledger, config.ControlAddress, config.Delegates, logger),
 		crashes:      newCrashDetectors(ledger, logger),
@@ -80,6 +83,8 @@
 		start:        bootclock.Now(),
 		retryBudgets: make(map[core.Service]*retry.Budget),
 	}
+	g.guard = g.newGuard()
+	return g
 }
 
 // now returns the time since the gateway's start, including time in which the machine was suspended.
@@ -109,6 +114,9 @@
 	readiness := g.readyServer()
 	tasks.Go(func() { g.logServeEnd(readiness.Serve(ready), ready) })
 	server := graceful.NewServer(g.frontServer(), front)
+	server.Limit(g.guard)
+	telemetry.PublishHeld(g.guard.Held)
+	tasks.Go(func() { g.guard.Run(runCtx.Done()) })
 	tasks.Go(func() { g.logServeEnd(server.Serve(), front) })
 	g.logger.Info().Str("front", g.settings.FrontAddress).Msg("gateway started")
 	<-ctx.Done()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -10,6 +10,7 @@
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/ingress"
 )
 
 // serveCall handles one request from a caller.
@@ -40,14 +41,19 @@
 	route     *catalog.Route
 	workspace *catalog.Workspace // nil on a public route without a key
 	service   core.Service       // set by newForwarder
+	conn      *ingress.Conn      // on which it arrived; nil without limits
 	end       func()             // removes the call from the open requests
 }
 
 // accept reads the call and checks it against the current configuration. The result is never nil. Beside an error it holds
 // the fields that were set before the failure.
 func (g *Gateway) accept(r *http.Request) (*acceptedCall, error) {
-	a := &acceptedCall{view: g.follower.View(), end: func() {}}
-	var err error
+	arrived := time.Now()
+	a := &acceptedCall{view: g.follower.View(), conn: ingress.FromContext(r.Context()), end: func() {}}
+	err := a.conn.HeadRead(r.Header)
+	if err != nil {
+		return a, err
+	}
 	if a.call, err = g.codec.Decode(r); err != nil {
 		return a, err
 	}
@@ -55,8 +61,7 @@
 	if err = g.resolve(a); err != nil {
 		return a, err
 	}
-	a.call.Body, err = readBody(r, a.view.Configuration.Limits.BodyBytes)
-	return a, err
+	return a, a.readBody(r, arrived)
 }
 
 // resolve sets the route and the workspace of the call, and returns an error if the configuration does not allow the call.
@@ -100,31 +105,38 @@
 	return fault.New(kind, message, remedy)
 }
 
-// readBody reads the whole body, so that it can be sent again to another endpoint. A limit of 0 or less means no limit.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the whole body, so that it can be sent again to another endpoint.
+func (a *acceptedCall) readBody(r *http.Request, arrived time.Time) error {
+	caller := string(a.call.Workspace)
+	if err := a.conn.Attribute(caller, arrived.Add(timeoutOf(a.route, a.call))); err != nil {
+		return err
+	}
+	limit := a.view.Configuration.Limits.BodyBytes
 	if r.ContentLength > limit && limit > 0 {
-		return nil, errTooLarge()
+		return errTooLarge()
 	}
 	source := r.Body
 	if limit > 0 {
 		source = http.MaxBytesReader(nil, r.Body, limit)
 	}
-	var body []byte
 	var err error
 	if r.ContentLength >= 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(source, body)
+		a.call.Body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(source, a.call.Body)
 	} else {
-		body, err = io.ReadAll(source)
+		a.call.Body, err = io.ReadAll(source)
 	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return nil, errTooLarge()
+		return errTooLarge()
+	}
+	if refusal := a.conn.Refused(); refusal != nil {
+		return refusal
 	}
 	if err != nil {
-		return nil, fault.Wrap(err, fault.BadRequest, "the body cannot be read completely", "send the whole body in a valid encoding")
+		return fault.Wrap(err, fault.BadRequest, "the body cannot be read completely", "send the whole body in a valid encoding")
 	}
-	return body, nil
+	return a.conn.Arrived()
 }
 
 func errTooLarge() error {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -7,30 +7,43 @@
 
 	"github.com/lovageglade/lovageglade/internal/bootclock"
 	"github.com/lovageglade/lovageglade/internal/graceful"
+	"github.com/lovageglade/lovageglade/internal/ingress"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 )
 
 const (
 	readyTimeout = time.Second // the load balancer checks once a second
-	// The limits of the HTTP server. They also apply before a configuration is known, and they are wider than the
-	// configured limits, so that callers within their limits never reach these.
-	defaultHeaderTimeout = 5 * time.Second
-	defaultIdleTimeout   = 60 * time.Second
-	maxHeaderBytes       = 64 << 10
+	// maxHeaderBytes is the limit of the HTTP server. The guard limits heads by the configuration in force.
+	maxHeaderBytes = 1 << 20
 	// balancerNoticeTime is how long the load balancer takes to notice that the gateway drains: two failed checks, one
 	// second apart.
 	balancerNoticeTime = 2500 * time.Millisecond
+	// lateBodyTime is how much longer the bodies of requests may take that have begun to arrive by then. Callers send the others
+	// elsewhere.
+	lateBodyTime = time.Second
 	// exitMargin is the part of the grace period that is reserved for the process to exit by itself.
 	exitMargin = 500 * time.Millisecond
 )
 
+// newGuard returns the guard of the callers' connections, with the limits of the configuration in force.
+func (g *Gateway) newGuard() *ingress.Guard {
+	options := ingress.CallerShares.Of(g.settings.Resources)
+	options.Limits = func() ingress.Limits {
+		view := g.follower.View()
+		if view.Index == nil {
+			return ingress.Limits{}
+		}
+		limits := view.Configuration.Limits
+		return ingress.Limits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
+	}
+	return ingress.NewGuard(options)
+}
+
 // frontServer returns the server for callers. It uses net/http, since fasthttp does not tell a handler that its caller has
 // disconnected.
 func (g *Gateway) frontServer() *http.Server {
 	return &http.Server{
 		Handler:                      http.HandlerFunc(g.serveCall),
-		ReadHeaderTimeout:            defaultHeaderTimeout,
-		IdleTimeout:                  defaultIdleTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     telemetry.NewHTTPErrorLog(g.logger),
@@ -72,6 +85,7 @@
 	startedAt, timeToEnd := time.Now(), g.settings.GraceMs.Duration()-exitMargin
 	g.stop.Store(&plannedStop{lateFrom: bootclock.Now() + lateRequestTime, end: bootclock.Now() + timeToEnd})
 	g.draining.Store(true)
+	g.guard.Stop(startedAt.Add(balancerNoticeTime + lateBodyTime))
 	g.logger.Info().Msg("gateway draining")
 	time.Sleep(balancerNoticeTime)
 	ctx, stop := context.WithDeadline(context.Background(), startedAt.Add(timeToEnd))
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -5,17 +5,26 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
+
+	"github.com/lovageglade/lovageglade/internal/ingress"
 )
 
+// refusalWriteTimeout bounds the time for a refusal to be passed to the system, which has room for it unless answers are left unread.
+const refusalWriteTimeout = 100 * time.Millisecond
+
 // conn is a connection that tells whether a request has arrived.
 type conn struct {
 	*net.TCPConn
-	raw syscall.RawConn
+	raw     syscall.RawConn
+	account *ingress.Conn // nil without limits
 
 	mu       sync.Mutex // held during a read, so that bytes are either unread or known to be read
 	received bool       // bytes were read since the connection became idle
 	reading  bool       // the server waits for bytes, so it has used all that it has read
 	closing  bool       // nothing more is read
+	cut      bool       // reads fail
+	refused  bool       // the request has its answer, and nothing more is written
 }
 
 func newConn(tcp *net.TCPConn) (*conn, error) {
@@ -23,8 +32,69 @@
 	return &conn{TCPConn: tcp, raw: raw}, err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails if the request that is being read is refused.
 func (c *conn) Read(buffer []byte) (int, error) {
+	n, err := c.read(buffer)
+	refusal := c.account.Received(buffer[:n])
+	if refusal != nil {
+		return 0, c.refuse(refusal)
+	}
+	return n, err
+}
+
+// refuse answers a request that no handler knows of with the refusal. It returns the error of the read.
+func (c *conn) refuse(refusal *ingress.Refusal) error {
+	if c.account.AwaitsHead() {
+		_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // fails only on a closed connection, as does the write
+		_, _ = c.TCPConn.Write(refusal.Answer())
+		c.mu.Lock()
+		c.refused = true
+		c.mu.Unlock()
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: refusal}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(data []byte) (int, error) {
+	c.mu.Lock()
+	refused := c.refused
+	c.mu.Unlock()
+	if refused {
+		return 0, net.ErrClosed
+	}
+	return c.TCPConn.Write(data)
+}
+
+// Interrupt implements ingress.Socket.
+func (c *conn) Interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = true
+	_ = c.TCPConn.SetReadDeadline(time.Now()) // fails only on a closed connection
+}
+
+// SetReadDeadline implements net.Conn. It leaves an interrupted connection as it is.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
+// CloseIdle implements ingress.Socket.
+func (c *conn) CloseIdle() bool { return c.closeIfIdle() }
+
+func (c *conn) read(buffer []byte) (int, error) {
 	if len(buffer) == 0 {
 		return 0, nil
 	}
@@ -64,6 +134,7 @@
 
 // becomeIdle records that the last request has been answered.
 func (c *conn) becomeIdle() {
+	c.account.Idle()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received = false
--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lovageglade/lovageglade/internal/ingress"
 )
 
 const (
@@ -27,6 +29,7 @@
 // listener is a listener that can be closed without resetting the connections that wait to be accepted.
 type listener struct {
 	*net.TCPListener
+	guard    *ingress.Guard            // nil without limits
 	finishBy atomic.Pointer[time.Time] // nil until the listener is to be closed
 	closing  sync.Once
 }
@@ -65,7 +68,9 @@
 		tcp, err := l.AcceptTCP()
 		switch {
 		case err == nil:
-			return newConn(tcp)
+			if c, err := l.admit(tcp); c != nil || err != nil {
+				return c, err
+			}
 		case finishBy != nil:
 			_ = l.Close() // fails only if it is closed
 			return nil, http.ErrServerClosed
@@ -75,6 +80,19 @@
 	}
 }
 
+// admit returns the connection, or nil if there is no room for it and it was closed.
+func (l *listener) admit(tcp *net.TCPConn) (net.Conn, error) {
+	c, err := newConn(tcp)
+	if err != nil || l.guard == nil {
+		return c, err
+	}
+	if c.account = l.guard.Accept(c); c.account == nil {
+		_ = tcp.Close() // nothing was read, so nothing has run
+		return nil, nil
+	}
+	return c, nil
+}
+
 // quietTimeAt returns how long no connection may arrive before the listener is closed. After finishBy it only lets the
 // connections be accepted that wait already.
 func quietTimeAt(finishBy time.Time) time.Duration {
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lovageglade/lovageglade/internal/ingress"
 )
 
 const (
@@ -44,10 +46,16 @@
 	since time.Time
 }
 
-// NewServer returns a server that has not started. It sets the server's ConnState.
+// NewServer returns a server that has not started. It sets the server's ConnState and ConnContext.
 func NewServer(server *http.Server, tcp *net.TCPListener) *Server {
 	s := newServer(server, tcp)
 	server.ConnState = s.recordState
+	server.ConnContext = func(ctx context.Context, netConn net.Conn) context.Context {
+		if c, ok := netConn.(*conn); ok && c.account != nil {
+			return ingress.WithConn(ctx, c.account)
+		}
+		return ctx
+	}
 	return s
 }
 
@@ -55,6 +63,9 @@
 	return &Server{server: server, listener: newListener(tcp), served: make(chan struct{}), conns: make(map[*conn]connState)}
 }
 
+// Limit makes the guard account for the connections. It must be called before Serve.
+func (s *Server) Limit(guard *ingress.Guard) { s.listener.guard = guard }
+
 // Serve serves until Shutdown or Close. Its error is that of http.Server.Serve.
 func (s *Server) Serve() error {
 	s.serving.Store(true)
@@ -104,6 +115,7 @@
 	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(s.conns, c)
+		c.account.Closed()
 		return
 	}
 	if state == http.StateIdle {
--- /dev/null
+++ b/internal/ingress/shares.go
@@ -0,0 +1,23 @@
+package ingress
+
+import "github.com/lovageglade/lovageglade/internal/settings"
+
+// Shares are the parts of a process's resources that its clients may use. The rest is for the process itself.
+type Shares struct {
+	Memory      float64
+	Connections float64 // of the descriptors
+}
+
+// CallerShares are those of a process whose clients send requests that each need further connections to serve.
+var CallerShares = Shares{Memory: 1.0 / 4, Connections: 1.0 / 3}
+
+// RelayShares are those of a process that serves all requests by few connections.
+var RelayShares = Shares{Memory: 1.0 / 4, Connections: 1.0 / 2}
+
+// Of returns options with the shares of the resources.
+func (s Shares) Of(resources settings.Resources) Options {
+	return Options{
+		Memory:      int64(s.Memory * float64(resources.MemoryBytes())),
+		Connections: int(s.Connections * float64(resources.Descriptors())),
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,9 +101,3 @@
 	err := load(path, &addresses, anyRole)
 	return addresses, err
 }
-
-// Resources are what a process may use of its machine.
-type Resources struct {
-	MemoryMB       int `json:"memory_mb" validate:"gte=0"`       // in units of 1,000,000 bytes; 0 for the machine's memory
-	MaxDescriptors int `json:"max_descriptors" validate:"gte=0"` // open files and sockets; 0 for the process's limit
-}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -13,6 +13,7 @@
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
+	"github.com/lovageglade/lovageglade/internal/ingress"
 	"github.com/lovageglade/lovageglade/internal/quarantine"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/wire"
@@ -53,10 +54,11 @@
 	c, err := s.codec.DecodeForwarded(r)
 	if err == nil {
 		defer s.open.Add(string(c.ID))()
-		c.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		err = s.readCall(r, c)
 	}
 	if err != nil {
-		s.refuse(w, c, refusedBadRequest, err)
+		w.Header().Set("Connection", "close") // the rest of the request is not read
+		s.refuse(w, c, reasonUnread(err), err)
 		return
 	}
 	parts := quarantine.PartsOf(c)
@@ -118,6 +120,31 @@
 	complete = s.forward(w, r, a)
 }
 
+// readCall reads the rest of the call.
+func (s *Sidecar) readCall(r *http.Request, c *call.Call) error {
+	conn := ingress.FromContext(r.Context())
+	err := conn.HeadRead(r.Header)
+	if err == nil {
+		err = conn.Attribute("", time.Now().Add(timeoutOf(c)))
+	}
+	if err == nil {
+		c.Body, err = io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+	}
+	if err == nil {
+		err = conn.Arrived()
+	}
+	return err
+}
+
+// reasonUnread returns the reason of the refusal of a request that was not read to its end.
+func reasonUnread(err error) string {
+	var refusal *ingress.Refusal
+	if errors.As(err, &refusal) {
+		return refusedNoCapacity
+	}
+	return refusedBadRequest
+}
+
 // closedReason returns the reason of a refusal while the engine takes no requests like this one, and otherwise "".
 func (s *Sidecar) closedReason(r *http.Request, c *call.Call) string {
 	if reason := s.withdrawnReason(); reason != "" {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -26,6 +26,7 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/follow"
 	"github.com/lovageglade/lovageglade/internal/graceful"
+	"github.com/lovageglade/lovageglade/internal/ingress"
 	"github.com/lovageglade/lovageglade/internal/quarantine"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
@@ -37,10 +38,11 @@
 )
 
 const (
-	headerTimeout    = 5 * time.Second  // for a gateway to send its request header
 	idleTimeout      = 30 * time.Second // longer than gateways keep an idle connection
+	gatewayHeadBytes = 16 << 10         // that gateways add to a caller's head, at most
 	exitMargin       = 500 * time.Millisecond
-	chunkStoreBytes  = 32 << 20 // memory for chunks; fits several versions of a model
+	lateBodyTime     = time.Second // from the signal to stop, for bodies that have begun to arrive by then
+	chunkStoreBytes  = 32 << 20    // memory for chunks; fits several versions of a model
 	bitsPerByte      = 8
 	bytesPerMbit     = 1_000_000 / bitsPerByte
 	weightsLinkShare = 0.95 // of the link; requests and control messages need little bandwidth
@@ -79,6 +81,7 @@
 	viewUpdated    chan struct{}
 	orders         orderGate
 	open           graceful.OpenRequests
+	guard          *ingress.Guard // of the gateways' connections
 	unbegun        unbegunCalls
 	graceExpired   atomic.Bool // open connections are being closed
 
@@ -106,6 +109,7 @@
 
 		inheritedOrderTime: inheritedOrderTime,
 	}
+	s.guard = s.newGuard()
 	s.distributor = distribution.New(distribution.Options{
 		Self:          s.hostOf(config.Address, config.FailureDomain, config.Region),
 		Store:         s.store,
@@ -220,6 +224,8 @@
 	app := fiber.New()
 	app.Get(wire.PathChunks+":digest", s.distributor.HandleChunk)
 	server := graceful.NewServer(s.relayServer(), relay)
+	server.Limit(s.guard)
+	telemetry.PublishHeld(s.guard.Held)
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var tasks conc.WaitGroup
@@ -227,6 +233,7 @@
 	tasks.Go(func() { s.distributor.Run(runCtx) })
 	tasks.Go(func() { s.runUpdater(runCtx) })
 	tasks.Go(func() { s.spreader.Run(runCtx) })
+	tasks.Go(func() { s.guard.Run(runCtx.Done()) })
 	tasks.Go(func() {
 		s.logListenerEnd("chunks", app.Listener(chunks, fiber.ListenConfig{DisableStartupMessage: true}))
 	})
@@ -246,13 +253,24 @@
 	return nil
 }
 
+// newGuard returns the guard of the gateways' connections.
+func (s *Sidecar) newGuard() *ingress.Guard {
+	options := ingress.RelayShares.Of(s.settings.Resources)
+	options.Limits = func() ingress.Limits {
+		limits := ingress.Limits{HeadBytes: ingress.DefaultHeadBytes, IdleTimeout: idleTimeout}
+		if view := s.follower.View(); view.Index != nil {
+			limits.HeadBytes = max(limits.HeadBytes, view.Configuration.Limits.HeaderBytes+gatewayHeadBytes)
+		}
+		return limits
+	}
+	return ingress.NewGuard(options)
+}
+
 // relayServer returns the server for gateways.
 func (s *Sidecar) relayServer() *http.Server {
 	return &http.Server{
-		Handler:           http.HandlerFunc(s.serveRelay),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          telemetry.NewHTTPErrorLog(s.logger),
+		Handler:  http.HandlerFunc(s.serveRelay),
+		ErrorLog: telemetry.NewHTTPErrorLog(s.logger),
 	}
 }
 
@@ -275,6 +293,7 @@
 // that have reached the listener, within the grace period.
 func (s *Sidecar) drain(server *graceful.Server) {
 	s.orders.stop()
+	s.guard.Stop(time.Now().Add(lateBodyTime))
 	s.logger.Info().Msg("sidecar draining")
 	ctx, stop := context.WithTimeout(context.Background(), s.settings.GraceMs.Duration()-exitMargin)
 	defer stop()
