gateway: bodies count against the memory for callers

Callers saw: a gateway that many large bodies reach, most of which stop short of their end, ends for want of memory.

Cause: readBody read each body whole, without a bound over all callers and without a time limit; io.ReadAll copied what grew, and a stated length was allocated before a byte had come.

Change: a body gets room as it arrives, from the memory for all callers, by its deadline or its route's. The incomplete request that holds most is refused with 503 if there is none left; a workspace has at most half.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -111,34 +110,16 @@
 	if err := a.conn.Attribute(caller, arrived.Add(timeoutOf(a.route, a.call))); err != nil {
 		return err
 	}
-	limit := a.view.Configuration.Limits.BodyBytes
-	if r.ContentLength > limit && limit > 0 {
-		return errTooLarge()
-	}
-	source := r.Body
-	if limit > 0 {
-		source = http.MaxBytesReader(nil, r.Body, limit)
-	}
 	var err error
-	if r.ContentLength >= 0 {
-		a.call.Body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(source, a.call.Body)
-	} else {
-		a.call.Body, err = io.ReadAll(source)
-	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return errTooLarge()
-	}
-	if refusal := a.conn.Refused(); refusal != nil {
+	a.call.Body, err = a.conn.ReadBody(r.Body, r.ContentLength, a.view.Configuration.Limits.BodyBytes)
+	var refusal *ingress.Refusal
+	switch {
+	case errors.Is(err, ingress.ErrBodyTooLong):
+		return fault.New(fault.TooLarge, "the body is longer than the configuration allows", "send a shorter body")
+	case errors.As(err, &refusal):
 		return refusal
-	}
-	if err != nil {
+	case err != nil:
 		return fault.Wrap(err, fault.BadRequest, "the body cannot be read completely", "send the whole body in a valid encoding")
 	}
 	return a.conn.Arrived()
 }
-
-func errTooLarge() error {
-	return fault.New(fault.TooLarge, "the body is longer than the configuration allows", "send a shorter body")
-}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -101,7 +101,8 @@
 		c.scanner = headScanner{}
 	}
 	var cost int64
-	if c.phase == phaseHead {
+	switch {
+	case c.phase == phaseHead && !c.guard.options.ReadsBodies:
 		cost = c.scanner.scan(data)
 		if c.scanner.bytes > c.guard.limits().HeadBytes+headSlack {
 			c.refuse(errHeadTooLong)
@@ -110,6 +111,9 @@
 		if c.scanner.ended {
 			c.enter(phaseBody)
 		}
+	case c.guard.options.ReadsBodies && c.phase != phaseRunning:
+		c.phase = phaseBody // heads are limited by the server's buffer
+		cost = bodyCopies * int64(len(data))
 	}
 	if cost == 0 {
 		return nil, nil
@@ -136,7 +140,7 @@
 func (c *Conn) AwaitsHead() bool {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	return c.phase == phaseIdle || c.phase == phaseHead
+	return c.phase == phaseIdle || c.phase == phaseHead || c.phase == phaseBody && c.guard.options.ReadsBodies
 }
 
 // HeadRead records that a handler has got the request with the header. It may have been read together with the request before it.
@@ -205,6 +209,28 @@
 	return nil
 }
 
+// reserveBody lets the connection hold more, or less, for a body.
+func (c *Conn) reserveBody(bytes int64) error {
+	if c == nil {
+		return nil
+	}
+	c.guard.mu.Lock()
+	if c.refusal != nil {
+		c.guard.mu.Unlock()
+		return c.refusal
+	}
+	refused, ok := c.guard.reserve(c, bytes)
+	if !ok {
+		c.refuse(errNoRoom)
+	}
+	c.guard.mu.Unlock()
+	interrupt(refused)
+	if !ok {
+		return errNoRoom
+	}
+	return nil
+}
+
 // Idle records that the request has been answered, and releases what it held.
 func (c *Conn) Idle() {
 	if c == nil {
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -14,6 +14,7 @@
 type Options struct {
 	Memory      int64         // bytes that all connections may hold together
 	Connections int           // that may be open
+	ReadsBodies bool          // the server reads a whole body before it calls the handler, and does not call ReadBody
 	Limits      func() Limits // in force; nil for the defaults
 }
 
