sidecar: bodies count against the memory for gateways

Gateways saw: a sidecar that many of them send large bodies ends for want of memory, and its engine is bypassed.

Cause: the relay read up to 8 MB a request before admission, for any number of requests.

Change: as at the gateway; the refusal is that for want of room, so that a gateway asks another sidecar.

--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -128,7 +128,7 @@
 		err = conn.Attribute("", time.Now().Add(timeoutOf(c)))
 	}
 	if err == nil {
-		c.Body, err = io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+		c.Body, err = conn.ReadBody(r.Body, r.ContentLength, maxBodyBytes)
 	}
 	if err == nil {
 		err = conn.Arrived()
