dispatch: a pool bounds its idle connections to all addresses together

Callers would see requests fail for want of descriptors: up to 32 idle connections an address were kept, for any number of addresses (156 engines of the large deployment: 4,992 beside 4,100 descriptors).

Change: at most a quarter of the descriptors; a connection beyond that is closed after its exchange.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -34,11 +34,18 @@
 	idleDeadline time.Time // the server may close it after this time
 }
 
+// IdleShare is the share of a process's descriptors that a pool may hold idle.
+const IdleShare = 1.0 / 4
+
 // Pool holds idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	// MaxIdle bounds the idle connections to all addresses together; 0 for no bound. It is not changed while the pool is used.
+	MaxIdle int
+
+	mu        sync.Mutex
+	idle      map[string][]*conn
+	idleCount int
 }
 
 // NewPool returns a pool without connections.
@@ -56,6 +63,7 @@
 		}
 		delete(p.idle, address)
 	}
+	p.idleCount = 0
 }
 
 // getConn returns an idle connection to the request's address that is still usable. It dials a new one if there is none or the
@@ -129,6 +137,7 @@
 	}
 	last := list[len(list)-1]
 	p.idle[address] = list[:len(list)-1]
+	p.idleCount--
 	return last
 }
 
@@ -148,8 +157,15 @@
 	if len(list) >= maxIdlePerAddress {
 		_ = list[0].Close()
 		list = list[1:]
+		p.idleCount--
+	}
+	if p.MaxIdle > 0 && p.idleCount >= p.MaxIdle {
+		_ = c.Close()
+		p.idle[address] = list
+		return
 	}
 	p.idle[address] = append(list, c)
+	p.idleCount++
 }
 
 // CloseIdle closes the idle connections to an address, for an endpoint that is gone.
@@ -159,6 +175,7 @@
 	for _, c := range p.idle[address] {
 		_ = c.Close()
 	}
+	p.idleCount -= len(p.idle[address])
 	delete(p.idle, address)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 		start:        bootclock.Now(),
 		retryBudgets: make(map[core.Service]*retry.Budget),
 	}
+	g.pool.MaxIdle = int(dispatch.IdleShare * float64(config.Descriptors()))
 	g.guard = g.newGuard()
 	return g
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -109,6 +109,7 @@
 
 		inheritedOrderTime: inheritedOrderTime,
 	}
+	s.pool.MaxIdle = int(dispatch.IdleShare * float64(config.Descriptors()))
 	s.guard = s.newGuard()
 	s.distributor = distribution.New(distribution.Options{
 		Self:          s.hostOf(config.Address, config.FailureDomain, config.Region),
