entry, agent: bound the connections, heads and bodies that clients hold

Callers saw: an entry or an agent that many large bodies or connections reach ends for want of memory or descriptors.

Cause: fasthttp read each body whole before the handler, by the length that is stated (a chunk of 32 MB was allocated at once), without a time limit, on any number of connections.

Change: bodies are streamed and read by graceful.ReadBody as the guard of package ingress allows; entries and agents account for connections and heads as gateways do.

--- a/cmd/lovage-agent/main.go
+++ b/cmd/lovage-agent/main.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/lovageglade/lovageglade/internal/agent"
+	"github.com/lovageglade/lovageglade/internal/daemon"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/settings"
 )
@@ -30,6 +31,7 @@
 		fmt.Println("the settings are sound")
 		return
 	}
+	daemon.LimitMemory(config.Resources)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	exitOnError(agent.New(config).Run(ctx))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/lovageglade/lovageglade/internal/backend"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/graceful"
+	"github.com/lovageglade/lovageglade/internal/ingress"
 	"github.com/lovageglade/lovageglade/internal/node"
 	"github.com/lovageglade/lovageglade/internal/platform"
 	"github.com/lovageglade/lovageglade/internal/rpc"
@@ -85,8 +86,14 @@
 	server := rpc.Serve(control, a.methods())
 	defer server.Close()
 	front := graceful.NewFiberServer(a.routes(), data.(*net.TCPListener), writeTimeout)
+	options := ingress.RelayShares.Of(a.settings.Resources)
+	options.BodyCopies = bodyCopies
+	guard := ingress.NewGuard(options)
+	front.Limit(guard)
+	telemetry.PublishHeld(guard.Held)
 	serveCtx, stop := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
+	tasks.Go(func() { guard.Run(serveCtx.Done()) })
 	tasks.Go(func() { a.node.Run(serveCtx) })
 	tasks.Go(func() { a.loader.run(serveCtx) })
 	tasks.Go(func() { a.sweep(serveCtx) })
@@ -97,6 +104,7 @@
 	})
 	a.logger.Info().Uint64("incarnation", uint64(a.incarnation)).Msg("agent started")
 	<-ctx.Done()
+	guard.Stop(time.Now().Add(lateBodyTime))
 	a.drain(serveCtx, front)
 	stop()
 	tasks.Wait()
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -19,10 +19,13 @@
 	heartbeatInterval = time.Second      // a frame is sent at least this often, so that silence means a lost connection
 	writeTimeout      = 10 * time.Second // per write to an entry
 	maxBodyBytes      = 64 << 20
+	bodyCopies        = 3           // of a body: as read, decoded, and sent to the back end
+	lateBodyTime      = time.Second // from the signal to stop, for bodies that have begun to arrive by then
 )
 
 func (a *Agent) routes() *fiber.App {
-	app := fiber.New(fiber.Config{BodyLimit: maxBodyBytes})
+	app := fiber.New(fiber.Config{BodyLimit: maxBodyBytes, StreamRequestBody: true})
+	app.Use(graceful.ReadBody(maxBodyBytes))
 	app.Use(graceful.CloseWhile(&a.draining))
 	app.Use(expvar.New())
 	app.Post(wire.PathAttempts, a.handleDispatch)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,9 +64,7 @@
 	if host.GCPercent > 0 {
 		debug.SetGCPercent(host.GCPercent)
 	}
-	if host.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(collectorShare * float64(host.MemoryBytes())))
-	}
+	LimitMemory(host.Resources)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	logger, closeLog := telemetry.NewRateLimitedLogger(host.LogLevel, host.Host)
@@ -84,6 +82,13 @@
 	return program.Run(ctx, config, peers, logger)
 }
 
+// LimitMemory makes the garbage collector aim at a share of the memory, if the settings state it.
+func LimitMemory(resources settings.Resources) {
+	if resources.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(resources.MemoryBytes())))
+	}
+}
+
 // setLevel sets the logger's level if it differs: the logger reads it without synchronization.
 func setLevel(logger *log.Logger, level log.Level) {
 	if level != logger.Level {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/graceful"
+	"github.com/lovageglade/lovageglade/internal/ingress"
 	"github.com/lovageglade/lovageglade/internal/node"
 	"github.com/lovageglade/lovageglade/internal/rpc"
 	"github.com/lovageglade/lovageglade/internal/settings"
@@ -26,6 +27,8 @@
 	progressTimeout = 4 * time.Second  // without a frame; agents send at least one per second
 	writeTimeout    = 10 * time.Second // per write to a caller
 	connsPerAgent   = 512
+	bodyCopies      = 4           // of a body: as read, of the request, and encoded for an agent
+	lateBodyTime    = time.Second // from the signal to stop, for bodies that have begun to arrive by then
 )
 
 // Entry is an entry process.
@@ -68,8 +71,14 @@
 	server := rpc.Serve(control, e.methods())
 	defer server.Close()
 	front := graceful.NewFiberServer(e.routes(), data.(*net.TCPListener), writeTimeout)
+	options := ingress.CallerShares.Of(e.settings.Resources)
+	options.BodyCopies = bodyCopies
+	guard := ingress.NewGuard(options)
+	front.Limit(guard)
+	telemetry.PublishHeld(guard.Held)
 	serveCtx, stop := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
+	tasks.Go(func() { guard.Run(serveCtx.Done()) })
 	tasks.Go(func() { e.node.Run(serveCtx) })
 	tasks.Go(func() {
 		if err := front.Serve(); err != nil {
@@ -78,6 +87,7 @@
 	})
 	e.logger.Info().Msg("entry started")
 	<-ctx.Done()
+	guard.Stop(time.Now().Add(lateBodyTime))
 	e.drain(serveCtx, front)
 	stop()
 	tasks.Wait()
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -13,7 +13,8 @@
 )
 
 func (e *Entry) routes() *fiber.App {
-	app := fiber.New(fiber.Config{BodyLimit: e.settings.MaxBodyBytes, ErrorHandler: handleHTTPError})
+	app := fiber.New(fiber.Config{BodyLimit: e.settings.MaxBodyBytes, ErrorHandler: handleHTTPError, StreamRequestBody: true})
+	app.Use(graceful.ReadBody(int64(e.settings.MaxBodyBytes)))
 	app.Use(graceful.CloseWhile(&e.draining))
 	app.Use(expvar.New())
 	app.Get("/readyz", e.handleReady)
--- a/internal/graceful/fiber.go
+++ b/internal/graceful/fiber.go
@@ -12,6 +12,8 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/ingress"
 	"github.com/lovageglade/lovageglade/internal/stream"
 )
 
@@ -33,6 +35,49 @@
 	}
 }
 
+// ReadBody returns a handler that reads the body of a request, at most the limit in bytes, as the guard of its connection allows. The
+// app must have StreamRequestBody set, since fasthttp would allocate bodies by the length that is stated.
+func ReadBody(limit int64) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		account := accountOf(c.RequestCtx().Conn())
+		err := account.HeadRead(nil) // its bytes were counted as they arrived
+		if stream := c.Request().BodyStream(); err == nil && stream != nil {
+			var body []byte
+			if body, err = account.ReadBody(stream, int64(c.Request().Header.ContentLength()), limit); err == nil {
+				c.Request().SetBodyRaw(body)
+			}
+		}
+		if err == nil {
+			err = account.Arrived()
+		}
+		var refusal *ingress.Refusal
+		switch {
+		case err == nil:
+			return c.Next()
+		case errors.As(err, &refusal):
+			c.Set(fiber.HeaderConnection, "close")
+			return c.Status(refusal.Status).JSON(fault.RefusalOf(refusal, fault.NotRun))
+		case errors.Is(err, ingress.ErrBodyTooLong):
+			c.Set(fiber.HeaderConnection, "close")
+			return fiber.ErrRequestEntityTooLarge
+		default:
+			c.Set(fiber.HeaderConnection, "close")
+			return fiber.ErrBadRequest
+		}
+	}
+}
+
+// accountOf returns the account of a connection of a fiber server; nil without limits.
+func accountOf(netConn net.Conn) *ingress.Conn {
+	if wrapped, ok := netConn.(interface{ NetConn() net.Conn }); ok {
+		netConn = wrapped.NetConn()
+	}
+	if c, ok := netConn.(*conn); ok {
+		return c.account
+	}
+	return nil
+}
+
 var stateOf = map[fasthttp.ConnState]http.ConnState{
 	fasthttp.StateNew:      http.StateNew,
 	fasthttp.StateActive:   http.StateActive,
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// bodyCopies is the number of copies of a body that a server holds that reads bodies by itself: what it reads into, which grows
-	// by doubling, and what its handler makes of it.
-	bodyCopies = 3
 	// firstBodyBytes is how much room a body gets at first, whatever length is stated.
 	firstBodyBytes = 2 << 10
 	bodyGrowth     = 2
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -101,8 +101,7 @@
 		c.scanner = headScanner{}
 	}
 	var cost int64
-	switch {
-	case c.phase == phaseHead && !c.guard.options.ReadsBodies:
+	if c.phase == phaseHead {
 		cost = c.scanner.scan(data)
 		if c.scanner.bytes > c.guard.limits().HeadBytes+headSlack {
 			c.refuse(errHeadTooLong)
@@ -111,9 +110,6 @@
 		if c.scanner.ended {
 			c.enter(phaseBody)
 		}
-	case c.guard.options.ReadsBodies && c.phase != phaseRunning:
-		c.phase = phaseBody // heads are limited by the server's buffer
-		cost = bodyCopies * int64(len(data))
 	}
 	if cost == 0 {
 		return nil, nil
@@ -140,7 +136,7 @@
 func (c *Conn) AwaitsHead() bool {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	return c.phase == phaseIdle || c.phase == phaseHead || c.phase == phaseBody && c.guard.options.ReadsBodies
+	return c.phase == phaseIdle || c.phase == phaseHead
 }
 
 // HeadRead records that a handler has got the request with the header. It may have been read together with the request before it.
@@ -219,7 +215,7 @@
 		c.guard.mu.Unlock()
 		return c.refusal
 	}
-	refused, ok := c.guard.reserve(c, bytes)
+	refused, ok := c.guard.reserve(c, c.guard.options.BodyCopies*bytes)
 	if !ok {
 		c.refuse(errNoRoom)
 	}
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -14,7 +14,7 @@
 type Options struct {
 	Memory      int64         // bytes that all connections may hold together
 	Connections int           // that may be open
-	ReadsBodies bool          // the server reads a whole body before it calls the handler, and does not call ReadBody
+	BodyCopies  int64         // that the process holds of a body while it serves the request; 0 for one
 	Limits      func() Limits // in force; nil for the defaults
 }
 
@@ -71,6 +71,7 @@
 
 // NewGuard returns a guard without connections.
 func NewGuard(options Options) *Guard {
+	options.BodyCopies = max(1, options.BodyCopies)
 	return &Guard{options: options, conns: make(map[*Conn]struct{}), byCaller: make(map[string]int64)}
 }
 
