gateway: answers count against the memory for callers

Callers saw: with descriptors for many callers, a gateway whose callers leave long answers unread ends for want of memory.

Cause: the first 256 KB of each answer are read before its header is sent, for any number of callers; what the system keeps of a connection that is not read had no size (some megabytes), which hid this in a test.

Change: the beginning of an answer takes room from the memory for all callers; without room the answer is passed on as it arrives.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"sync/atomic"
 	"time"
 
@@ -61,7 +60,8 @@
 	framing   dispatch.Framing // of the answer; "" before it
 	answer    *dispatch.Response
 	info      call.ResponseInfo
-	body      []byte // the first maxBufferedBytes of an answer that is no stream
+	body      []byte // the beginning of an answer that is no stream
+	more      bool   // the answer may go on after the body
 	outcome   reach
 	delivered bool // its whole answer went to the caller
 
@@ -90,7 +90,7 @@
 	reportSilent  reportKind = iota // the endpoint has sent nothing for longer than is allowed
 	reportComment                   // the stream went on without progress
 	reportEvent                     // the next event of the stream
-	reportWhole                     // the answer is whole, or its first maxBufferedBytes were read; the last report of its attempt
+	reportWhole                     // the answer is whole, or its beginning was read; the last report of its attempt
 	reportFailed                    // there is no whole answer; the last report of its attempt
 )
 
@@ -166,10 +166,10 @@
 	if a.f.isStream(answer) {
 		err = a.readEvents()
 	} else {
-		a.body, err = io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
+		a.body, a.more, err = a.f.conn.ReadAnswer(answer, maxBufferedBytes)
 	}
 	a.stall.pause()
-	if err == nil && len(a.body) < maxBufferedBytes {
+	if err == nil && !a.more {
 		err = a.confirmEnd()
 	}
 	if err != nil {
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// maxBufferedBytes is how much of an answer is read before its header is sent to the caller, so that an answer which
+	// maxBufferedBytes is how much of an answer is read, if there is room for it, before its header is sent to the caller, so that an answer which
 	// breaks off can be replaced by another endpoint's. The rest of a longer answer is forwarded as it arrives.
 	maxBufferedBytes = 256 << 10
 	// maxDiscardBytes is how much of an unused body is read so that its connection can be reused.
@@ -33,13 +33,13 @@
 	body   []byte
 }
 
-// deliverWhole forwards the end of a stream, or an answer whose first maxBufferedBytes are there.
+// deliverWhole forwards the end of a stream, or an answer whose beginning is there.
 func (f *forwarder) deliverWhole(a *attempt) {
 	if f.isStream(a.answer) {
 		f.sendStreamHeader(a.answer)
 		return
 	}
-	f.writeAnswer(a.answer, a.body, a.confirmEnd)
+	f.writeAnswer(a.answer, a.body, a.more, a.confirmEnd)
 }
 
 // confirmEnd returns an error if the answer ended with its connection and its endpoint is not known to live. A sidecar has confirmed the
@@ -75,7 +75,7 @@
 		f.recordWholeStream(a)
 		return true
 	}
-	status, isShort := a.answer.Status, len(a.body) < maxBufferedBytes
+	status, isShort := a.answer.Status, !a.more
 	if f.stream != nil && f.stream.headerSent {
 		f.recordBrokenAnswer(a, fault.New(fault.EndpointFault, "the endpoint did not resume the stream", "check the endpoint's logs"))
 		return false
@@ -103,20 +103,19 @@
 	return true
 }
 
-// writeAnswer sends the answer to the caller. The body holds the first maxBufferedBytes; the rest is read from the answer, and
+// writeAnswer sends the answer to the caller. The body holds its beginning. If there may be more, that is read from the answer, and
 // confirmEnd is called after it.
-func (f *forwarder) writeAnswer(answer *dispatch.Response, body []byte, confirmEnd func() error) {
+func (f *forwarder) writeAnswer(answer *dispatch.Response, body []byte, more bool, confirmEnd func() error) {
 	header := f.copyHeader(answer)
-	truncated := len(body) == maxBufferedBytes
 	switch {
 	case f.call.Method == http.MethodHead:
 		dispatch.CopyLength(header, answer.Header)
-	case !truncated:
+	case !more:
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	f.w.WriteHeader(answer.Status)
 	caller := f.newCallerWriter()
-	if _, err := caller.Write(body); err != nil || !truncated {
+	if _, err := caller.Write(body); err != nil || !more {
 		return // the caller has disconnected or stopped reading, or the body is complete
 	}
 	buffer := make([]byte, copyBufferBytes)
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -69,7 +69,7 @@
 		f.abortAnswer()
 	}
 	if f.fallback != nil {
-		f.writeAnswer(f.fallback.answer, f.fallback.body, nil) // it is short
+		f.writeAnswer(f.fallback.answer, f.fallback.body, false, nil)
 		return
 	}
 	f.g.writeError(f.w, f.acceptedCall, f.finalError(), f)
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -73,3 +73,29 @@
 	}
 	return grown, nil
 }
+
+// ReadAnswer reads the beginning of the answer to a request of the connection: at most limit bytes, and fewer if there is no room for
+// them beside what all callers hold. more reports whether the answer may go on. The error is that of the source.
+func (c *Conn) ReadAnswer(source io.Reader, limit int) (begin []byte, more bool, err error) {
+	for len(begin) < limit {
+		if len(begin) == cap(begin) {
+			size := min(limit, max(firstBodyBytes, bodyGrowth*cap(begin)))
+			if !c.tryReserve(int64(size)) && len(begin) > 0 {
+				return begin, true, nil
+			}
+			grown := make([]byte, len(begin), size)
+			copy(grown, begin)
+			c.release(int64(cap(begin)))
+			begin = grown
+		}
+		n, err := source.Read(begin[len(begin):min(limit, cap(begin))])
+		begin = begin[:len(begin)+n]
+		if errors.Is(err, io.EOF) {
+			return begin, false, nil
+		}
+		if err != nil {
+			return begin, false, err
+		}
+	}
+	return begin, true, nil
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -227,6 +227,30 @@
 	return nil
 }
 
+// tryReserve lets the connection hold more if there is room. It refuses nothing if there is none.
+func (c *Conn) tryReserve(bytes int64) bool {
+	if c == nil {
+		return true
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if c.guard.held+bytes > c.guard.options.Memory {
+		return false
+	}
+	c.guard.hold(c, bytes)
+	return true
+}
+
+// release gives back what tryReserve took. The connection may hold less, if the first part was not reserved.
+func (c *Conn) release(bytes int64) {
+	if c == nil {
+		return
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.hold(c, -min(bytes, c.held))
+}
+
 // Idle records that the request has been answered, and releases what it held.
 func (c *Conn) Idle() {
 	if c == nil {
--- a/systemtest/crowd/crowd_test.go
+++ b/systemtest/crowd/crowd_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/lovageglade/lovageglade/internal/settings"
 	"github.com/lovageglade/lovageglade/systemtest/programs"
 )
 
@@ -157,6 +158,46 @@
 	})
 }
 
+// With descriptors for as many callers as that, only memory bounds the answers that they leave unread.
+func TestCrowdOfUnreadAnswersWithManyDescriptors(t *testing.T) {
+	s := newSystemWith(t, settings.Resources{MemoryMB: memoryMB, MaxDescriptors: 5 * manyClients})
+	s.requireWithinBounds(func() {
+		programs.SendCrowd(s.front, manyClients, func(conn net.Conn, number int) {
+			for i := range wholeRepeats {
+				if !programs.Write(conn, requestHead("safe", "long", fmt.Sprint("m", number, "-", i), 0, noLine, length(4))+emptyEnd+"body") {
+					return
+				}
+			}
+		})
+	})
+}
+
+// Callers with ordinary requests are served while the crowd is there, if need be on a further try.
+func TestCrowdsBesideOrdinaryRequests(t *testing.T) {
+	body := fmt.Sprintf("%x\r\n%s\r\n", limits.BodyBytes-1, strings.Repeat("b", limits.BodyBytes-1))
+	for name, send := range map[string]func(conn net.Conn, number int){
+		"first lines": func(conn net.Conn, _ int) { programs.Write(conn, "POST /safe/x HTTP/1.1\r\n") },
+		"bodies that stop short": func(conn net.Conn, number int) {
+			programs.Write(conn, requestHead("safe", "x", fmt.Sprint("b", number), 0, noLine, chunked)+emptyEnd+body)
+		},
+		"short lines": func(conn net.Conn, number int) {
+			programs.Write(conn, requestHead("safe", "x", fmt.Sprint("l", number), legalHeadBytes, shortLine, length(100))+emptyEnd)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t)
+			s.requireWithinBounds(func() {
+				programs.SendCrowd(s.front, headClients, func(conn net.Conn, number int) {
+					send(conn, number)
+					if number == 0 {
+						s.requireAnswers()
+					}
+				})
+			})
+		})
+	}
+}
+
 // The head of a refused request costs as much as that of one that is served, and its body is read after the answer.
 func TestCrowdOfRefusedRequests(t *testing.T) {
 	s := newSystem(t)
--- a/systemtest/crowd/system_test.go
+++ b/systemtest/crowd/system_test.go
@@ -62,6 +62,7 @@
 	gateway       *process
 	sidecar       *process
 	front, relay  string // addresses for callers, and for gateways at the sidecar
+	resources     settings.Resources
 }
 
 type process struct {
@@ -71,9 +72,15 @@
 }
 
 func newSystem(t *testing.T) *system {
+	t.Helper()
+	return newSystemWith(t, settings.Resources{MemoryMB: memoryMB, MaxDescriptors: maxDescriptors})
+}
+
+func newSystemWith(t *testing.T, resources settings.Resources) *system {
 	t.Helper()
 	networkNumber++
 	s := &system{
+		resources:     resources,
 		t:             t,
 		folder:        t.TempDir(),
 		networkPrefix: fmt.Sprintf("127.%d.%d", 20+networkNumber%200, networkNumber/200%250),
@@ -115,7 +122,7 @@
 func (s *system) startProcesses(engineAddress string) {
 	place := func(ip, name string) settings.Place {
 		return settings.Place{
-			Resources: settings.Resources{MemoryMB: memoryMB, MaxDescriptors: maxDescriptors},
+			Resources: s.resources,
 			Host:      core.HostID(name), FailureDomain: "east-a", Region: "east", Regions: map[core.FailureDomain]core.Region{"east-a": "east"}, Address: ip,
 			StoreAddress: s.store.Address(), GCPercent: 40, Ports: []int{firstPort, lastPort},
 		}
@@ -243,11 +250,11 @@
 		if p.hasEnded() {
 			s.t.Fatalf("%s has ended", p.name)
 		}
-		if peak := programs.PeakMemory(s.t, p.pid()); peak > memoryMB*bytesPerMB {
-			s.t.Errorf("%s held %d MB at its peak, want at most %d", p.name, peak/bytesPerMB, memoryMB)
+		if peak := programs.PeakMemory(s.t, p.pid()); peak > int64(s.resources.MemoryMB)*bytesPerMB {
+			s.t.Errorf("%s held %d MB at its peak, want at most %d", p.name, peak/bytesPerMB, s.resources.MemoryMB)
 		}
-		if most[i] > maxDescriptors {
-			s.t.Errorf("%s had %d descriptors open, want at most %d", p.name, most[i], maxDescriptors)
+		if most[i] > s.resources.MaxDescriptors {
+			s.t.Errorf("%s had %d descriptors open, want at most %d", p.name, most[i], s.resources.MaxDescriptors)
 		}
 	}
 	s.requireAnswers()
