quarantine: keep no long words of callers

Callers could make a process keep some 64 MB of their own words: up to 4,096 parts of prompts that were answered, and the ids and parts in up to 64 records of crashes, each of any length that a head allows, and each holding the whole header that it was part of.

Change: a part or an id of more than 64 bytes is kept as a hash; shorter ones are copied. Identities of ordinary requests are unchanged.

Measured: TestLongWordsOfCallersAreNotKept, three words of 8,000 bytes kept before, none after.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -71,6 +71,7 @@
 	now := l.now()
 	crash := Crash{ID: CrashID(l.origin + strconv.Itoa(l.seen)), Engine: engine, Recorded: now, Suspects: slices.Clone(suspects[:min(len(suspects), maxSuspects)])}
 	for i := range crash.Suspects {
+		crash.Suspects[i].Request = core.RequestID(kept(string(crash.Suspects[i].Request)))
 		crash.Suspects[i].Proven = l.proven.among(crash.Suspects[i].Parts)
 	}
 	l.add(&record{Crash: crash, at: now, own: true})
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"slices"
 	"strings"
 
 	"github.com/lovageglade/lovageglade/internal/call"
@@ -11,6 +10,9 @@
 )
 
 const (
+	// longestKept is the length up to which a caller's words are kept as they are, in bytes. Parts and ids of requests are shorter.
+	longestKept   = 64
+	longPrefix    = "long/" // of what stands for longer words
 	requestPrefix   = "request/" // of the part that stands for a whole request
 	requestHashSize = 8          // bytes
 )
@@ -27,5 +29,18 @@
 	}
 	_, _ = hash.Write(c.Body)
 	request := requestPrefix + hex.EncodeToString(hash.Sum(nil)[:requestHashSize])
-	return append(slices.Clip(c.SharedParts), core.PromptPart(request))
+	parts := make([]core.PromptPart, 0, len(c.SharedParts)+1)
+	for _, part := range c.SharedParts {
+		parts = append(parts, core.PromptPart(kept(string(part))))
+	}
+	return append(parts, core.PromptPart(request))
+}
+
+// kept returns what is kept of a caller's words: a copy, which does not hold the header that they are part of, or a hash of long ones.
+func kept(words string) string {
+	if len(words) <= longestKept {
+		return strings.Clone(words)
+	}
+	hash := sha256.Sum256([]byte(words))
+	return longPrefix + hex.EncodeToString(hash[:])[:longestKept-len(longPrefix)]
 }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/core"
@@ -31,3 +33,22 @@
 		}
 	}
 }
+
+// A caller chooses the lengths of the parts and of the id, and the ledger keeps thousands of them.
+func TestLongWordsOfCallersAreNotKept(t *testing.T) {
+	long := strings.Repeat("p", 8000)
+	c := call.Call{ID: core.RequestID(long), SharedParts: []core.PromptPart{core.PromptPart(long + "1"), core.PromptPart(long + "2"), "short"}}
+	parts := PartsOf(&c)
+	if len(parts) != 4 || parts[0] == parts[1] || parts[2] != "short" {
+		t.Fatalf("the parts are %v", parts)
+	}
+	l := NewLedger("h", func() time.Duration { return 0 })
+	l.RecordCrash("", []Suspect{{Request: c.ID, Parts: parts}})
+	for _, suspect := range l.records[0].Suspects {
+		for _, words := range append([]string{string(suspect.Request)}, PartNames(suspect.Parts)...) {
+			if len(words) > longestKept {
+				t.Errorf("%d bytes of a caller are kept", len(words))
+			}
+		}
+	}
+}
