Planned stops are not held up by bodies that stop short

Operators saw: a gateway or a sidecar that stops while requests arrive that never end stops at the end of the grace period only, and names them as ended by the stop.

Cause: nothing bounded the time of a body.

--- a/systemtest/crowd/crowd_test.go
+++ b/systemtest/crowd/crowd_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/lovageglade/lovageglade/internal/settings"
@@ -240,3 +241,26 @@
 	_, _ = io.Copy(io.Discard, answer.Body)
 	return answer.StatusCode
 }
+
+// Requests that never arrive whole must not hold up a planned stop until the grace period is over.
+func TestCrowdOfBodiesThatStopShortInAPlannedStop(t *testing.T) {
+	for _, at := range []string{"gateway", "sidecar"} {
+		t.Run(at, func(t *testing.T) {
+			s := newSystem(t)
+			address, stopped, route := s.front, s.gateway, "safe"
+			if at == "sidecar" {
+				address, stopped, route = s.relay, s.sidecar, "model"
+			}
+			programs.SendCrowd(address, bodyClients, func(conn net.Conn, number int) {
+				programs.Write(conn, requestHead(route, "x", fmt.Sprint("p", number), 0, noLine, length(100))+emptyEnd+"stops short")
+				if number == 0 {
+					_ = stopped.command.Process.Signal(syscall.SIGTERM) // fails only if it has ended
+					<-stopped.done
+				}
+			})
+			if !stopped.command.ProcessState.Success() || strings.Contains(s.log(stopped), "grace period expired") {
+				t.Errorf("%s ends with %v after the whole grace period", stopped.name, stopped.command.ProcessState)
+			}
+		})
+	}
+}
--- a/systemtest/crowd/system_test.go
+++ b/systemtest/crowd/system_test.go
@@ -40,6 +40,7 @@
 	answerTimeout                     = 30 * time.Second // for an ordinary request, with its repeats
 	longAnswerBytes                   = 250_000
 	events                            = 3 // of a stream
+	shownLogBytes                     = 2000
 	key                               = "key-1"
 )
 
@@ -170,13 +171,23 @@
 		_ = p.command.Process.Signal(syscall.SIGKILL) // fails only if it has ended
 		<-p.done
 		_ = output.Close()
-		if log, err := os.ReadFile(output.Name()); err == nil && s.t.Failed() {
-			s.t.Logf("the end of the log of %s:\n%s", binary, log[max(0, len(log)-2000):])
+		if s.t.Failed() {
+			log := s.log(p)
+			s.t.Logf("the end of the log of %s:\n%s", binary, log[max(0, len(log)-shownLogBytes):])
 		}
 	})
 	return p
 }
 
+// log returns the log of the process.
+func (s *system) log(p *process) string {
+	raw, err := os.ReadFile(filepath.Join(s.folder, p.name+".log"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return string(raw)
+}
+
 func (p *process) pid() int { return p.command.Process.Pid }
 
 func (p *process) hasEnded() bool {
