Requests that are taken back draw on the retry budget

The platform counts arrivals that an engine has got. A request that a sidecar takes back from its engine near the deadline of a version was sent to the next engine as if it had reached none.

Change: the refusal states it (Lovage-Taken-Back), and the gateway counts the attempt as received and not run: the next one takes a token, and without one the caller gets 503. Releases may be mixed: without the header nothing changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,7 +23,7 @@
 
 const (
 	reachNone    reach = iota // no byte was sent, or a sidecar or this gateway refused it
-	reachRefused              // the endpoint received the call and states that it has not run it
+	reachRefused              // the endpoint received the call and has not run it, by its own word or by that of its sidecar
 	reachRun                  // it has run or may have
 )
 
@@ -149,8 +149,11 @@
 	defer a.stall.pause()
 	answer, info, err := a.send()
 	if err != nil {
-		if asRefusal(err) == nil && !dispatch.NotSent(err) {
+		switch refusal := asRefusal(err); {
+		case refusal == nil && !dispatch.NotSent(err):
 			a.outcome = reachRun
+		case refusal != nil && refusal.takenBack:
+			a.outcome = reachRefused
 		}
 		return err
 	}
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -12,7 +12,7 @@
 // recordFailed records an attempt that gave no whole answer.
 func (f *forwarder) recordFailed(a *attempt, err error) {
 	switch {
-	case a.outcome == reachRefused:
+	case a.outcome == reachRefused && asRefusal(err) == nil:
 		f.lastErr = err
 		a.pick.recordOutcome(err)
 	case a.answer != nil:
--- a/internal/gateway/proven_load_test.go
+++ b/internal/gateway/proven_load_test.go
@@ -27,10 +27,18 @@
 // startSidecarStand starts a sidecar that refuses all requests and states the load. It returns its port.
 func startSidecarStand(t *testing.T, load *wire.ProvenLoad) (port int, stop func()) {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return startSidecarStandWith(t, func(w http.ResponseWriter) {
 		if load != nil {
 			w.Header().Set(wire.HeaderProvenLoad, load.String())
 		}
+	})
+}
+
+// startSidecarStandWith starts a sidecar that refuses all requests with the headers that setHeaders sets.
+func startSidecarStandWith(t *testing.T, setHeaders func(w http.ResponseWriter)) (port int, stop func()) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		setHeaders(w)
 		w.Header().Set(wire.HeaderRefused, "no_capacity")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -24,6 +24,7 @@
 	heldOff     bool // the endpoint wants no requests now; other endpoints are as good as without it
 	suspect     bool // an equal request is being sent
 	outdated    bool // what allowed the request to be sent no longer holds
+	takenBack   bool // the endpoint had received the request and had not begun it
 	quarantined bool // all endpoints refuse the request because of a part of its prompt
 
 	forecast time.Duration // time until a request of the same rank would start there; 0 if unknown
@@ -229,7 +230,7 @@
 	}
 	g.recordWithdrawal(endpoint, answer.Header.Get(wire.HeaderLeaving) != "", time.Duration(holdOff)*time.Millisecond)
 	drainAndClose(answer)
-	return nil, info, &refusalError{reason: reason, heldOff: holdOff > 0, quarantined: answer.Header.Get(wire.HeaderQuarantined) != "", forecast: forecastOf(answer.Header), changing: answer.Header.Get(wire.HeaderChanging) != ""}
+	return nil, info, &refusalError{reason: reason, heldOff: holdOff > 0, takenBack: answer.Header.Get(wire.HeaderTakenBack) != "", quarantined: answer.Header.Get(wire.HeaderQuarantined) != "", forecast: forecastOf(answer.Header), changing: answer.Header.Get(wire.HeaderChanging) != ""}
 }
 
 // relayAddress returns the address of the sidecar on the endpoint's host.
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -11,8 +11,8 @@
 
 const (
 	// longestKept is the length up to which a caller's words are kept as they are, in bytes. Parts and ids of requests are shorter.
-	longestKept   = 64
-	longPrefix    = "long/" // of what stands for longer words
+	longestKept     = 64
+	longPrefix      = "long/"    // of what stands for longer words
 	requestPrefix   = "request/" // of the part that stands for a whole request
 	requestHashSize = 8          // bytes
 )
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -262,6 +262,7 @@
 		if answer != nil {
 			answer.Close()
 		}
+		w.Header().Set(wire.HeaderTakenBack, "1")
 		s.refuse(w, c, refusedVersionChange, cause)
 		return false
 	}
--- a/internal/sidecar/unbegun_test.go
+++ b/internal/sidecar/unbegun_test.go
@@ -66,6 +66,9 @@
 		if got := answer.Header.Get(wire.HeaderRefused); got != refusedVersionChange {
 			t.Errorf("a request that has not begun is refused with %q, want %q", got, refusedVersionChange)
 		}
+		if answer.Header.Get(wire.HeaderTakenBack) == "" {
+			t.Error("the refusal does not tell that the engine had received the request")
+		}
 		select {
 		case at := <-left:
 			if after := at.Sub(requested); after > bound {
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -42,6 +42,8 @@
 	HeaderReturned = "Lovage-Returned"
 	// HeaderRepeatable is set to "1" on a request that may run more than once.
 	HeaderRepeatable = "Lovage-Repeatable"
+	// HeaderTakenBack is set to "1" by a sidecar on the refusal of a request that its engine had received and had not begun.
+	HeaderTakenBack = "Lovage-Taken-Back"
 	// HeaderForecast is set by a sidecar on refusals for lack of room to the time until a request of the same rank would begin,
 	// in milliseconds.
 	HeaderForecast = "Lovage-Forecast-Ms"
