--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -144,16 +144,25 @@
 	if c == nil {
 		return nil
 	}
+	cost := connBytes + costOf(header)
+	return c.reserve(func() int64 {
+		if c.phase != phaseBody {
+			c.enter(phaseBody)
+		}
+		c.deadline = time.Time{}
+		return max(0, cost-c.held)
+	})
+}
+
+// reserve lets the connection hold as many more bytes as missing returns, or fewer, or refuses its request. It calls missing with
+// guard.mu held.
+func (c *Conn) reserve(missing func() int64) error {
 	c.guard.mu.Lock()
 	if c.refusal != nil {
 		c.guard.mu.Unlock()
 		return c.refusal
 	}
-	if c.phase != phaseBody {
-		c.enter(phaseBody)
-	}
-	c.deadline = time.Time{}
-	refused, ok := c.guard.reserve(c, max(0, connBytes+costOf(header)-c.held))
+	refused, ok := c.guard.reserve(c, missing())
 	if !ok {
 		c.refuse(errNoRoom)
 	}
@@ -210,21 +219,7 @@
 	if c == nil {
 		return nil
 	}
-	c.guard.mu.Lock()
-	if c.refusal != nil {
-		c.guard.mu.Unlock()
-		return c.refusal
-	}
-	refused, ok := c.guard.reserve(c, c.guard.options.BodyCopies*bytes)
-	if !ok {
-		c.refuse(errNoRoom)
-	}
-	c.guard.mu.Unlock()
-	interrupt(refused)
-	if !ok {
-		return errNoRoom
-	}
-	return nil
+	return c.reserve(func() int64 { return c.guard.options.BodyCopies * bytes })
 }
 
 // tryReserve lets the connection hold more if there is room. It refuses nothing if there is none.
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -251,8 +251,13 @@
 		sent, length int64
 		want         error
 	}{
-		{sent: 0, length: -1}, {sent: 5, length: 5}, {sent: limit, length: limit}, {sent: limit, length: -1}, {sent: 100_000, length: -1},
-		{sent: limit + 1, length: -1, want: ErrBodyTooLong}, {sent: 10, length: limit + 1, want: ErrBodyTooLong},
+		{sent: 0, length: -1},
+		{sent: 5, length: 5},
+		{sent: limit, length: limit},
+		{sent: limit, length: -1},
+		{sent: 100_000, length: -1},
+		{sent: limit + 1, length: -1, want: ErrBodyTooLong},
+		{sent: 10, length: limit + 1, want: ErrBodyTooLong},
 		{sent: 10, length: limit, want: io.ErrUnexpectedEOF},
 	} {
 		g := NewGuard(Options{Memory: 20 << 20, Connections: 1})
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -28,14 +28,22 @@
 const retryAfter = time.Second
 
 var (
-	errNoRoom = &Refusal{name: "no room", Status: http.StatusServiceUnavailable, RetryAfter: retryAfter,
-		cause: fault.New(fault.Overloaded, "what callers have sent fills the memory that this process has for it", "come back later, on a new connection")}
-	errTooSlow = &Refusal{name: "too slow", Status: http.StatusRequestTimeout,
-		cause: fault.New(fault.DeadlinePassed, "the request did not arrive in time", "send it at once, on a new connection")}
-	errHeadTooLong = &Refusal{name: "head too long", Status: http.StatusRequestHeaderFieldsTooLarge,
-		cause: fault.New(fault.TooLarge, "the head of the request is longer than the configuration allows", "send fewer or shorter header lines")}
-	errStopping = &Refusal{name: "stopping", Status: http.StatusServiceUnavailable,
-		cause: fault.New(fault.NotReady, "the process stops before the request has arrived", "send it again on a new connection")}
+	errNoRoom = &Refusal{
+		name: "no room", Status: http.StatusServiceUnavailable, RetryAfter: retryAfter,
+		cause: fault.New(fault.Overloaded, "what callers have sent fills the memory that this process has for it", "come back later, on a new connection"),
+	}
+	errTooSlow = &Refusal{
+		name: "too slow", Status: http.StatusRequestTimeout,
+		cause: fault.New(fault.DeadlinePassed, "the request did not arrive in time", "send it at once, on a new connection"),
+	}
+	errHeadTooLong = &Refusal{
+		name: "head too long", Status: http.StatusRequestHeaderFieldsTooLarge,
+		cause: fault.New(fault.TooLarge, "the head of the request is longer than the configuration allows", "send fewer or shorter header lines"),
+	}
+	errStopping = &Refusal{
+		name: "stopping", Status: http.StatusServiceUnavailable,
+		cause: fault.New(fault.NotReady, "the process stops before the request has arrived", "send it again on a new connection"),
+	}
 )
 
 // Answer returns the whole answer to a request that no handler knows of.
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -13,7 +13,6 @@
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
-	"github.com/lovageglade/lovageglade/internal/ingress"
 	"github.com/lovageglade/lovageglade/internal/quarantine"
 	"github.com/lovageglade/lovageglade/internal/telemetry"
 	"github.com/lovageglade/lovageglade/internal/wire"
@@ -39,7 +38,6 @@
 const (
 	relayBufferBytes = 4 << 10          // fits a few events
 	defaultTimeout   = 30 * time.Second // for a call without a timeout
-	maxBodyBytes     = 8 << 20          // above the limit of the gateways
 	// gatewayReadTimeout is how long a gateway may leave the next part of an answer unread. It is longer than the time that
 	// gateways allow their callers, so it ends only connections to hosts that are frozen or cut off.
 	gatewayReadTimeout = 5 * time.Second
@@ -120,31 +118,6 @@
 	complete = s.forward(w, r, a)
 }
 
-// readCall reads the rest of the call.
-func (s *Sidecar) readCall(r *http.Request, c *call.Call) error {
-	conn := ingress.FromContext(r.Context())
-	err := conn.HeadRead(r.Header)
-	if err == nil {
-		err = conn.Attribute("", time.Now().Add(timeoutOf(c)))
-	}
-	if err == nil {
-		c.Body, err = conn.ReadBody(r.Body, r.ContentLength, maxBodyBytes)
-	}
-	if err == nil {
-		err = conn.Arrived()
-	}
-	return err
-}
-
-// reasonUnread returns the reason of the refusal of a request that was not read to its end.
-func reasonUnread(err error) string {
-	var refusal *ingress.Refusal
-	if errors.As(err, &refusal) {
-		return refusedNoCapacity
-	}
-	return refusedBadRequest
-}
-
 // closedReason returns the reason of a refusal while the engine takes no requests like this one, and otherwise "".
 func (s *Sidecar) closedReason(r *http.Request, c *call.Call) string {
 	if reason := s.withdrawnReason(); reason != "" {
