--- a/systemtest/soak/soak_test.go
+++ b/systemtest/soak/soak_test.go
@@ -59,6 +59,10 @@
 func TestFreshSeeds(t *testing.T) { runFreshSeeds(t, anySchedule) }
 
 func runFreshSeeds(t *testing.T, drawn schedule) {
+	runSelectedSeeds(t, func(t *testing.T, seed uint64) { runSoak(t, seed, *faultDuration, drawn) })
+}
+
+func runSelectedSeeds(t *testing.T, run func(t *testing.T, seed uint64)) {
 	if *seedCount == 0 {
 		t.Skip("no seeds are selected; see the package comment")
 	}
@@ -66,14 +70,17 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, seed, *faultDuration, drawn)
+			run(t, seed)
 		})
 	}
 }
 
 // runSoak injects faults into a new system for the given time, lets it recover, and checks all promises.
 func runSoak(t *testing.T, seed uint64, faultDuration time.Duration, drawn schedule) {
-	s := newSystem(t, seed)
+	newSystem(t, seed).soak(faultDuration, drawn)
+}
+
+func (s *system) soak(faultDuration time.Duration, drawn schedule) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.checkRecovery(ctx) // the start counts as a recovery
--- a/systemtest/soak/system_test.go
+++ b/systemtest/soak/system_test.go
@@ -50,8 +50,9 @@
 type system struct {
 	t             testing.TB
 	seed          uint64
-	faultRandom   *rand.Rand    // used only to draw faults
-	gapFactor     time.Duration // multiplies the time between faults
+	resources     settings.Resources // of each process
+	faultRandom   *rand.Rand         // used only to draw faults
+	gapFactor     time.Duration      // multiplies the time between faults
 	networkPrefix string
 	folder        string
 	started       time.Time
@@ -126,11 +127,18 @@
 var networkNumber atomic.Int64 // number of systems so far; each has its own addresses, because soaks run in parallel
 
 func newSystem(t testing.TB, seed uint64) *system {
+	t.Helper()
+	return newSystemWith(t, seed, settings.Resources{})
+}
+
+// newSystemWith starts a system whose processes have the resources.
+func newSystemWith(t testing.TB, seed uint64, resources settings.Resources) *system {
 	t.Helper()
 	number := int(networkNumber.Add(1)) + os.Getpid()*16
 	s := &system{
 		t:             t,
 		seed:          seed,
+		resources:     resources,
 		faultRandom:   rand.New(rand.NewPCG(seed, 0)),
 		gapFactor:     1,
 		networkPrefix: fmt.Sprintf("127.%d.%d", 20+number%200, number/200%250),
@@ -257,7 +265,8 @@
 	place := func(ip string, i int, name string) settings.Place {
 		domain := failureDomains[i%len(failureDomains)]
 		return settings.Place{
-			Host: core.HostID(name), FailureDomain: domain, Region: regions[domain], Regions: regions, Address: ip,
+			Resources: s.resources,
+			Host:      core.HostID(name), FailureDomain: domain, Region: regions[domain], Regions: regions, Address: ip,
 			StoreAddress: fmt.Sprintf("%s:%d", ip, storePort), Delegates: delegates, Ports: []int{firstPort, lastPort},
 		}
 	}
