agent: buffers of connections are the system's, since weights pass through them

The size is now an option of the guard; gateways, sidecars and entries keep it.

Measured: tests of ingress, graceful and agent pass under the race detector.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -88,6 +88,7 @@
 	front := graceful.NewFiberServer(a.routes(), data.(*net.TCPListener), writeTimeout)
 	options := ingress.RelayShares.Of(a.settings.Resources)
 	options.BodyCopies = bodyCopies
+	options.SocketBytes = 0 // chunks of weights are served on the same address
 	guard := ingress.NewGuard(options)
 	front.Limit(guard)
 	telemetry.PublishHeld(guard.Held)
--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -17,9 +17,6 @@
 	// quietTime is how long no connection may arrive before a listener that is to be closed counts as empty. It covers
 	// the time that a process with little of a processor may be held off between two accepts.
 	quietTime = 50 * time.Millisecond
-	// socketBufferBytes is what the system keeps for a connection in each direction, for a client that does not read or is not read.
-	// Without a size it would keep some megabytes.
-	socketBufferBytes = 64 << 10
 	// longestFinish is the time after which a listener that is to be closed is closed as soon as no connection waits, if
 	// callers never stop connecting.
 	longestFinish = time.Second
@@ -89,8 +86,10 @@
 	if err != nil || l.guard == nil {
 		return c, err
 	}
-	_ = tcp.SetReadBuffer(socketBufferBytes)  // fails only on a closed connection, as does the next
-	_ = tcp.SetWriteBuffer(socketBufferBytes) // of all connections together, they are part of the machine's memory
+	if bytes := l.guard.SocketBytes(); bytes > 0 {
+		_ = tcp.SetReadBuffer(bytes) // fails only on a closed connection, as does the next
+		_ = tcp.SetWriteBuffer(bytes)
+	}
 	if c.account = l.guard.Accept(c); c.account == nil {
 		_ = tcp.Close() // nothing was read, so nothing has run
 		return nil, nil
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -16,6 +16,9 @@
 	Connections int           // that may be open
 	BodyCopies  int64         // that the process holds of a body while it serves the request; 0 for one
 	Limits      func() Limits // in force; nil for the defaults
+	// SocketBytes is what the system keeps of a connection in each direction, which is part of the machine's memory too; 0 leaves it
+	// to the system, which keeps some megabytes.
+	SocketBytes int
 }
 
 // Limits bound what one client sends and how long it takes. The default stands for a limit of 0.
@@ -75,6 +78,9 @@
 	return &Guard{options: options, conns: make(map[*Conn]struct{}), byCaller: make(map[string]int64)}
 }
 
+// SocketBytes returns the size of the buffers of a connection in the system; 0 for the system's own.
+func (g *Guard) SocketBytes() int { return g.options.SocketBytes }
+
 func (g *Guard) limits() Limits {
 	var limits Limits
 	if g.options.Limits != nil {
--- a/internal/ingress/shares.go
+++ b/internal/ingress/shares.go
@@ -14,10 +14,14 @@
 // RelayShares are those of a process that serves all requests by few connections.
 var RelayShares = Shares{Memory: 1.0 / 4, Connections: 1.0 / 2}
 
+// socketBytes keeps up with a link of 80 Mbit/s over round trips of 6 ms.
+const socketBytes = 64 << 10
+
 // Of returns options with the shares of the resources.
 func (s Shares) Of(resources settings.Resources) Options {
 	return Options{
 		Memory:      int64(s.Memory * float64(resources.MemoryBytes())),
 		Connections: int(s.Connections * float64(resources.Descriptors())),
+		SocketBytes: socketBytes,
 	}
 }
