--- a/systemtest/crowd/crowd_test.go
+++ b/systemtest/crowd/crowd_test.go
@@ -87,6 +87,24 @@
 	})
 }
 
+// Room must be taken for what arrives and not for what is stated.
+func TestCrowdOfStatedLengthsThatNeverCome(t *testing.T) {
+	for _, at := range []string{"gateway", "sidecar"} {
+		t.Run(at, func(t *testing.T) {
+			s := newSystem(t)
+			address, route := s.front, "safe"
+			if at == "sidecar" {
+				address, route = s.relay, "model"
+			}
+			s.requireWithinBounds(func() {
+				programs.SendCrowd(address, headClients, func(conn net.Conn, number int) {
+					programs.Write(conn, requestHead(route, "x", fmt.Sprint("n", number), 0, noLine, length(limits.BodyBytes))+emptyEnd+"b")
+				})
+			})
+		})
+	}
+}
+
 func TestCrowdOfBodiesInChunksOfOneByte(t *testing.T) {
 	s := newSystem(t)
 	s.requireWithinBounds(func() {
--- a/systemtest/crowd_test.go
+++ b/systemtest/crowd_test.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/lovageglade/lovageglade/internal/config"
+	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/settings"
 	"github.com/lovageglade/lovageglade/systemtest/programs"
 )
@@ -108,6 +110,44 @@
 	})
 }
 
+func TestCrowdOfStatedLengthsAtAnEntry(t *testing.T) {
+	c := newCrowdCluster(t)
+	c.requireWithinBounds(func() {
+		programs.SendCrowd(c.nodes["entry-a"].host.DataAddress, headClients, func(conn net.Conn, _ int) {
+			programs.Write(conn, fmt.Sprintf("%sContent-Length: %d\r\n\r\nb", entryHead, entryBytes))
+		})
+	})
+}
+
+func TestCrowdOfStatedLengthsAtAnAgent(t *testing.T) {
+	c := newCrowdCluster(t)
+	c.requireWithinBounds(func() {
+		programs.SendCrowd(c.nodes["plain-a"].host.DataAddress, headClients, func(conn net.Conn, _ int) {
+			programs.Write(conn, fmt.Sprintf("%sContent-Length: %d\r\n\r\nb", agentHead, largeBytes))
+		})
+	})
+}
+
+// Requests that never arrive whole must not hold up a planned stop until its time is over.
+func TestCrowdOfBodiesThatStopShortInAStop(t *testing.T) {
+	for id, head := range map[core.HostID]string{"entry-a": entryHead, "plain-a": agentHead} {
+		t.Run(string(id), func(t *testing.T) {
+			c := newCrowdCluster(t)
+			stopped := c.nodes[id]
+			programs.SendCrowd(stopped.host.DataAddress, largeClients, func(conn net.Conn, number int) {
+				programs.Write(conn, head+"Content-Length: 100\r\n\r\nstops short")
+				if number == 0 {
+					c.signal(id, syscall.SIGTERM)
+					<-stopped.done
+				}
+			})
+			if log := c.readLog(id); strings.Contains(log, "drain time elapsed") {
+				t.Errorf("%s stops only after its whole time", id)
+			}
+		})
+	}
+}
+
 func TestCrowdOfConnectionsAtAnEntry(t *testing.T) {
 	c := newCrowdCluster(t)
 	c.requireWithinBounds(func() {
