ingress: a refused request has one answer, also if its head has just arrived

Found with a test of ours: a request that was refused at the last bytes of its head got no answer at a gateway, and 502 from fasthttp at an entry, since the connection left it to a handler that was never called.

Change: connection and handler claim the answer, and whoever comes first gives it.

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -42,14 +42,15 @@
 	return n, err
 }
 
-// refuse answers a request that no handler knows of with the refusal. It returns the error of the read.
+// refuse answers the request with the refusal, unless a handler does. It returns the error of the read.
 func (c *conn) refuse(refusal *ingress.Refusal) error {
-	if c.account.AwaitsHead() {
+	c.mu.Lock()
+	claimed := c.account.ClaimAnswer()
+	c.refused = c.refused || claimed // before a handler that starts now can write
+	c.mu.Unlock()
+	if claimed {
 		_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // fails only on a closed connection, as does the write
 		_, _ = c.TCPConn.Write(refusal.Answer())
-		c.mu.Lock()
-		c.refused = true
-		c.mu.Unlock()
 	}
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: refusal}
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -28,6 +28,7 @@
 	deadline time.Time // of the body; zero for the default
 	held     int64     // bytes
 	caller   string    // to whom the connection is attributed; "" while it is unknown
+	answered bool      // a handler has got the request and answers it, or the connection does
 	evicting bool      // it is being closed
 	refusal  *Refusal  // why its request is refused; nil if it is not
 
@@ -107,9 +108,6 @@
 			c.refuse(errHeadTooLong)
 			return nil, c.refusal
 		}
-		if c.scanner.ended {
-			c.enter(phaseBody)
-		}
 	}
 	if cost == 0 {
 		return nil, nil
@@ -119,6 +117,9 @@
 		c.refuse(errNoRoom)
 		return refused, c.refusal
 	}
+	if c.scanner.ended {
+		c.enter(phaseBody)
+	}
 	return refused, nil
 }
 
@@ -132,11 +133,13 @@
 	return c.refusal
 }
 
-// AwaitsHead reports whether no handler knows of the connection's request yet, so that nobody else answers it.
-func (c *Conn) AwaitsHead() bool {
+// ClaimAnswer returns true if no handler has got the connection's request, so that the connection has to answer it.
+func (c *Conn) ClaimAnswer() bool {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	return c.phase == phaseIdle || c.phase == phaseHead
+	claimed := !c.answered
+	c.answered = true
+	return claimed
 }
 
 // HeadRead records that a handler has got the request with the header. It may have been read together with the request before it.
@@ -145,6 +148,7 @@
 		return nil
 	}
 	cost := connBytes + costOf(header)
+	c.ClaimAnswer()
 	return c.reserve(func() int64 {
 		if c.phase != phaseBody {
 			c.enter(phaseBody)
@@ -258,7 +262,7 @@
 	}
 	c.guard.hold(c, connBytes-c.held)
 	c.guard.forgetCaller(c)
-	c.deadline = time.Time{}
+	c.deadline, c.answered = time.Time{}, false
 	c.enter(phaseIdle)
 }
 
