--- a/systemtest/soak/disruptions_test.go
+++ b/systemtest/soak/disruptions_test.go
@@ -43,6 +43,13 @@
 	return d
 }
 
+// count returns the number of disruptions so far.
+func (d *disruptions) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.list)
+}
+
 // watchForStalls records the periods in which this process's timer fired late as disruptions of all processes. The late
 // timer shows that the machine stalled.
 func (d *disruptions) watchForStalls(done chan struct{}) {
