follow: a test waits for the age of a view, which is stored after it

Traced: the follower stores the view by one effect and its age by the next; between the two the age is unknown, which all uses take for too old. The test looked in between. It now waits for both; the age that it requires is the same.

--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -161,7 +161,10 @@
 	const outage = 300 * time.Millisecond
 	waitFor(t, "the outage", func() bool { age, _ := delegate.EndpointsAge(); return age > outage })
 	follower := startFollower(t, &fakeStore{unavailable: true}, Delegates{Addresses: []string{address}}, nil)
-	waitFor(t, "the old endpoint", func() bool { return len(follower.View().AvailableEndpoints("s")) == 1 })
+	waitFor(t, "the old endpoint and its age", func() bool {
+		_, known := follower.EndpointsAge() // stored after the view; an unknown age counts as too old
+		return known && len(follower.View().AvailableEndpoints("s")) == 1
+	})
 	if age, known := follower.EndpointsAge(); !known || age < outage {
 		t.Errorf("the age of an old registry is %v (known: %v), want %v or more", age, known, outage)
 	}
