review: a request that crashes engines is not recognized in another session

Cause: the identity of a request includes the header that lists the parts of its prompt, whose last part names the session. Nothing is fixed.

--- a/review/stand-2/crashing_prompts.go
+++ b/review/stand-2/crashing_prompts.go
@@ -22,33 +22,51 @@
 	downTime          time.Duration
 	calm, duration    time.Duration // before the part crashes engines, and from then on
 	answeredBefore    bool          // requests with the part come from the start on, and are answered until it crashes engines
+	seedsGone         bool          // all machines that the settings name as seeds were removed
+	repeats           bool          // it is one request that comes again and again, with the same path, caller and body
+	newSessions       bool          // each time in another session, which the last part of its prompt names
 	soundCount        bool          // the rule on sound requests (LOST) is checked, otherwise that on requests with the part (BUDGET)
 }
 
 // manyParts is a prompt of a long session: one part for each of its turns.
 var manyParts = crashingPlan{gateways: 3, engines: 4, sharedParts: 20, crashingPosition: 17, soundInterval: 50 * time.Millisecond, crashInterval: 250 * time.Millisecond, downTime: 3 * time.Second, calm: 5 * time.Second, duration: 25 * time.Second, soundCount: true}
 
+// bursts are short prompts; the crashing requests come so often that all engines crash at nearly the same moment.
+var bursts = crashingPlan{gateways: 3, engines: 6, sharedParts: 2, crashingPosition: 1, soundInterval: 50 * time.Millisecond, crashInterval: 33 * time.Millisecond, downTime: 4 * time.Second, calm: 5 * time.Second, duration: 25 * time.Second}
+
 // answeredBefore is a short prompt that is answered like any other until one of its parts begins to crash engines.
 var answeredBefore = crashingPlan{gateways: 3, engines: 4, sharedParts: 2, crashingPosition: 1, soundInterval: 50 * time.Millisecond, crashInterval: 4500 * time.Millisecond, downTime: 3 * time.Second, calm: 14 * time.Second, duration: 35 * time.Second, answeredBefore: true}
 
-// Of the rules. BUDGET: more than maxLateArrivals requests with the part reach engines later than stableTime after crash number
-// knownCrashes. LOST: of minSound sound requests or more, sent from twice that time after the crash on, less than half as many begin as
-// before.
+// seedsGone is a short prompt, in a deployment whose processes were started before all of their seeds were replaced.
+var seedsGone = crashingPlan{gateways: 3, engines: 4, sharedParts: 2, crashingPosition: 1, soundInterval: 50 * time.Millisecond, crashInterval: 500 * time.Millisecond, downTime: 4 * time.Second, calm: 5 * time.Second, duration: 25 * time.Second, seedsGone: true}
+
+// sameRequest is a request that crashes the engines that run it and comes again as it was.
+var sameRequest = crashingPlan{gateways: 3, engines: 4, sharedParts: 1, crashingPosition: -1, soundInterval: 50 * time.Millisecond, crashInterval: 500 * time.Millisecond, downTime: 4 * time.Second, calm: 5 * time.Second, duration: 25 * time.Second, repeats: true}
+
+// newSession is a request that crashes the engines that run it and comes again in other sessions.
+var newSession = crashingPlan{gateways: 3, engines: 4, sharedParts: 1, crashingPosition: -1, soundInterval: 50 * time.Millisecond, crashInterval: 500 * time.Millisecond, downTime: 4 * time.Second, calm: 5 * time.Second, duration: 25 * time.Second, repeats: true, newSessions: true}
+
+// Of the rules. BUDGET: more than maxLateArrivals requests reach engines later than stableTime after the crash from which on they have to be
+// known. LOST: of minSound sound requests or more, sent from twice that time after the crash on, less than half as many begin as before.
 const (
-	knownCrashes    = 5
-	maxLateArrivals = 3
-	minSound        = 20
+	knownPartCrashes    = 5
+	knownRequestCrashes = 3
+	maxLateArrivals     = 3
+	minSound            = 20
 )
 
 // promptOf returns the prompt of the request with the number. Sound requests share the caller and the other parts.
 func (p crashingPlan) promptOf(number int, crashing bool) string {
 	var parts []string
+	if p.repeats && crashing && !p.newSessions {
+		number = 0
+	}
 	for position := range p.sharedParts {
 		id := fmt.Sprintf("%08x", 0xa0000000+position)
 		switch {
-		case position == p.crashingPosition && crashing:
+		case position == p.crashingPosition && crashing && !p.repeats:
 			id = crashingPart
-		case position == p.crashingPosition:
+		case position == p.crashingPosition && !(p.repeats && crashing):
 			id = fmt.Sprintf("%08x", 0xc0000000+number)
 		}
 		parts = append(parts, id+":20")
@@ -56,6 +74,14 @@
 	return strings.Join(append(parts, fmt.Sprintf("%08x:100", 0xb0000000+number)), ",")
 }
 
+// bodyOf returns the body of the request with the number.
+func (p crashingPlan) bodyOf(number int, crashing bool) string {
+	if p.repeats && crashing {
+		return crashingBody
+	}
+	return fmt.Sprintf("prompt %d", number)
+}
+
 // crashingPrompts plays the plan and checks a rule on prompts with a part that crashes engines.
 func crashingPrompts(f *fleet, trouble bool, plan crashingPlan) (bool, error) {
 	f.store.Configure(platformtest.Configuration{
@@ -96,6 +122,9 @@
 	}
 	var seeds []string
 	for i := range plan.gateways {
+		if plan.seedsGone && trouble {
+			i += plan.gateways // no machine is there
+		}
 		seeds = append(seeds, f.controlAddress(i))
 	}
 	for i := range plan.gateways {
@@ -131,7 +160,7 @@
 		}
 		time.Sleep(time.Until(*next))
 		*next = next.Add(interval)
-		c.send(request{id: fmt.Sprintf("%s-%d", kind, number), method: "POST", route: "brief", prompt: plan.promptOf(number, hasPart), body: fmt.Sprintf("prompt %d", number), gateway: number % plan.gateways, deadline: 6 * time.Second})
+		c.send(request{id: fmt.Sprintf("%s-%d", kind, number), method: "POST", route: "brief", prompt: plan.promptOf(number, hasPart), body: plan.bodyOf(number, hasPart), gateway: number % plan.gateways, deadline: 6 * time.Second})
 	}
 	c.running.Wait()
 	if ended := f.ended(); len(ended) > 0 {
@@ -139,7 +168,11 @@
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	f.record.tell("%d crashes of engines, %d requests with the part reached engines", len(crashes), len(arrivals))
+	f.record.tell("%d crashes of engines, %d requests of the kind that crashes them reached engines", len(crashes), len(arrivals))
+	knownCrashes := knownPartCrashes
+	if plan.repeats {
+		knownCrashes = knownRequestCrashes
+	}
 	known := began.Add(plan.calm) // without crashes
 	if len(crashes) >= knownCrashes {
 		known = crashes[knownCrashes-1]
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -23,6 +23,7 @@
 	eventInterval = 45 * time.Millisecond
 	streamEvents  = 14
 	crashingPart  = "bad"
+	crashingBody  = "prompt that no engine survives"
 )
 
 // engine is a stand-in of a model runner, as the page on runners describes it. A request with the crashing part ends its process as it
@@ -249,7 +250,7 @@
 
 func (e *engine) serveRequest(w http.ResponseWriter, r *http.Request, life int) {
 	id := r.Header.Get(platformtest.HeaderAttempt)
-	_, _ = io.Copy(io.Discard, r.Body) // a broken body ends the request anyway
+	body, _ := io.ReadAll(r.Body) // a broken body ends the request anyway
 	w.Header().Set(platformtest.HeaderAttempt, id)
 	e.mu.Lock()
 	misdirected := r.Header.Get("X-Expect-Instance") != "" && r.Header.Get("X-Expect-Instance") != e.id
@@ -279,7 +280,7 @@
 		}
 		e.mu.Unlock()
 	}()
-	crashing := isCrashing(r.Header.Get(platformtest.HeaderPrompt))
+	crashing := isCrashing(r.Header.Get(platformtest.HeaderPrompt)) || string(body) == crashingBody
 	e.fleet.record.add("engine %d: %s arrives", e.number, id)
 	e.onRun(time.Now(), crashing)
 	select {
