--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,14 +20,15 @@
 type scenario func(f *fleet, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"many-parts":      func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, manyParts) },
-	"answered-before": func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, answeredBefore) },
-	"same-request":    func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, sameRequest) },
-	"new-session":     func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, newSession) },
-	"bursts":          func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, bursts) },
-	"seeds-gone":      func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, seedsGone) },
-	"restored-key":    restoredKey,
-	"stated-rate":     statedRates,
+	"many-parts":       func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, manyParts) },
+	"answered-before":  func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, answeredBefore) },
+	"same-request":     func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, sameRequest) },
+	"new-session":      func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, newSession) },
+	"bursts":           func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, bursts) },
+	"seeds-gone":       func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, seedsGone) },
+	"restored-key":     func(f *fleet, trouble bool) (bool, error) { return restoredKey(f, trouble, 0) },
+	"restored-no-seed": func(f *fleet, trouble bool) (bool, error) { return restoredKey(f, trouble, 2) },
+	"stated-rate":      statedRates,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-2/restored_key.go
+++ b/review/stand-2/restored_key.go
@@ -51,9 +51,9 @@
 }
 
 // restoredKey checks the rule CONFIG on keys that were taken away. With trouble, the store comes back from a copy that is older than the
-// configuration without the key, and a gateway that is one of the seeds is killed and started again meanwhile.
-func restoredKey(f *fleet, trouble bool) (bool, error) {
-	const gateways = 3
+// configuration without the key, and the gateway with the number is killed and started again meanwhile. The first two are seeds.
+func restoredKey(f *fleet, trouble bool, killed int) (bool, error) {
+	const gateways, seedCount = 3, 2
 	configuration := platformtest.Configuration{
 		Version:  1,
 		Routes:   []platformtest.Route{{Name: "lookup", Kind: "safe", Service: "bookings", TimeoutMs: 800, MaxAttempts: 2, ObjectiveMs: 300}},
@@ -70,7 +70,7 @@
 	row := platformtest.EndpointRow{Service: "bookings", Address: address, Zone: zones[0], State: "ready", Slots: 16, StartedAt: time.Now()}
 	f.store.Put("servers", runner.id, row.String())
 	var seeds []string
-	for i := range gateways {
+	for i := range seedCount {
 		seeds = append(seeds, f.controlAddress(i))
 	}
 	for i := range gateways {
@@ -100,10 +100,10 @@
 	time.Sleep(beforeDrill)
 	if trouble {
 		go f.drill(backup, configuration, func() { f.store.Put("servers", runner.id, row.String()) })
-		f.signal("edge-0", syscall.SIGKILL)
+		f.signal(fmt.Sprintf("edge-%d", killed), syscall.SIGKILL)
 		time.AfterFunc(restartDelay, func() {
-			if err := f.startGateway(0, seeds); err != nil {
-				f.record.add("edge-0 does not start: %v", err)
+			if err := f.startGateway(killed, seeds); err != nil {
+				f.record.add("edge-%d does not start: %v", killed, err)
 			}
 		})
 	}
