review: one wrong digit in a manifest keeps most sidecars from a version

Cause: the size of the pieces is taken from the origin's manifest as it comes. A sidecar with a spoilt one is alone with its version; the others leave a share of the pieces to it and don't fetch these themselves. Change: review/6 holds a script. The case on a withdrawn key is left out for it; its scenario stays in review/stand-2. The cases before it move by one number. Nothing is fixed.

--- a/review/7/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Plays the scenario many-parts of review/stand-2. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Plays the scenario spoilt-manifest of review/stand-2. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # With TROUBLE=0 it leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/lovage-gateway target/lovage-sidecar target/review-2/stand-2; do
@@ -8,4 +8,4 @@
 		exit 2
 	fi
 done
-exec target/review-2/stand-2 many-parts review/7/record.txt
+exec target/review-2/stand-2 spoilt-manifest review/6/record.txt
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -28,6 +28,7 @@
 	"seeds-gone":       func(f *fleet, trouble bool) (bool, error) { return crashingPrompts(f, trouble, seedsGone) },
 	"restored-key":     func(f *fleet, trouble bool) (bool, error) { return restoredKey(f, trouble, 0) },
 	"restored-no-seed": func(f *fleet, trouble bool) (bool, error) { return restoredKey(f, trouble, 2) },
+	"spoilt-manifest":  spoiltManifest,
 	"stated-rate":      statedRates,
 }
 
