--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -54,7 +54,7 @@
 }
 
 func (e *engine) address() string {
-	return fmt.Sprintf("%s:%d", e.fleet.engineIP(e.number), enginePort)
+	return fmt.Sprintf("%s:%d", e.fleet.engineIP(e.number), e.fleet.ports.engine)
 }
 
 // start starts the first life with version 1 loaded and staged.
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -6,7 +6,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -18,14 +20,15 @@
 	"github.com/lovageglade/lovageglade/platform/platformtest"
 )
 
-// Ports are the same on all machines.
+// ports of a machine, the same on all machines.
+type ports struct{ front, ready, control, engine, first, last, origin int }
+
+// Ports are sought below the range from which systems assign ports to connections.
 const (
-	frontPort   = 7100
-	readyPort   = 7101
-	controlPort = 7102
-	enginePort  = 7200
-	firstPort   = 7201
-	lastPort    = 7209
+	lowestPort   = 10000
+	highestPort  = 30000
+	portsInUse   = 16
+	portAttempts = 200
 )
 
 // Bounds of a small deployment, as in its sheet.
@@ -47,6 +50,7 @@
 	record  *record
 	folder  string
 	prefix  string // of all addresses
+	ports   ports
 	store   *platformtest.Store
 	origin  *platformtest.Origin
 	weights platformtest.Weights
@@ -70,7 +74,28 @@
 	f := &fleet{record: r, folder: folder, store: platformtest.NewStore(), weights: platformtest.Weights{Model: "m", Chunks: 8, ChunkBytes: 8 << 10}}
 	f.origin = platformtest.NewOrigin(f.weights)
 	f.prefix = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250)
-	return f, nil
+	for range portAttempts {
+		first := lowestPort + rand.IntN(highestPort-lowestPort)
+		if f.areFree(first) {
+			f.ports = ports{front: first, ready: first + 1, control: first + 2, engine: first + 3, origin: first + 4, first: first + 5, last: first + portsInUse - 1}
+			return f, nil
+		}
+	}
+	return nil, errors.New("no free ports are found")
+}
+
+// areFree reports whether nothing listens on the ports from the first on, on this machine or one of its loopback addresses in use here.
+func (f *fleet) areFree(first int) bool {
+	for port := first; port < first+portsInUse; port++ {
+		for _, octet := range []int{10, 50, 100} {
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", f.ip(octet), port))
+			if err != nil {
+				return false
+			}
+			_ = listener.Close() // it has accepted nothing
+		}
+	}
+	return true
 }
 
 func (f *fleet) ip(octet int) string { return fmt.Sprintf("%s.%d", f.prefix, octet) }
@@ -80,18 +105,20 @@
 func (f *fleet) engineIP(i int) string { return f.ip(50 + i) }
 
 func (f *fleet) controlAddress(i int) string {
-	return fmt.Sprintf("%s:%d", f.gatewayIP(i), controlPort)
+	return fmt.Sprintf("%s:%d", f.gatewayIP(i), f.ports.control)
 }
 
-func (f *fleet) frontAddress(i int) string { return fmt.Sprintf("%s:%d", f.gatewayIP(i), frontPort) }
+func (f *fleet) frontAddress(i int) string {
+	return fmt.Sprintf("%s:%d", f.gatewayIP(i), f.ports.front)
+}
 
 // place returns the settings that gateways and sidecars share, as the project's templates fill them in.
 func (f *fleet) place(name, ip string, i, memoryMB, descriptors int, seeds []string) map[string]any {
 	zone := zones[i%len(zones)]
 	return map[string]any{
 		"host": name, "failure_domain": zone, "region": regions[zone], "regions": regions, "address": ip, "store_address": f.store.Address(),
-		"delegates": seeds, "collector_percent": 40, "memory_mb": memoryMB, "max_descriptors": descriptors, "metrics_port": firstPort + 3,
-		"ports": []int{firstPort, lastPort}, "grace_ms": 8000, "version_ms": 8000,
+		"delegates": seeds, "collector_percent": 40, "memory_mb": memoryMB, "max_descriptors": descriptors, "metrics_port": f.ports.first + 3,
+		"ports": []int{f.ports.first, f.ports.last}, "grace_ms": 8000, "version_ms": 8000,
 	}
 }
 
@@ -99,7 +126,7 @@
 func (f *fleet) startGateway(i int, seeds []string) error {
 	settings := f.place(fmt.Sprintf("edge-%d", i), f.gatewayIP(i), i, 284, 4100, seeds)
 	settings["front_address"] = f.frontAddress(i)
-	settings["ready_address"] = fmt.Sprintf("%s:%d", f.gatewayIP(i), readyPort)
+	settings["ready_address"] = fmt.Sprintf("%s:%d", f.gatewayIP(i), f.ports.ready)
 	settings["control_address"] = f.controlAddress(i)
 	settings["revocation_ms"], settings["configuration_ms"], settings["departure_ms"], settings["retry_share"] = 5000, 2000, 2000, 0.2
 	return f.start("lovage-gateway", fmt.Sprintf("edge-%d", i), settings)
@@ -108,7 +135,7 @@
 // startSidecar starts the sidecar of the engine on machine i.
 func (f *fleet) startSidecar(i int, service string, seeds []string) error {
 	settings := f.place(fmt.Sprintf("side-%d", i), f.engineIP(i), i, 152, 2048, seeds)
-	settings["engine_address"] = fmt.Sprintf("%s:%d", f.engineIP(i), enginePort)
+	settings["engine_address"] = fmt.Sprintf("%s:%d", f.engineIP(i), f.ports.engine)
 	settings["service"], settings["link_mbps"] = service, 9.4
 	return f.start("lovage-sidecar", fmt.Sprintf("side-%d", i), settings)
 }
@@ -184,7 +211,7 @@
 
 // awaitReadyOf waits until the gateway on machine i answers the readiness check.
 func (f *fleet) awaitReadyOf(i int) error {
-	for deadline := time.Now().Add(15 * time.Second); !isReady(fmt.Sprintf("%s:%d", f.gatewayIP(i), readyPort)); {
+	for deadline := time.Now().Add(15 * time.Second); !isReady(fmt.Sprintf("%s:%d", f.gatewayIP(i), f.ports.ready)); {
 		if time.Now().After(deadline) {
 			return fmt.Errorf("edge-%d does not get ready", i)
 		}
--- a/review/stand-2/restored_key.go
+++ b/review/stand-2/restored_key.go
@@ -61,7 +61,7 @@
 	}
 	f.store.Configure(configuration)
 	runner := &plainRunner{fleet: f, id: "i-2c9e04b1", runs: make(map[string]bool)}
-	address := fmt.Sprintf("%s:%d", f.ip(100), enginePort)
+	address := fmt.Sprintf("%s:%d", f.ip(100), f.ports.engine)
 	listener, err := listen(address)
 	if err != nil {
 		return false, err
--- a/review/stand-2/spoilt_manifest.go
+++ b/review/stand-2/spoilt_manifest.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	originPort    = 7300
 	namedAfter    = 3 * time.Second // from the first request
 	spoiltTraffic = 75 * time.Second
 	requestGap    = 9 * time.Millisecond
@@ -67,7 +66,7 @@
 	f.origin.Close()
 	f.origin = platformtest.NewOrigin(f.weights)
 	origin := &spoilingOrigin{fleet: f, spoils: trouble}
-	originAddress := fmt.Sprintf("%s:%d", f.ip(200), originPort)
+	originAddress := fmt.Sprintf("%s:%d", f.ip(200), f.ports.origin)
 	listener, err := listen(originAddress)
 	if err != nil {
 		return false, err
--- a/review/stand-2/stated_rate.go
+++ b/review/stand-2/stated_rate.go
@@ -84,7 +84,7 @@
 	var runners []*needyRunner
 	for i, id := range []string{"i-7f3a91c2", "i-2c9e04b1", "i-b81d5f60"} {
 		runner := &needyRunner{fleet: f, id: id, zone: zones[i]}
-		if err := runner.start(fmt.Sprintf("%s:%d", f.ip(100+i), enginePort)); err != nil {
+		if err := runner.start(fmt.Sprintf("%s:%d", f.ip(100+i), f.ports.engine)); err != nil {
 			return false, err
 		}
 		runners = append(runners, runner)
