dispatch: an unframed answer that ends beside its upload is not complete

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a whole answer, on all routes, directly and through a sidecar.

Cause: the system reports the reset of a connection to one call only. The body of a long request is written beside the read of the response. If the write takes the error, the read gets what has arrived and then the end of the connection, as after an orderly close. The result of the write was looked at before a connection is reused, not before a body without a length counts as complete. The check whether the endpoint's process lives passes, since it does.

Change: the end of the connection completes a body only if the request was written without an error and the server's system has acknowledged all of it. A server that closes a connection with unread bytes, or to which bytes come after its close, resets it, so an orderly close with everything acknowledged follows the request.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -81,14 +81,15 @@
 	Header  http.Header
 	Framing Framing
 
-	pool        *Pool
-	address     string
-	conn        *conn
-	body        io.ReadCloser
-	reusable    bool         // the connection may be reused after a complete exchange
-	complete    bool         // the body was read to its end
-	bodyWritten <-chan error // result of a concurrent write of the body; nil if all was sent in one write
-	stopReset   func() bool  // cancels the reset of the connection at the end of the context
+	pool         *Pool
+	address      string
+	conn         *conn
+	body         io.ReadCloser
+	endsWithConn bool        // the end of the connection is that of the body
+	reusable     bool        // the connection may be reused after a complete exchange
+	complete     bool        // the body was read to its end
+	upload       *upload     // of the request
+	stopReset    func() bool // cancels the reset of the connection at the end of the context
 }
 
 // Send sends the request and waits for the header of the response. The connection is reset when the context ends. A
@@ -120,7 +121,7 @@
 			return nil, &NotSentError{Cause: err}
 		}
 	}
-	bodyWritten, err := writeRequest(c, req, request.Target, request.Body)
+	upload, err := writeRequest(c, req, request.Target, request.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -130,7 +131,7 @@
 			return nil, err
 		}
 		if request.accepts(resp, c.reused) {
-			return p.newResponse(c, request, resp, bodyWritten), nil
+			return p.newResponse(c, request, resp, upload), nil
 		}
 		if !c.reused || !request.canSkip(resp) {
 			break
@@ -178,15 +179,13 @@
 }
 
 // writeRequest sends the request. One with a short body is sent in a single write, so that a failure before the first
-// byte is recognized. A longer body is sent concurrently, and the returned channel receives the result.
-func writeRequest(c *conn, req *http.Request, target string, body []byte) (<-chan error, error) {
+// byte is recognized. A longer body is sent concurrently.
+func writeRequest(c *conn, req *http.Request, target string, body []byte) (*upload, error) {
 	if !isTarget(target) {
 		return nil, &NotSentError{Cause: errBadTarget}
 	}
 	if len(body) > maxInlineBodyBytes {
-		result := make(chan error, 1)
-		go func() { result <- req.Write(withTarget(c, req, target)) }() // ends with the connection at the latest
-		return result, nil
+		return startUpload(func() error { return req.Write(withTarget(c, req, target)) }), nil
 	}
 	var raw bytes.Buffer
 	raw.Grow(len(body) + 1<<10)
@@ -197,7 +196,7 @@
 	if err != nil && n == 0 {
 		return nil, &NotSentError{Cause: err}
 	}
-	return nil, err
+	return endedUpload, err
 }
 
 // readHeader returns the next response, skipping informational ones.
@@ -218,18 +217,19 @@
 	}
 }
 
-func (p *Pool) newResponse(c *conn, request *Request, resp *http.Response, bodyWritten <-chan error) *Response {
+func (p *Pool) newResponse(c *conn, request *Request, resp *http.Response, upload *upload) *Response {
 	framing := framingOf(resp)
 	return &Response{
-		Status:      resp.StatusCode,
-		Header:      resp.Header,
-		Framing:     framing,
-		pool:        p,
-		address:     request.Address,
-		conn:        c,
-		body:        resp.Body,
-		reusable:    framing != Unframed && !resp.Close && !request.isUnidentified(resp.Header) && !request.NewConn, // pooled connections that no request reuses would exhaust the endpoint's connection limit
-		bodyWritten: bodyWritten,
+		Status:       resp.StatusCode,
+		Header:       resp.Header,
+		Framing:      framing,
+		pool:         p,
+		address:      request.Address,
+		conn:         c,
+		body:         resp.Body,
+		endsWithConn: framing == Unframed && resp.Body != http.NoBody,
+		reusable:     framing != Unframed && !resp.Close && !request.isUnidentified(resp.Header) && !request.NewConn, // pooled connections that no request reuses would exhaust the endpoint's connection limit
+		upload:       upload,
 	}
 }
 
@@ -251,12 +251,18 @@
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete: by its length, by its last chunk, or, without
-// either, by an orderly close of the connection.
+// either, by an orderly close of the connection after the server has received the whole request.
 func (r *Response) Read(buf []byte) (int, error) {
 	n, err := r.body.Read(buf)
-	if errors.Is(err, io.EOF) {
-		r.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if r.endsWithConn && !r.complete {
+		if unreceived := r.upload.awaitReceived(r.conn); unreceived != nil {
+			return n, unreceived
+		}
+	}
+	r.complete = true
 	return n, err
 }
 
@@ -264,26 +270,13 @@
 // and no extra bytes are buffered.
 func (r *Response) Close() {
 	notReset := r.stopReset()
-	if !notReset || !r.reusable || !r.complete || !r.requestSent() || r.conn.reader.Buffered() > 0 {
+	if !notReset || !r.reusable || !r.complete || !r.upload.isSent() || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
 	r.pool.putIdle(r.address, r.conn, keepAliveTimeout(r.Header))
 }
 
-// requestSent reports whether the request has been written completely.
-func (r *Response) requestSent() bool {
-	if r.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-r.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // keepAliveTimeout returns the idle timeout that the server announces in its Keep-Alive header, or 0 if there is none.
 func keepAliveTimeout(header http.Header) time.Duration {
 	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
--- a/internal/gateway/sidecar_fixture_test.go
+++ b/internal/gateway/sidecar_fixture_test.go
@@ -40,6 +40,14 @@
 	mu    sync.Mutex
 	conns []net.Conn
 	serve func(conn net.Conn, request *http.Request) (keep bool)
+	early bool // it answers before it reads the body
+}
+
+// answerEarly makes the engine answer before it reads the body of a request.
+func (e *rawEngine) answerEarly() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.early = true
 }
 
 func (e *rawEngine) setServe(serve func(conn net.Conn, request *http.Request) (keep bool)) {
@@ -79,8 +87,13 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
+		e.mu.Lock()
+		early := e.early
+		e.mu.Unlock()
+		if !early {
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
 		}
 		if request.URL.Path == "/report" {
 			raw, _ := json.Marshal(document{"stage": "mixed", "busy": false, "seq": 0, "born": e.bornMs, "active": 0, "queued": 0, "pace": 1, "models": []document{{"name": "m", "version": 1, "adapters": []string{}}}})
@@ -121,6 +134,22 @@
 func newSidecarFixture(t *testing.T, engineCount int) (*fixture, []*rawEngine) {
 	t.Helper()
 	fx := newFixture(t)
+	fx.putEngineConfiguration(9, 1000)
+	relayPort := freePorts(t)
+	fx.gateway.settings.Ports = []int{relayPort, relayPort + 2}
+	var engines []*rawEngine
+	for i := range engineCount {
+		engines = append(engines, fx.startRawEngine(fmt.Sprintf("e%d", i), fmt.Sprintf("127.0.0.%d", i+2), relayPort))
+	}
+	fx.waitFor("the engines", func() bool {
+		return len(fx.gateway.follower.View().AvailableEndpoints("models")) == engineCount && fx.gateway.follower.View().Configuration.Version == 9
+	})
+	return fx, engines
+}
+
+// putEngineConfiguration publishes a configuration with the routes of plain endpoints and of engines.
+func (fx *fixture) putEngineConfiguration(version, maxBodyBytes int) {
+	fx.t.Helper()
 	route := func(name, kind string, more document) document {
 		r := document{"name": name, "host": "h.example", "prefix": "/" + name + "/", "route-kind": kind, "timeout-ms": 5000, "service": "models", "max-attempts": 3, "sticky": true}
 		for key, value := range more {
@@ -129,21 +158,11 @@
 		return r
 	}
 	withEngines := append(routes(), route("engine-once", "unsafe", nil), route("engine-safe", "safe", nil), route("engine-stream", "stream", document{"resumable": true}), route("engine-stream-once", "stream", nil))
-	raw, err := json.Marshal(document{"version": 9, "routes": withEngines, "services": []document{{"name": "plain"}, {"name": "models", "engine": document{"slots": 16, "models": []document{{"name": "m"}}}}}, "limits": document{"max-body-bytes": 1000}, "tenants": []document{{"name": "space", "api-keys": []string{"key-1"}}}})
+	raw, err := json.Marshal(document{"version": version, "routes": withEngines, "services": []document{{"name": "plain"}, {"name": "models", "engine": document{"slots": 16, "models": []document{{"name": "m"}}}}}, "limits": document{"max-body-bytes": maxBodyBytes}, "tenants": []document{{"name": "space", "api-keys": []string{"key-1"}}}})
 	if err != nil {
-		t.Fatal(err)
+		fx.t.Fatal(err)
 	}
 	fx.store.Put("op", "config", string(raw))
-	relayPort := freePorts(t)
-	fx.gateway.settings.Ports = []int{relayPort, relayPort + 2}
-	var engines []*rawEngine
-	for i := range engineCount {
-		engines = append(engines, fx.startRawEngine(fmt.Sprintf("e%d", i), fmt.Sprintf("127.0.0.%d", i+2), relayPort))
-	}
-	fx.waitFor("the engines", func() bool {
-		return len(fx.gateway.follower.View().AvailableEndpoints("models")) == engineCount && fx.gateway.follower.View().Configuration.Version == 9
-	})
-	return fx, engines
 }
 
 // freePorts returns the first of three ports that are free on the addresses of engines.
