response: one reader of heads for all answers; a status outside of 100 to 599 is none

What callers saw: an endpoint in trouble sent an answer whose status was 000, and it was taken for an answer.

Cause: four parsers, each with its own idea of a status line. fasthttp, in package stream (entry, agent) and in platform/ (reports, orders, staged chunks, the origin, the store), keeps 0 for "not set", which reads as 200. dispatch (gateway, sidecar) took all below 200 for interim responses, 000 too, and the next head for the answer; 101, which nobody asked for, and 600 went on to the caller.

Evidence, on the code before: TestAnswerWithoutASoundStatusIsNoAnswer took status 000 for an answer in all six calls of platform/; stream.TestResponseWithoutASoundStatusIsAnError (its request written for the old signature) took 000 for 200, and 042, 101 and 600; TestAnswerWithoutASoundStatusReachesNoCaller failed on all eight routes with 101 and 600, and with 000 and 099 before a second head (HEAD). A head of 000 alone was refused by gateway and sidecar before; the case stays in the test.

Change: package response reads the head of a response, first by the grammar of the status line (RFC 9112, section 4) and the range of RFC 9110, section 15, then with net/http, and gives the body by its framing. dispatch uses it, and all clients now use dispatch: stream, platform/, the orders and the state of package backend, the operators' upload of weights, and the load tool. The clients keep their time limits: stream's limit on reads and writes without progress and its bound on connections became fields of dispatch.Pool. A read may be silent for longer while the request is written. Requests of entry and agent now end with their context, and their targets are sent unchanged. An order to an engine and an upload to the origin count as carried out only after a whole answer.

Also: a case of TestUnframedAnswerBesideAnUnfinishedUploadIsNotComplete failed beside other packages, since its server could read the whole request before it closed, which makes the answer whole. TestUnframedAnswerThatEndsBeforeTheRestOfTheRequestIsNotComplete replaces it: the rest of the request is sent after the close.

--- a/cmd/lovage-load/main.go
+++ b/cmd/lovage-load/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -14,6 +13,12 @@
 
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/load"
+	"github.com/lovageglade/lovageglade/internal/stream"
+)
+
+const (
+	bookingsTimeout  = 10 * time.Second // without a byte from a stand-in
+	maxBookingsBytes = 64 << 20         // room for a million bookings
 )
 
 type commandLine struct {
@@ -60,21 +65,14 @@
 
 // readBookings returns how often each booking was made, summed over the plain stand-ins at the addresses.
 func readBookings(addresses []string) (map[string]int, error) {
+	client := stream.NewClient(bookingsTimeout, 1)
+	defer client.Close()
 	bookings := make(map[string]int)
 	for _, address := range addresses {
-		response, err := http.Get("http://" + address + "/bookings")
-		if err != nil {
-			return nil, err
-		}
-		raw, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
+		counts, err := readBookingsOf(client, address)
 		if err != nil {
 			return nil, err
 		}
-		counts := make(map[string]int)
-		if err := json.Unmarshal(raw, &counts); err != nil {
-			return nil, err
-		}
 		for id, count := range counts {
 			bookings[id] += count
 		}
@@ -82,6 +80,24 @@
 	return bookings, nil
 }
 
+// readBookingsOf returns how often each booking was made at the plain stand-in at the address.
+func readBookingsOf(client *stream.Client, address string) (map[string]int, error) {
+	response, err := client.Do(context.Background(), stream.Request{Method: http.MethodGet, Address: address, Target: "/bookings"})
+	if err != nil {
+		return nil, err
+	}
+	defer response.Close()
+	raw, err := response.ReadAll(maxBookingsBytes)
+	if err != nil {
+		return nil, err
+	}
+	var counts map[string]int
+	if err := json.Unmarshal(raw, &counts); err != nil {
+		return nil, err
+	}
+	return counts, nil
+}
+
 // checkBookings compares the bookings at the stand-ins with the responses that callers received and returns a description
 // of each contradiction: a booking made twice, confirmed but not made, or refused but made.
 func checkBookings(report load.Report, bookings map[string]int) []string {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -154,7 +154,7 @@
 		if errors.Is(err, io.EOF) {
 			return tail, nil
 		}
-		if err != nil {
+		if err != nil && ctx.Err() == nil {
 			return tail, fault.Wrap(err, fault.EndpointFault, "the back end's answer was cut off", "retry the request if it is idempotent")
 		}
 		if ctx.Err() != nil {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -78,13 +78,14 @@
 const (
 	progressTimeout = 20 * time.Second // wait for the next byte; a cold engine can take long to produce its first token
 	maxConnsPerHost = 1024
+	maxAdminConns   = 16 // orders and queries of the state at a time
 )
 
 // HTTP is an HTTP client of a back end. It implements Engine.
 type HTTP struct {
 	address string
 	client  *stream.Client
-	admin   *http.Client // for the /admin endpoints
+	admin   *stream.Client // for the /admin endpoints, which may be silent for as long as the request's context lasts
 }
 
 // NewHTTP returns a client of the back end at address, an IP address and port.
@@ -92,15 +93,16 @@
 	return &HTTP{
 		address: address,
 		client:  stream.NewClient(progressTimeout, maxConnsPerHost),
-		admin:   &http.Client{},
+		admin:   stream.NewClient(0, maxAdminConns),
 	}
 }
 
 // Call implements Caller.
-func (h *HTTP) Call(_ context.Context, call Call) (*stream.Response, error) {
-	return h.client.Do(stream.Request{
+func (h *HTTP) Call(ctx context.Context, call Call) (*stream.Response, error) {
+	return h.client.Do(ctx, stream.Request{
 		Method:      call.Method,
-		URL:         "http://" + h.address + call.Path,
+		Address:     h.address,
+		Target:      call.Path,
 		ContentType: call.ContentType,
 		Body:        call.Body,
 		NewConn:     call.NewConn,
@@ -129,25 +131,32 @@
 
 // sendOrder posts an order with size bytes of content and returns when the engine has carried it out.
 func (h *HTTP) sendOrder(ctx context.Context, path string, order Order, content io.Reader, size int64) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.address+path, content)
-	if err != nil {
-		return err
-	}
-	request.ContentLength = size
-	request.Header.Set("X-Version", string(order.Version))
-	request.Header.Set("X-Adapter", order.Adapter)
-	request.Header.Set("X-Role", string(order.Role))
-	request.Header.Set("X-Fence", strconv.FormatUint(uint64(order.Fence), 10))
-	response, err := h.admin.Do(request)
+	response, err := h.admin.Do(ctx, stream.Request{
+		Method:  http.MethodPost,
+		Address: h.address,
+		Target:  path,
+		Header: map[string]string{
+			"X-Version": string(order.Version),
+			"X-Adapter": order.Adapter,
+			"X-Role":    string(order.Role),
+			"X-Fence":   strconv.FormatUint(uint64(order.Fence), 10),
+		},
+		Content:     content,
+		ContentSize: size,
+	})
 	if err != nil {
 		return fault.Wrap(err, fault.EndpointFault, "the engine did not respond to the order", "check that the engine is running")
 	}
-	defer response.Body.Close()
-	if response.StatusCode == http.StatusConflict {
+	defer response.Close()
+	switch response.Status {
+	case http.StatusOK:
+	case http.StatusConflict:
 		return fault.New(fault.Conflict, "the engine refused the order's fencing number", "read the engine's state and send a new order")
+	default:
+		return fault.New(fault.EndpointFault, fmt.Sprintf("the engine answered the order with status %d", response.Status), "read the engine's log")
 	}
-	if response.StatusCode != http.StatusOK {
-		return fault.New(fault.EndpointFault, fmt.Sprintf("the engine answered the order with status %d", response.StatusCode), "read the engine's log")
+	if err := response.ReadToEnd(); err != nil {
+		return fault.Wrap(err, fault.EndpointFault, "the engine's answer to the order broke off", "read the engine's state and send the order again")
 	}
 	return nil
 }
@@ -155,16 +164,12 @@
 // State implements Engine.
 func (h *HTTP) State(ctx context.Context) (EngineState, error) {
 	var state EngineState
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.address+"/admin/state", nil)
-	if err != nil {
-		return state, err
-	}
-	response, err := h.admin.Do(request)
+	response, err := h.admin.Do(ctx, stream.Request{Method: http.MethodGet, Address: h.address, Target: "/admin/state"})
 	if err != nil {
 		return state, fault.Wrap(err, fault.EndpointFault, "the engine did not respond to the query for its state", "check that the engine is running")
 	}
-	defer response.Body.Close()
-	if err := json.NewDecoder(response.Body).Decode(&state); err != nil {
+	defer response.Close()
+	if err := json.NewDecoder(response).Decode(&state); err != nil {
 		return state, fault.Wrap(err, fault.EndpointFault, "the engine's state cannot be decoded", "check the engine's version")
 	}
 	return state, nil
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -7,9 +7,10 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,14 +23,13 @@
 	defaultIdleTimeout = 4 * time.Second // for servers that announce no Keep-Alive timeout
 	maxIdlePerAddress  = 32              // twice the slots of an endpoint
 	readBufferBytes    = 4 << 10
-	maxHeadBytes       = 256 << 10 // of a response, with the informational responses before it
 )
 
 // conn is a connection with its read buffer.
 type conn struct {
-	net.Conn
+	net.Conn              // with the pool's ProgressTimeout
+	socket       net.Conn // without it
 	reader       *bufio.Reader
-	head         *headLimiter
 	reused       bool      // it has carried an exchange before
 	idleDeadline time.Time // the server may close it after this time
 }
@@ -42,15 +42,21 @@
 	dialer net.Dialer
 	// MaxIdle bounds the idle connections to all addresses together; 0 for no bound. It is not changed while the pool is used.
 	MaxIdle int
+	// MaxOpen bounds the exchanges with one address at a time; 0 for no bound. It is not changed while the pool is used.
+	MaxOpen int
+	// ProgressTimeout is the time after which a read or a write that transfers no byte fails; 0 for none. It is not changed while the
+	// pool is used.
+	ProgressTimeout time.Duration
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
 	idleCount int
+	open      map[string]int // exchanges by address, if MaxOpen is set
 }
 
 // NewPool returns a pool without connections.
 func NewPool() *Pool {
-	return &Pool{dialer: net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: -1}, idle: make(map[string][]*conn)}
+	return &Pool{dialer: net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: -1}, idle: make(map[string][]*conn), open: make(map[string]int)}
 }
 
 // Close closes the idle connections.
@@ -82,34 +88,73 @@
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
-	head := &headLimiter{source: socket}
-	return &conn{Conn: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
+	opened := &conn{Conn: socket, socket: socket}
+	if p.ProgressTimeout > 0 {
+		opened.Conn = &progressConn{Conn: socket, timeout: p.ProgressTimeout}
+	}
+	opened.reader = bufio.NewReaderSize(opened.Conn, readBufferBytes)
+	return opened, nil
 }
 
-// headLimiter limits how much is read from a connection while the head of a response is due, which has no bound of its own.
-type headLimiter struct {
-	source    io.Reader
-	limited   bool
-	remaining int
+var errTooManyOpen = errors.New("as many exchanges with the address are open as may be")
+
+// acquire counts an exchange with the address, or returns errTooManyOpen.
+func (p *Pool) acquire(address string) error {
+	if p.MaxOpen == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[address] >= p.MaxOpen {
+		return errTooManyOpen
+	}
+	p.open[address]++
+	return nil
 }
 
-// expectHead limits what is read from now on to maxHeadBytes.
-func (h *headLimiter) expectHead() { h.limited, h.remaining = true, maxHeadBytes }
+// release counts the end of an exchange with the address.
+func (p *Pool) release(address string) {
+	if p.MaxOpen == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[address]--
+	if p.open[address] == 0 {
+		delete(p.open, address)
+	}
+}
 
-// headRead lifts the limit, for the body.
-func (h *headLimiter) headRead() { h.limited = false }
+// progressConn ends a read or a write that transfers no byte for the timeout. A read may wait for longer while a request is written.
+type progressConn struct {
+	net.Conn
+	timeout time.Duration
+	writes  atomic.Int64 // that have begun or ended
+}
 
-// Read returns errHeadTooLong once the limit is reached.
-func (h *headLimiter) Read(buf []byte) (int, error) {
-	if !h.limited {
-		return h.source.Read(buf)
+// Read implements io.Reader.
+func (c *progressConn) Read(buf []byte) (int, error) {
+	for {
+		writes := c.writes.Load()
+		if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(buf)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.writes.Load() != writes {
+			continue
+		}
+		return n, err
 	}
-	if h.remaining <= 0 {
-		return 0, errHeadTooLong
+}
+
+// Write implements io.Writer.
+func (c *progressConn) Write(data []byte) (int, error) {
+	c.writes.Add(1)
+	defer c.writes.Add(1)
+	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
 	}
-	n, err := h.source.Read(buf[:min(len(buf), h.remaining)])
-	h.remaining -= n
-	return n, err
+	return c.Conn.Write(data)
 }
 
 // takeIdle returns the most recently used connection that is still usable, or nil, and closes unusable ones on the way.
@@ -149,6 +194,10 @@
 	if keepAlive > 0 {
 		idleTimeout = min(idleTimeout, keepAlive/2)
 	}
+	if err := c.socket.SetDeadline(time.Time{}); err != nil { // of ProgressTimeout
+		_ = c.Close()
+		return
+	}
 	c.reused = true
 	c.idleDeadline = time.Now().Add(idleTimeout)
 	p.mu.Lock()
@@ -182,7 +231,7 @@
 // reset closes the connection and discards unsent data, so that a request whose caller has given up does not reach the
 // endpoint when a partition heals.
 func (c *conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.socket.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
 	_ = c.Close()
@@ -193,7 +242,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
+	raw, ok := c.socket.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/lovageglade/lovageglade/internal/response"
 )
 
 const (
@@ -39,9 +41,6 @@
 	return errors.As(err, &unsent)
 }
 
-// errHeadTooLong is returned for an endpoint that sends bytes without end where the head of a response is due.
-var errHeadTooLong = errors.New("the head of the response is too long; check what the endpoint sends")
-
 var errOnlyStrayResponses = errors.New("received only responses that do not name the request on the connection; it was closed")
 
 // Request is one request to one endpoint.
@@ -52,6 +51,9 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
+	// Content, if set, is sent in place of Body. It is read until the response is closed, at most.
+	Content     io.Reader
+	ContentSize int64 // bytes of Content
 	// DialTimeout bounds the time to connect; 0 for DefaultDialTimeout.
 	DialTimeout time.Duration
 	NewConn     bool // use a new connection, since the failure of a reused one leaves open whether the request ran
@@ -66,13 +68,13 @@
 }
 
 // Framing is how the end of a response's body is marked.
-type Framing string
+type Framing = response.Framing
 
 // The framings of responses.
 const (
-	FramedByLength Framing = "length"
-	FramedByChunks Framing = "chunks"
-	Unframed       Framing = "none" // the body ends with the connection, so a crash of the server can look like its end
+	FramedByLength = response.FramedByLength
+	FramedByChunks = response.FramedByChunks
+	Unframed       = response.Unframed
 )
 
 // Response is an endpoint's response. Its header has arrived; its body is read as it arrives. Close must be called.
@@ -84,7 +86,7 @@
 	pool         *Pool
 	address      string
 	conn         *conn
-	body         io.ReadCloser
+	body         io.Reader
 	endsWithConn bool        // the end of the connection is that of the body
 	reusable     bool        // the connection may be reused after a complete exchange
 	complete     bool        // the body was read to its end
@@ -95,13 +97,18 @@
 // Send sends the request and waits for the header of the response. The connection is reset when the context ends. A
 // NotSentError means that no byte was sent, and wraps the error of request.Check; after any other error the request may have run.
 func (p *Pool) Send(ctx context.Context, request *Request) (*Response, error) {
+	if err := p.acquire(request.Address); err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
 	c, err := p.getConn(ctx, request)
 	if err != nil {
+		p.release(request.Address)
 		return nil, err
 	}
 	stopReset := context.AfterFunc(ctx, c.reset)
-	response, err := p.exchange(c, request)
+	answer, err := p.exchange(c, request)
 	if err != nil {
+		p.release(request.Address)
 		stopReset()
 		c.reset()
 		if ctx.Err() != nil && !NotSent(err) {
@@ -109,8 +116,8 @@
 		}
 		return nil, err
 	}
-	response.stopReset = stopReset
-	return response, nil
+	answer.stopReset = stopReset
+	return answer, nil
 }
 
 // exchange sends the request on the connection and reads responses until one matches.
@@ -121,12 +128,12 @@
 			return nil, &NotSentError{Cause: err}
 		}
 	}
-	upload, err := writeRequest(c, req, request.Target, request.Body)
+	upload, err := writeRequest(c, req, request)
 	if err != nil {
 		return nil, err
 	}
 	for range maxStrayResponses + 1 {
-		resp, err := readHeader(c, req)
+		resp, err := response.Read(c.reader, req.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -144,7 +151,7 @@
 }
 
 // accepts reports whether the response, on a connection that may have been used before, is taken for the request's.
-func (r *Request) accepts(resp *http.Response, connReused bool) bool {
+func (r *Request) accepts(resp *response.Response, connReused bool) bool {
 	if r.Matches == nil || r.Matches(resp.Header) {
 		return true
 	}
@@ -157,8 +164,8 @@
 
 // canSkip reports whether the response certainly belongs to another request and its end is known. After a HEAD request, the
 // body of a response to another method would be read as the next response.
-func (r *Request) canSkip(resp *http.Response) bool {
-	return !r.isUnidentified(resp.Header) && !resp.Close && r.Method != http.MethodHead && framingOf(resp) != Unframed
+func (r *Request) canSkip(resp *response.Response) bool {
+	return !r.isUnidentified(resp.Header) && !resp.Close && r.Method != http.MethodHead && resp.Framing != Unframed
 }
 
 func newHTTPRequest(request *Request) *http.Request {
@@ -172,7 +179,10 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
-	if len(request.Body) > 0 {
+	switch {
+	case request.Content != nil:
+		req.Body, req.ContentLength = io.NopCloser(request.Content), request.ContentSize
+	case len(request.Body) > 0:
 		req.Body = io.NopCloser(bytes.NewReader(request.Body))
 	}
 	return req
@@ -180,16 +190,19 @@
 
 // writeRequest sends the request. One with a short body is sent in a single write, so that a failure before the first
 // byte is recognized. A longer body is sent concurrently.
-func writeRequest(c *conn, req *http.Request, target string, body []byte) (*upload, error) {
-	if !isTarget(target) {
+func writeRequest(c *conn, req *http.Request, request *Request) (*upload, error) {
+	if !isTarget(request.Target) {
 		return nil, &NotSentError{Cause: errBadTarget}
 	}
-	if len(body) > maxInlineBodyBytes {
-		return startUpload(func() error { return req.Write(withTarget(c, req, target)) }), nil
+	if request.Content != nil {
+		return startUpload(func() error { return writeContent(c, req, request) }), nil
+	}
+	if len(request.Body) > maxInlineBodyBytes {
+		return startUpload(func() error { return req.Write(withTarget(c, req, request.Target)) }), nil
 	}
 	var raw bytes.Buffer
-	raw.Grow(len(body) + 1<<10)
-	if err := req.Write(withTarget(&raw, req, target)); err != nil {
+	raw.Grow(len(request.Body) + 1<<10)
+	if err := req.Write(withTarget(&raw, req, request.Target)); err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
 	n, err := c.Write(raw.Bytes())
@@ -199,50 +212,48 @@
 	return endedUpload, err
 }
 
-// readHeader returns the next response, skipping informational ones.
-func readHeader(c *conn, req *http.Request) (*http.Response, error) {
-	c.head.expectHead()
-	defer c.head.headRead()
-	for {
-		resp, err := http.ReadResponse(c.reader, req)
-		if err != nil && c.head.remaining <= 0 {
-			return nil, errHeadTooLong // instead of an error about the part that was read
-		}
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
-		}
+// writeContent sends a request whose body is read from request.Content. It resets the connection if that fails or is too short, since
+// the server would wait for the rest.
+func writeContent(c *conn, req *http.Request, request *Request) error {
+	content := &contentReader{source: request.Content, remaining: request.ContentSize}
+	req.Body = io.NopCloser(content)
+	err := req.Write(withTarget(c, req, request.Target))
+	if content.failed {
+		c.reset()
 	}
+	return err
 }
 
-func (p *Pool) newResponse(c *conn, request *Request, resp *http.Response, upload *upload) *Response {
-	framing := framingOf(resp)
+// contentReader notes whether its source fails or ends before the stated size.
+type contentReader struct {
+	source    io.Reader
+	remaining int64 // bytes
+	failed    bool
+}
+
+// Read implements io.Reader.
+func (c *contentReader) Read(buf []byte) (int, error) {
+	n, err := c.source.Read(buf)
+	c.remaining -= int64(n)
+	c.failed = err != nil && (c.remaining > 0 || !errors.Is(err, io.EOF))
+	return n, err
+}
+
+func (p *Pool) newResponse(c *conn, request *Request, resp *response.Response, upload *upload) *Response {
 	return &Response{
-		Status:       resp.StatusCode,
+		Status:       resp.Status,
 		Header:       resp.Header,
-		Framing:      framing,
+		Framing:      resp.Framing,
 		pool:         p,
 		address:      request.Address,
 		conn:         c,
 		body:         resp.Body,
-		endsWithConn: framing == Unframed && resp.Body != http.NoBody,
-		reusable:     framing != Unframed && !resp.Close && !request.isUnidentified(resp.Header) && !request.NewConn, // pooled connections that no request reuses would exhaust the endpoint's connection limit
+		endsWithConn: resp.EndsWithConn,
+		reusable:     resp.Framing != Unframed && !resp.Close && !request.isUnidentified(resp.Header) && !request.NewConn, // pooled connections that no request reuses would exhaust the endpoint's connection limit
 		upload:       upload,
 	}
 }
 
-func framingOf(resp *http.Response) Framing {
-	switch {
-	case resp.ContentLength >= 0:
-		return FramedByLength
-	case len(resp.TransferEncoding) > 0:
-		return FramedByChunks
-	}
-	return Unframed
-}
-
 // CopyLength copies the length that an answer to a HEAD request states of the body that it does not have, if it states one.
 func CopyLength(dst, src http.Header) {
 	if length, stated := src["Content-Length"]; stated {
@@ -266,9 +277,22 @@
 	return n, err
 }
 
+// ErrBodyTooLong is returned for a body that has not ended where it must.
+var ErrBodyTooLong = errors.New("the body of the response is longer than it may be; check what the endpoint sends")
+
+// ReadAll returns the whole body. It returns ErrBodyTooLong for one of more than maxBytes.
+func (r *Response) ReadAll(maxBytes int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, int64(maxBytes)+1))
+	if err == nil && len(body) > maxBytes {
+		return nil, ErrBodyTooLong
+	}
+	return body, err
+}
+
 // Close ends the exchange. The connection is reused only if the whole response was read, the whole request was sent,
 // and no extra bytes are buffered.
 func (r *Response) Close() {
+	defer r.pool.release(r.address)
 	notReset := r.stopReset()
 	if !notReset || !r.reusable || !r.complete || !r.upload.isSent() || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
--- a/internal/dispatch/upload.go
+++ b/internal/dispatch/upload.go
@@ -79,7 +79,7 @@
 
 // unacknowledged returns how many of the bytes sent have not been acknowledged by the peer's system, 0 if this is not known.
 func (c *conn) unacknowledged() int {
-	raw, ok := c.Conn.(syscall.Conn)
+	raw, ok := c.socket.(syscall.Conn)
 	if !ok {
 		return 0
 	}
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"strconv"
 	"time"
 
@@ -22,21 +21,17 @@
 }
 
 func (f *forwarder) dispatch(effect outcome.Dispatch) {
-	request := stream.Request{Method: "POST", URL: attemptsURL(effect.Attempt), ContentType: "application/json"}
+	request := stream.Request{Method: "POST", Address: effect.Attempt.Target.Host.DataAddress, Target: wire.PathAttempts, ContentType: "application/json"}
 	request.Body, _ = json.Marshal(f.dispatchMessage(effect)) // cannot fail: every field can be encoded
 	f.startReader(attemptConn{attempt: effect.Attempt, number: effect.Conn, request: request, provesNotSent: true})
 }
 
 func (f *forwarder) attach(effect outcome.Attach) {
-	url := attemptsURL(effect.Attempt) + "/" + string(effect.Attempt.ID) + "?offset=" + strconv.FormatInt(effect.Offset, 10)
-	request := stream.Request{Method: "GET", URL: url, NewConn: true}
+	target := wire.PathAttempts + "/" + string(effect.Attempt.ID) + "?offset=" + strconv.FormatInt(effect.Offset, 10)
+	request := stream.Request{Method: "GET", Address: effect.Attempt.Target.Host.DataAddress, Target: target, NewConn: true}
 	f.startReader(attemptConn{attempt: effect.Attempt, number: effect.Conn, request: request})
 }
 
-func attemptsURL(attempt outcome.Attempt) string {
-	return "http://" + attempt.Target.Host.DataAddress + wire.PathAttempts
-}
-
 func (f *forwarder) dispatchMessage(effect outcome.Dispatch) wire.Dispatch {
 	r := f.request
 	return wire.Dispatch{
@@ -86,7 +81,10 @@
 }
 
 func (f *forwarder) readFrames(ctx context.Context, c attemptConn) {
-	response, err := f.entry.agents.Do(c.request)
+	response, err := f.entry.agents.Do(ctx, c.request)
+	if ctx.Err() != nil && err != nil {
+		return // nobody waits for the event
+	}
 	if err != nil {
 		f.entry.node.ReportConnectionFailure(c.attempt.Target.Host.ID)
 	}
@@ -111,7 +109,7 @@
 			return
 		}
 		if frame.Kind == wire.FrameEnd || frame.Kind == wire.FrameRefusal {
-			_, _ = io.Copy(io.Discard, response) // so that the connection can be reused
+			response.Discard()
 			return
 		}
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -19,6 +19,7 @@
 
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/stream"
 )
 
 // Options describes a load. With a rate the load is open-loop: each request starts at its due time, whether or not earlier ones
@@ -57,11 +58,16 @@
 	maxLatencyUS      = 10 * 60 * 1000 * 1000
 	significantDigits = 3
 	usPerMS           = 1000
+
+	progressTimeout  = time.Minute // without a byte from an entry
+	answerGrace      = time.Minute // after the deadline of a request
+	maxConnsPerEntry = 4096
+	maxAnswerBytes   = 1 << 20 // of a booking or a refusal
 )
 
 type generator struct {
 	options           Options
-	client            *http.Client
+	client            *stream.Client
 	mu                sync.Mutex
 	report            Report
 	latency           *hdrhistogram.Histogram
@@ -72,12 +78,12 @@
 func Run(ctx context.Context, options Options) Report {
 	g := &generator{
 		options:           options,
-		client:            &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		client:            stream.NewClient(progressTimeout, maxConnsPerEntry),
 		latency:           hdrhistogram.New(1, maxLatencyUS, significantDigits),
 		firstTokenLatency: hdrhistogram.New(1, maxLatencyUS, significantDigits),
 	}
 	g.report.ErrorKinds = make(map[string]int)
-	defer g.client.CloseIdleConnections()
+	defer g.client.Close()
 	start := time.Now()
 	if options.Concurrency > 0 {
 		g.runClosedLoop(ctx)
@@ -140,18 +146,20 @@
 func (g *generator) runBooking(entry string, due time.Time) {
 	id := core.NewID()
 	body, _ := json.Marshal(map[string]string{"id": id})
-	response, err := g.send(entry, "/services/"+string(g.options.PlainService)+"/bookings", id, body)
+	ctx, cancel := g.requestContext()
+	defer cancel()
+	response, err := g.send(ctx, entry, "/services/"+string(g.options.PlainService)+"/bookings", id, body)
 	if err != nil {
 		g.recordTruncated()
 		return
 	}
-	defer response.Body.Close()
-	raw, err := io.ReadAll(response.Body)
+	defer response.Close()
+	raw, err := response.ReadAll(maxAnswerBytes)
 	if err != nil {
 		g.recordTruncated()
 		return
 	}
-	if response.StatusCode != http.StatusOK {
+	if response.Status != http.StatusOK {
 		g.recordRefusal(raw, id)
 		return
 	}
@@ -164,18 +172,24 @@
 
 func (g *generator) runCompletion(entry string, due time.Time) {
 	body := fmt.Appendf(nil, `{"model":%q,"stream":true,"messages":[{"role":"user","content":"%s"}]}`, g.options.ModelService, core.NewID())
-	response, err := g.send(entry, "/v1/chat/completions", "", body)
+	ctx, cancel := g.requestContext()
+	defer cancel()
+	response, err := g.send(ctx, entry, "/v1/chat/completions", "", body)
 	if err != nil {
 		g.recordTruncated()
 		return
 	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		raw, _ := io.ReadAll(response.Body)
+	defer response.Close()
+	if response.Status != http.StatusOK {
+		raw, err := response.ReadAll(maxAnswerBytes)
+		if err != nil {
+			g.recordTruncated()
+			return
+		}
 		g.recordRefusal(raw, "")
 		return
 	}
-	g.readStream(response.Body, due)
+	g.readStream(response, due)
 }
 
 func (g *generator) readStream(body io.Reader, due time.Time) {
@@ -199,21 +213,23 @@
 	g.recordTruncated()
 }
 
-func (g *generator) send(entry, path, key string, body []byte) (*http.Response, error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+entry+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
+// requestContext returns the context of a request. It ends when the entry must long have answered.
+func (g *generator) requestContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), g.options.Deadline+answerGrace)
+}
+
+func (g *generator) send(ctx context.Context, entry, path, key string, body []byte) (*stream.Response, error) {
+	header := map[string]string{
+		"Lovage-Workspace":   string(g.options.Workspace),
+		"Lovage-Deadline-Ms": fmt.Sprint(g.options.Deadline.Milliseconds()),
 	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Lovage-Workspace", string(g.options.Workspace))
-	request.Header.Set("Lovage-Deadline-Ms", fmt.Sprint(g.options.Deadline.Milliseconds()))
 	if key != "" {
-		request.Header.Set("Idempotency-Key", key)
+		header["Idempotency-Key"] = key
 	}
 	g.mu.Lock()
 	g.report.Sent++
 	g.mu.Unlock()
-	return g.client.Do(request)
+	return g.client.Do(ctx, stream.Request{Method: http.MethodPost, Address: entry, Target: path, ContentType: "application/json", Header: header, Body: body})
 }
 
 // recordToken records the latency of the first token of a stream. It ignores the other tokens.
--- a/internal/operate/version.go
+++ b/internal/operate/version.go
@@ -5,14 +5,20 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/stream"
 	"github.com/lovageglade/lovageglade/internal/weights"
 )
 
+// uploadProgressTimeout is how long the origin may neither read nor answer.
+const uploadProgressTimeout = time.Minute
+
 // AddVersion uploads weights to the origin and their manifest to the object store, and prints the version's ID. The path
 // names a file, or a folder whose files are read in order of name. The weights are read only once, so that the manifest
 // describes exactly the bytes that were uploaded.
@@ -48,19 +54,24 @@
 		return fault.Wrap(err, fault.BadRequest, "the weights cannot be read", "name a readable file or a folder of files")
 	}
 	defer reader.Close()
-	url := "http://" + o.Addresses.OriginAddress + "/weights/" + object
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, io.TeeReader(reader, copyTo))
-	if err != nil {
-		return err
-	}
-	request.ContentLength = weights.TotalBytes(files)
-	response, err := http.DefaultClient.Do(request)
+	client := stream.NewClient(uploadProgressTimeout, 1)
+	response, err := client.Do(ctx, stream.Request{
+		Method:      http.MethodPut,
+		Address:     o.Addresses.OriginAddress,
+		Target:      (&url.URL{Path: "/weights/" + object}).EscapedPath(),
+		Content:     io.TeeReader(reader, copyTo),
+		ContentSize: weights.TotalBytes(files),
+		NewConn:     true,
+	})
 	if err != nil {
 		return fault.Wrap(err, fault.PlatformUnavailable, "the upload to the origin failed", "try again")
 	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fault.New(fault.PlatformUnavailable, fmt.Sprintf("the origin answered the upload with status %d", response.StatusCode), "try again")
+	defer response.Close()
+	if response.Status != http.StatusOK {
+		return fault.New(fault.PlatformUnavailable, fmt.Sprintf("the origin answered the upload with status %d", response.Status), "try again")
+	}
+	if err := response.ReadToEnd(); err != nil {
+		return fault.Wrap(err, fault.PlatformUnavailable, "the origin's answer to the upload broke off", "try again")
 	}
 	return nil
 }
--- a/internal/stream/client.go
+++ b/internal/stream/client.go
@@ -4,35 +4,26 @@
 package stream
 
 import (
+	"context"
 	"errors"
 	"io"
-	"net"
+	"net/http"
 	"time"
 
 	"github.com/joomcode/errorx"
-	"github.com/valyala/fasthttp"
-)
-
-const dialTimeout = time.Second
-
-// errClosedEarly is the reason for closing the connection of a response that was not read to its end.
-var errClosedEarly = errors.New("response closed before its end")
 
-// NotSentError says that no connection could be opened, so no byte of the request was sent.
-type NotSentError struct{ Cause error }
-
-// Error implements error.
-func (e *NotSentError) Error() string {
-	return "cannot connect, no byte of the request was sent; check that the process is running: " + e.Cause.Error()
-}
+	"github.com/lovageglade/lovageglade/internal/dispatch"
+)
 
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.Cause }
+const (
+	dialTimeout = time.Second
+	// maxDiscardBytes is how much of a body that nobody needs is read so that its connection can be reused.
+	maxDiscardBytes = 8 << 10
+)
 
 // NotSent reports whether the request failed before any byte of it was sent.
 func NotSent(err error) bool {
-	var unsent *NotSentError
-	if errors.As(err, &unsent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if dispatch.NotSent(err) {
 		return true
 	}
 	wrapped := errorx.Cast(err)
@@ -40,103 +31,88 @@
 }
 
 // Client sends requests and streams their responses. It is safe for concurrent use.
-type Client struct {
-	pooled   *fasthttp.Client // reuses connections
-	unpooled *fasthttp.Client // opens a connection for each request
-}
+type Client struct{ pool *dispatch.Pool }
 
 // NewClient returns a client whose reads and writes fail after progressTimeout without a byte.
 func NewClient(progressTimeout time.Duration, maxConnsPerHost int) *Client {
-	dialer := &fasthttp.TCPDialer{}
-	dial := func(address string) (net.Conn, error) {
-		conn, err := dialer.DialTimeout(address, dialTimeout)
-		if err != nil {
-			return nil, &NotSentError{Cause: err}
-		}
-		return &readWriteTimeoutConn{Conn: conn, timeout: progressTimeout}, nil
-	}
-	return &Client{pooled: newHTTPClient(dial, maxConnsPerHost), unpooled: newHTTPClient(dial, maxConnsPerHost)}
+	pool := dispatch.NewPool()
+	pool.ProgressTimeout = progressTimeout
+	pool.MaxOpen = maxConnsPerHost
+	return &Client{pool: pool}
 }
 
-func newHTTPClient(dial fasthttp.DialFunc, maxConnsPerHost int) *fasthttp.Client {
-	return &fasthttp.Client{
-		Dial:                      dial,
-		StreamResponseBody:        true,
-		MaxConnsPerHost:           maxConnsPerHost,
-		MaxIdemponentCallAttempts: 1, // callers decide on retries
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		NoDefaultUserAgentHeader:  true,
-	}
-}
+// Close closes the idle connections.
+func (c *Client) Close() { c.pool.Close() }
 
-// Request is one HTTP request. The host in URL must be an IP address and port.
+// Request is one HTTP request.
 type Request struct {
 	Method      string
-	URL         string
+	Address     string // IP address and port
+	Target      string // path and query; sent unchanged
 	ContentType string
 	Header      map[string]string
 	Body        []byte
-	NewConn     bool // use a new connection, since a reused one may be dead
+	Content     io.Reader // sent in place of Body if it is set
+	ContentSize int64     // bytes of Content
+	NewConn     bool      // use a new connection, since a reused one may be dead
 }
 
 // Response is a response whose body is read as it arrives. Close must be called.
 type Response struct {
 	Status      int
 	ContentType string
-	raw         *fasthttp.Response
-	complete    bool // the body was read to its end
+	raw         *dispatch.Response
 }
 
-// Do sends the request and returns when the header of the response has arrived.
-func (c *Client) Do(request Request) (*Response, error) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetMethod(request.Method)
-	req.SetRequestURI(request.URL)
+// Do sends the request and returns when the header of the response has arrived. The connection is reset when the context ends.
+func (c *Client) Do(ctx context.Context, request Request) (*Response, error) {
+	header := http.Header{"User-Agent": nil} // without one
 	if request.ContentType != "" {
-		req.Header.SetContentType(request.ContentType)
+		header.Set("Content-Type", request.ContentType)
 	}
 	for name, value := range request.Header {
-		req.Header.Set(name, value)
+		header.Set(name, value)
 	}
-	req.SetBodyRaw(request.Body)
-	client := c.pooled
 	if request.NewConn {
-		client = c.unpooled
-		req.SetConnectionClose()
+		header.Set("Connection", "close")
 	}
-	resp := fasthttp.AcquireResponse()
-	if err := client.Do(req, resp); err != nil {
-		fasthttp.ReleaseResponse(resp)
+	raw, err := c.pool.Send(ctx, &dispatch.Request{
+		Address:     request.Address,
+		Method:      request.Method,
+		Target:      request.Target,
+		Host:        request.Address,
+		Header:      header,
+		Body:        request.Body,
+		Content:     request.Content,
+		ContentSize: request.ContentSize,
+		DialTimeout: dialTimeout,
+		NewConn:     request.NewConn,
+	})
+	if err != nil {
 		return nil, err
 	}
-	response := &Response{Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()), raw: resp}
-	return response, nil
+	return &Response{Status: raw.Status, ContentType: raw.Header.Get("Content-Type"), raw: raw}, nil
 }
 
-// Read reads the body. It returns io.EOF only if the body is complete: by its length, by its last chunk, or, without either,
-// by an orderly close of the connection.
-func (r *Response) Read(buf []byte) (int, error) {
-	body := r.raw.BodyStream()
-	if body == nil {
-		r.complete = true
-		return 0, io.EOF
-	}
-	n, err := body.Read(buf)
-	if errors.Is(err, io.EOF) {
-		r.complete = true
+// Read reads the body. It returns io.EOF only if the body is complete, as dispatch.Response does.
+func (r *Response) Read(buf []byte) (int, error) { return r.raw.Read(buf) }
+
+// ReadAll returns the whole body. A body of more than maxBytes is an error.
+func (r *Response) ReadAll(maxBytes int) ([]byte, error) { return r.raw.ReadAll(maxBytes) }
+
+// ReadToEnd discards the rest of the body. It returns an error if the body is not complete after maxDiscardBytes.
+func (r *Response) ReadToEnd() error {
+	switch _, err := io.CopyN(io.Discard, r.raw, maxDiscardBytes); {
+	case err == nil:
+		return dispatch.ErrBodyTooLong
+	case !errors.Is(err, io.EOF):
+		return err
 	}
-	return n, err
+	return nil
 }
 
+// Discard reads a short rest of the body, so that the connection can be reused.
+func (r *Response) Discard() { _ = r.ReadToEnd() }
+
 // Close releases the response. Its connection is reused only if the body was read to its end.
-func (r *Response) Close() {
-	closer, ok := r.raw.BodyStream().(fasthttp.ReadCloserWithError)
-	if ok && !r.complete {
-		_ = closer.CloseWithError(errClosedEarly)
-	}
-	if r.complete {
-		_ = r.raw.CloseBodyStream()
-		fasthttp.ReleaseResponse(r.raw)
-	}
-}
+func (r *Response) Close() { r.raw.Close() }
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -5,26 +5,6 @@
 	"time"
 )
 
-// readWriteTimeoutConn sets a deadline for each read and write.
-type readWriteTimeoutConn struct {
-	net.Conn
-	timeout time.Duration
-}
-
-func (c *readWriteTimeoutConn) Read(buf []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(buf)
-}
-
-func (c *readWriteTimeoutConn) Write(data []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(data)
-}
-
 // NewListener returns a listener whose connections fail a write after progressTimeout without progress. Reads have no
 // timeout, since a reused connection is silent between requests.
 func NewListener(inner net.Listener, progressTimeout time.Duration) net.Listener {
--- a/internal/weights/distribution/perform.go
+++ b/internal/weights/distribution/perform.go
@@ -144,17 +144,20 @@
 
 func (d *Distributor) fetchFromPeer(ctx context.Context, source core.Host, digest weights.Digest, length int64, effect plan.FetchChunk) ([]byte, plan.Result) {
 	d.controlBytes.Add(requestOverheadBytes)
-	request := stream.Request{Method: http.MethodGet, URL: "http://" + source.DataAddress + wire.PathChunks + string(digest)}
+	request := stream.Request{Method: http.MethodGet, Address: source.DataAddress, Target: wire.PathChunks + string(digest)}
 	if effect.ForRegion {
 		request.Header = map[string]string{wire.HeaderForRegion: "1"}
 	}
-	response, err := d.client.Do(request)
-	if err != nil {
+	response, err := d.client.Do(ctx, request)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return nil, plan.Stalled
+	case err != nil:
 		return nil, plan.Unreachable
 	}
 	defer response.Close()
 	if result := resultForStatus(response.Status); result != plan.Granted {
-		_, _ = io.Copy(io.Discard, response)
+		response.Discard()
 		return nil, result
 	}
 	return d.readChunk(ctx, response, length, newPacer(effect.BytesPerS))
