response: a head or trailer section with a line that is no field is no response

What callers saw: an answer in whose head the name of a field held a blank was passed on with that line. "Content-Length : 2" before "ok and more" was taken as no length, so the caller got a body that was not the endpoint's; after "Transfer-Encoding : chunked" it got the sizes of the chunks as a part of the body.

Cause: net/http keeps a name with a blank for compatibility, finds no framing under it, and skips a line without a name. fasthttp reads "Content-Length : 2" as a length. It also lets control bytes pass in values, and a response of HTTP/1.0 with chunks is read as unframed.

A control byte or NUL in a name was refused by gateway and sidecar before in final heads; these cases stay in the test.

Change: each line of a head, of the interim heads before it and of a trailer section must be a field of the grammar of RFC 9112, section 5 (the name a token, no control byte but a tab), or the continuation of one, and HTTP/1.0 has no transfer encoding (section 6.1). net/http parses only heads that pass, so the framing that it sees is the one that stands there. Single line feeds, continued lines, values with bytes outside of ASCII, chunk extensions and trailers are read as before: TestSoundHeadsAreRead.

--- a/internal/gateway/unsound_head_test.go
+++ b/internal/gateway/unsound_head_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -79,3 +80,44 @@
 		}
 	}
 }
+
+func TestAnswerWithALineThatIsNoFieldReachesNoCaller(t *testing.T) {
+	fx, engines := newSidecarFixture(t, 1)
+	fx.registerPlain(engines[0])
+	whole := eventsText(1)
+	length := fmt.Sprintf("Content-Length: %d", len(whole))
+	for _, test := range []struct {
+		name, body string
+		lines      []string
+	}{
+		{"a blank in a name", whole, []string{"A B: c", length}},
+		{"a blank after Content-Length", whole + "more", []string{fmt.Sprintf("Content-Length : %d", len(whole))}},
+		{"a blank after Transfer-Encoding", chunk(whole) + lastChunk, []string{"Transfer-Encoding : chunked"}},
+		{"a control byte in a name", whole, []string{"A\x01B: c", length}},
+		{"NUL in a name", whole, []string{"A\x00: c", length}},
+		{"no name", whole, []string{": c", length}},
+		{"NUL in a value", whole, []string{"A: b\x00c", length}},
+		{"a carriage return in a value", whole, []string{"A: b\rC: d", length}},
+		{"a blank in a name of the trailer section", chunk(whole) + "0\r\nA B: c\r\n\r\n", []string{lineChunked}},
+	} {
+		checkNoAnswer(t, fx, engines[0], test.name, func(request *http.Request) string {
+			head := rawHead(request, http.StatusOK, append(test.lines, lineEvents)...)
+			if request.Method == http.MethodHead {
+				if strings.Contains(test.body, "A B") {
+					return head[:len(head)-len("\r\n")] + "A B: c\r\n\r\n" // an answer to HEAD has no trailer section
+				}
+				return head
+			}
+			return head + test.body
+		})
+	}
+	for _, interim := range []string{"HTTP/1.1 103 x\r\nA B: c\r\n\r\n", "HTTP/1.1 103 x\r\nContent-Length : 2\r\n\r\n"} {
+		checkNoAnswer(t, fx, engines[0], "an interim response", func(request *http.Request) string {
+			answer := interim + rawHead(request, http.StatusOK, lineEvents, length)
+			if request.Method != http.MethodHead {
+				answer += whole
+			}
+			return answer
+		})
+	}
+}
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"unicode"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // The status codes of RFC 9110, section 15.
@@ -20,7 +22,7 @@
 	statusDigits    = 3
 )
 
-// ErrTooLong is returned for a server that sends bytes without end where the head of a response is due.
+// ErrTooLong is returned for a server that sends bytes without end where the head or the trailer section of a response is due.
 var ErrTooLong = errors.New("the head of the response is too long; check what the endpoint sends")
 
 // MalformedError is returned for bytes that are no response.
@@ -35,7 +37,7 @@
 	return &MalformedError{Reason: fmt.Sprintf(format, args...)}
 }
 
-// section is the lines of a head up to and with the empty line, as they were received.
+// section is the lines of a head or of a trailer section up to and with the empty line, as they were received.
 type section []byte
 
 // readSection appends the lines up to and with the next empty line to dst, whose buffer it may reuse. It reads at most limit bytes.
@@ -105,6 +107,35 @@
 
 func isNoDigit(r rune) bool { return r > unicode.MaxASCII || !isDigit(byte(r)) }
 
+// checkFields returns an error unless each line up to the empty one is a field of the grammar of RFC 9112, section 5, or the
+// continuation of one (section 5.2).
+func (s section) checkFields(version string) error {
+	for first := true; ; first = false {
+		var line []byte
+		line, s = s.splitLine()
+		if len(line) == 0 {
+			return nil
+		}
+		if err := checkText(line); err != nil {
+			return err
+		}
+		if line[0] == ' ' || line[0] == '\t' {
+			if first {
+				return malformed("the first field begins with a blank")
+			}
+			continue
+		}
+		name, _, hasColon := bytes.Cut(line, []byte(":"))
+		if !hasColon || !httpguts.ValidHeaderFieldName(string(name)) {
+			return malformed("%.40q is no field", line)
+		}
+		// The recipient cannot know whether a server of HTTP/1.0 means the chunks (RFC 9112, section 6.1).
+		if version == "1.0" && strings.EqualFold(string(name), "Transfer-Encoding") {
+			return malformed("a response of HTTP/1.0 has a transfer encoding")
+		}
+	}
+}
+
 // checkText returns an error if the line holds a control character other than a tab.
 func checkText(line []byte) error {
 	for _, c := range line {
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -57,8 +57,11 @@
 			return nil, err
 		}
 		limit -= len(head)
-		first, _ := head.splitLine()
+		first, fields := head.splitLine()
 		line, err := parseStatusLine(first)
+		if err == nil {
+			err = fields.checkFields(line.version)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -143,9 +146,12 @@
 	return n, err
 }
 
-// readTrailer reads the trailer section and returns io.EOF at its end.
+// readTrailer reads the trailer section and returns io.EOF if it is sound.
 func readTrailer(r *bufio.Reader) error {
-	_, err := readSection(r, nil, maxTrailerBytes)
+	trailer, err := readSection(r, nil, maxTrailerBytes)
+	if err == nil {
+		err = trailer.checkFields("")
+	}
 	if err == nil {
 		err = io.EOF
 	}
--- a/internal/response/response_test.go
+++ b/internal/response/response_test.go
@@ -47,3 +47,147 @@
 		}
 	}
 }
+
+// oddFields are lines that are no fields by the grammar.
+var oddFields = map[string]string{
+	"a blank within the name":            "A B: c",
+	"a blank after the name":             "Content-Length : 2",
+	"a tab after the name":               "Content-Length\t: 2",
+	"a blank after Transfer-Encoding":    "Transfer-Encoding : chunked",
+	"a control byte in the name":         "A\x01B: c",
+	"NUL in the name":                    "A\x00: c",
+	"DEL in the name":                    "A\x7f: c",
+	"a carriage return in the name":      "A\rB: c",
+	"no name":                            ": c",
+	"no colon":                           "A",
+	"a byte outside of ASCII in a name":  "\xc3\xa4: c",
+	"a separator in the name":            "A(b): c",
+	"a control byte in the value":        "A: b\x01c",
+	"NUL in the value":                   "A: b\x00c",
+	"a carriage return in the value":     "A: b\rContent-Length: 2",
+	"a name in a line that is continued": "A b:\r\n c",
+}
+
+func TestHeadWithALineThatIsNoFieldIsNoResponse(t *testing.T) {
+	for name, line := range oddFields {
+		for _, text := range []string{
+			"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 5\r\n\r\nwhole",
+			"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + line + "\r\n\r\nwhole",
+			"HTTP/1.1 200 OK\n" + line + "\nContent-Length: 5\n\nwhole",
+			"HTTP/1.1 103 x\r\n" + line + "\r\n\r\n" + sound,
+		} {
+			_, body, err := read(text)
+			var malformed *MalformedError
+			if !errors.As(err, &malformed) {
+				t.Errorf("%s: body %q, error %v", name, body, err)
+			}
+		}
+	}
+}
+
+func TestTrailerSectionWithALineThatIsNoFieldEndsNoResponse(t *testing.T) {
+	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+	for name, line := range oddFields {
+		if _, body, err := read(chunks + line + "\r\n\r\n"); err == nil {
+			t.Errorf("%s: body %q", name, body)
+		}
+	}
+	for _, trailer := range []string{"", "A: b\r\n", "A: b\r\n c\r\nD:\r\n"} {
+		if _, body, err := read(chunks + trailer + "\r\n"); err != nil || body != "whole" {
+			t.Errorf("trailer section %q: body %q, error %v", trailer, body, err)
+		}
+		for _, end := range []string{"", "\r"} {
+			if _, body, err := read(chunks + trailer + end); err == nil {
+				t.Errorf("trailer section %q without its end: body %q", trailer, body)
+			}
+		}
+	}
+}
+
+// The framing must be stated so that all recipients read it the same way.
+func TestUnclearFramingIsNoResponse(t *testing.T) {
+	for name, head := range map[string]string{
+		"two lengths":                   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6",
+		"a list of lengths":             "HTTP/1.1 200 OK\r\nContent-Length: 5, 6",
+		"a length with a sign":          "HTTP/1.1 200 OK\r\nContent-Length: +5",
+		"a length that is no number":    "HTTP/1.1 200 OK\r\nContent-Length: five",
+		"a length without a value":      "HTTP/1.1 200 OK\r\nContent-Length:",
+		"a coding that is not known":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+		"chunks twice":                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+		"chunks of HTTP/1.0":            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+		"chunks of HTTP/1.0 and length": "HTTP/1.0 200 OK\r\nContent-Length: 5\r\ntransfer-encoding: chunked",
+	} {
+		if _, body, err := read(head + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"); err == nil {
+			t.Errorf("%s: body %q", name, body)
+		}
+	}
+}
+
+func TestSoundHeadsAreRead(t *testing.T) {
+	long := strings.Repeat("x", 60<<10) // of a head within the limit
+	for _, test := range []struct {
+		name, head, after string
+		framing           Framing
+		field, value      string
+	}{
+		{"length", "Content-Length: 5", "whole", FramedByLength, "", ""},
+		{"chunks", "Transfer-Encoding: chunked", "5\r\nwhole\r\n0\r\n\r\n", FramedByChunks, "", ""},
+		{"chunk extension", "Transfer-Encoding: chunked", "5;a=b\r\nwhole\r\n0;c\r\n\r\n", FramedByChunks, "", ""},
+		{"unframed", "A: b", "whole", Unframed, "A", "b"},
+		{"no space before the value", "A:b\r\nContent-Length:5", "whole", FramedByLength, "A", "b"},
+		{"all characters of names", "!#$%&'*+-.^_`|~09azAZ: b", "whole", Unframed, "!#$%&'*+-.^_`|~09azAZ", "b"},
+		{"tabs, blanks and bytes outside of ASCII in a value", "A: \tb \xc3\xa4\t: c \t", "whole", Unframed, "A", "b \xc3\xa4\t: c"},
+		{"no value", "A:", "whole", Unframed, "A", ""},
+		{"a continued field", "A: b\r\n\tc", "whole", Unframed, "A", "b c"},
+		{"a long field", "A: " + long, "whole", Unframed, "A", long},
+		{"the same length twice", "Content-Length: 5\r\nContent-Length: 5", "whole", FramedByLength, "", ""},
+	} {
+		response, body, err := read("HTTP/1.1 200 OK\r\n" + test.head + "\r\n\r\n" + test.after)
+		if err != nil || body != "whole" || response.Framing != test.framing || response.EndsWithConn != (test.framing == Unframed) {
+			t.Errorf("%s: body %q, error %v, response %v", test.name, body, err, response)
+			continue
+		}
+		if values := response.Header[http.CanonicalHeaderKey(test.field)]; test.field != "" && (len(values) != 1 || values[0] != test.value) {
+			t.Errorf("%s: values %q", test.name, values)
+		}
+	}
+}
+
+func TestAnswersWithoutABodyHaveNone(t *testing.T) {
+	for _, test := range []struct{ method, head string }{
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 5"},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nA: b"},
+		{http.MethodGet, "HTTP/1.1 204 x\r\nA: b"},
+		{http.MethodGet, "HTTP/1.1 304 x\r\nContent-Length: 5"},
+		{http.MethodGet, "HTTP/1.1 200 x\r\nContent-Length: 0"},
+	} {
+		next := bufio.NewReader(strings.NewReader(test.head + "\r\n\r\n" + sound))
+		response, err := Read(next, test.method)
+		if err != nil {
+			t.Errorf("%q: %v", test.head, err)
+			continue
+		}
+		if body, err := io.ReadAll(response.Body); err != nil || len(body) > 0 || response.EndsWithConn {
+			t.Errorf("%s, %q: body %q, error %v", test.method, test.head, body, err)
+		}
+		if _, err := Read(next, http.MethodGet); err != nil {
+			t.Errorf("%s, %q: the next response is not read: %v", test.method, test.head, err)
+		}
+	}
+}
+
+func TestSectionsWithoutEndAreTooLong(t *testing.T) {
+	for name, text := range map[string]string{
+		"a status line":       strings.Repeat("x", MaxHeadBytes+1),
+		"a field":             "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", MaxHeadBytes),
+		"fields":              "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", MaxHeadBytes/6),
+		"interim responses":   strings.Repeat("HTTP/1.1 103 x\r\n\r\n", MaxHeadBytes/18+1),
+		"a trailer":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " + strings.Repeat("x", maxTrailerBytes),
+		"fields of a trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("A: b\r\n", maxTrailerBytes/6+1),
+	} {
+		if _, _, err := read(text); !errors.Is(err, ErrTooLong) {
+			t.Errorf("%s without end: %v", name, err)
+		}
+	}
+}
--- a/internal/stream/client_test.go
+++ b/internal/stream/client_test.go
@@ -97,18 +97,27 @@
 	}
 }
 
-func TestResponseWithoutASoundStatusIsAnError(t *testing.T) {
-	for _, status := range []string{"000", "042", "101", "600"} {
+func TestResponseWithAnUnsoundHeadIsAnError(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 x\r\nContent-Length: 5",
+		"HTTP/1.1 042 x\r\nContent-Length: 5",
+		"HTTP/1.1 101 x\r\nContent-Length: 5",
+		"HTTP/1.1 600 x\r\nContent-Length: 5",
+		"HTTP/1.1 200 x\r\nContent-Length: 5\r\nA B: c",
+		"HTTP/1.1 200 x\r\nContent-Length : 5",
+		"HTTP/1.1 200 x\r\nContent-Length: 5\r\nA\x01B: c",
+		"HTTP/1.0 200 x\r\nTransfer-Encoding: chunked",
+	} {
 		client := NewClient(testTimeout, 1)
 		arrived := make(chan struct{})
 		close(arrived)
-		address := serveOnce(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 5\r\n\r\nwhole", false, arrived)
+		address := serveOnce(t, head+"\r\n\r\nwhole", false, arrived)
 		response, err := client.Do(t.Context(), Request{Method: "GET", Address: address, Target: "/", NewConn: true})
 		if err != nil {
 			continue
 		}
 		body, err := io.ReadAll(response)
-		t.Errorf("status %s is taken for %d: body %q, error %v", status, response.Status, body, err)
+		t.Errorf("%q is taken for %d: body %q, error %v", head, response.Status, body, err)
 		response.Close()
 	}
 }
