backend: the state of an engine and the answers to orders are bounded in bytes and time

What operators saw: a faulty runner sent bytes that were no answer, without end; the machine that had called it kept them all and ran out of memory, and the requests of other clients on that machine ended with it.

Cause, at the agent: the state was decoded from the body as it came, without a bound, and net/http reads heads of up to 10 MB, whose lines take many times their size. Neither the state nor an order had a time limit of its own, and an order was carried out with its head, whatever came after it.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -79,6 +79,12 @@
 	progressTimeout = 20 * time.Second // wait for the next byte; a cold engine can take long to produce its first token
 	maxConnsPerHost = 1024
 	maxAdminConns   = 16 // orders and queries of the state at a time
+
+	stateTimeout  = 10 * time.Second
+	maxStateBytes = 1 << 20 // room for some ten thousand adapters
+	// orderTimeout bounds an order; the size of its content divided by minContentBytesPerS is added.
+	orderTimeout        = 10 * time.Minute
+	minContentBytesPerS = 1 << 20
 )
 
 // HTTP is an HTTP client of a back end. It implements Engine.
@@ -131,6 +137,8 @@
 
 // sendOrder posts an order with size bytes of content and returns when the engine has carried it out.
 func (h *HTTP) sendOrder(ctx context.Context, path string, order Order, content io.Reader, size int64) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout+time.Duration(size/minContentBytesPerS)*time.Second)
+	defer cancel()
 	response, err := h.admin.Do(ctx, stream.Request{
 		Method:  http.MethodPost,
 		Address: h.address,
@@ -164,13 +172,19 @@
 // State implements Engine.
 func (h *HTTP) State(ctx context.Context) (EngineState, error) {
 	var state EngineState
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
 	response, err := h.admin.Do(ctx, stream.Request{Method: http.MethodGet, Address: h.address, Target: "/admin/state"})
 	if err != nil {
 		return state, fault.Wrap(err, fault.EndpointFault, "the engine did not respond to the query for its state", "check that the engine is running")
 	}
 	defer response.Close()
-	if err := json.NewDecoder(response).Decode(&state); err != nil {
-		return state, fault.Wrap(err, fault.EndpointFault, "the engine's state cannot be decoded", "check the engine's version")
+	raw, err := response.ReadAll(maxStateBytes)
+	if err == nil {
+		err = json.Unmarshal(raw, &state)
+	}
+	if err != nil {
+		return EngineState{}, fault.Wrap(err, fault.EndpointFault, "the engine's state cannot be decoded", "check the engine's version")
 	}
 	return state, nil
 }
