attempt: the answers of running attempts are bounded together

Cause: an agent stores an answer up to 16 MB, and all answers up to 48 MB; the second bound was looked at when an attempt begins, not while its answer arrives. Attempts that began while there was room, each with an answer without end, held 16 MB each.

Change: an answer takes its room from the table's buffer as it arrives. While the buffer is full, answers of attempts that have ended are dropped first, and then an answer of more than 64 KB fails, so that small ones beside it are stored. The outcome of such an attempt is unknown, as for an answer of more than 16 MB.

TestTableFullOfRunningAttemptsRefusesDispatch filled the table with one answer of 48 MB, which a record no longer takes; it fills it with three of 16 MB, with the same check.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -142,14 +142,11 @@
 
 func (a *Agent) copyBody(ctx context.Context, answer io.Reader, record *attempt.Record) (tail string, err error) {
 	buffer := make([]byte, readBufferBytes)
-	total := 0
 	for {
 		n, err := answer.Read(buffer)
-		total += n
-		if total > attempt.MaxAnswerBytes {
-			return tail, fault.New(fault.TooLarge, "the answer is larger than an agent can store", "request a smaller answer")
+		if tooLarge := record.Append(buffer[:n]); tooLarge != nil {
+			return tail, tooLarge
 		}
-		record.Append(buffer[:n])
 		tail = lastBytes(tail+string(buffer[:n]), tailBytes)
 		if errors.Is(err, io.EOF) {
 			return tail, nil
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -3,12 +3,18 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/lovageglade/lovageglade/internal/attempt"
 	"github.com/lovageglade/lovageglade/internal/backend"
+	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/stream"
 	"github.com/lovageglade/lovageglade/internal/wire"
@@ -77,3 +83,67 @@
 		t.Errorf("an attempt that this agent never started is refused as %q", got)
 	}
 }
+
+// serveAnswers answers requests with the path /endless without end, at most endlessBytes, and others with a whole answer.
+func serveAnswers(t *testing.T, endlessBytes int) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/endless" {
+			_, _ = io.WriteString(w, "whole")
+			return
+		}
+		part := make([]byte, 64<<10)
+		for sent := 0; sent < endlessBytes; sent += len(part) {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// The answers of a back end in trouble have no end. The agent keeps a bounded part of all of them and serves other attempts.
+func TestAnswersWithoutEndAreBoundedTogether(t *testing.T) {
+	const attempts = 40
+	a := &Agent{engine: backend.NewHTTP(serveAnswers(t, 64<<20))}
+	table := attempt.NewTable(time.Now())
+	begin := func(id core.AttemptID) *attempt.Record {
+		record, _, err := table.Begin(attempt.Spec{ID: id}, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return record
+	}
+	var records []*attempt.Record
+	for i := range attempts {
+		records = append(records, begin(core.AttemptID(fmt.Sprint(i))))
+	}
+	beside := begin("beside")
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var group sync.WaitGroup
+	for _, record := range records {
+		group.Go(func() {
+			if err := a.copyAnswer(t.Context(), wire.Dispatch{Method: "GET", Path: "/endless"}, record); !fault.Is(err, fault.TooLarge) {
+				t.Errorf("an answer without end: %v", err)
+			}
+		})
+	}
+	if err := a.copyAnswer(t.Context(), wire.Dispatch{Method: "GET", Path: "/sound"}, beside); err != nil {
+		t.Errorf("an answer beside them: %v", err)
+	}
+	group.Wait()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 96<<20 { // twice the buffer, since bodies grow in steps
+		t.Errorf("the heap has grown by %d MB", grown>>20)
+	}
+	runtime.KeepAlive(records)
+}
--- a/internal/attempt/capacity_bench_test.go
+++ b/internal/attempt/capacity_bench_test.go
@@ -39,7 +39,9 @@
 		b.Fatal(err)
 	}
 	record.SetHead(200, "application/json")
-	record.Append(make([]byte, benchAnswerBytes))
+	if err := record.Append(make([]byte, benchAnswerBytes)); err != nil {
+		b.Fatal(err)
+	}
 	record.Finish(wire.Load{})
 }
 
--- a/internal/attempt/eviction.go
+++ b/internal/attempt/eviction.go
@@ -52,7 +52,7 @@
 // makeRoom drops answers if the buffers are full, and evicts the records accessed longest ago if there are too many.
 // Running attempts are kept.
 func (t *Table) makeRoom() {
-	if t.bufferedBytes.Load() >= maxBufferedBytes {
+	if t.buffer.held.Load() >= maxBufferedBytes {
 		t.dropBodies()
 	}
 	if len(t.records) >= maxRecords {
@@ -73,7 +73,7 @@
 		return a.lastAccess.Compare(b.lastAccess)
 	})
 	for _, id := range ids {
-		if t.bufferedBytes.Load() < maxBufferedBytes-maxBufferedBytes/evictionDivisor {
+		if t.buffer.held.Load() < maxBufferedBytes-maxBufferedBytes/evictionDivisor {
 			return
 		}
 		t.records[id].record.dropBody()
--- a/internal/attempt/record.go
+++ b/internal/attempt/record.go
@@ -3,8 +3,8 @@
 package attempt
 
 import (
+	"strconv"
 	"sync"
-	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,7 +17,7 @@
 type Record struct {
 	id core.AttemptID
 
-	bufferedBytes *atomic.Int64 // buffered bytes of all answers of the table
+	buffer *buffer // of the table
 
 	mu          sync.Mutex
 	state       wire.ResolveState
@@ -32,8 +32,8 @@
 // maxFrameBytes is the most data in one frame.
 const maxFrameBytes = 64 << 10
 
-func newRecord(id core.AttemptID, state wire.ResolveState, bufferedBytes *atomic.Int64) *Record {
-	return &Record{id: id, state: state, bufferedBytes: bufferedBytes, changed: make(chan struct{})}
+func newRecord(id core.AttemptID, state wire.ResolveState, buffer *buffer) *Record {
+	return &Record{id: id, state: state, buffer: buffer, changed: make(chan struct{})}
 }
 
 // ID returns the attempt's id.
@@ -65,13 +65,32 @@
 	r.notifyReaders()
 }
 
-// Append adds data to the answer's body.
-func (r *Record) Append(data []byte) {
+// Append adds data to the answer's body. It returns an error of kind TooLarge if the answer would be larger than MaxAnswerBytes, or
+// larger than GuaranteedBytes while the buffer for all answers is full.
+func (r *Record) Append(data []byte) error {
+	if err := r.reserve(int64(len(data))); err != nil {
+		return err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.body = append(r.body, data...)
-	r.bufferedBytes.Add(int64(len(data)))
 	r.notifyReaders()
+	return nil
+}
+
+// reserve takes room in the buffer for n more bytes of the body, which only one goroutine appends to.
+func (r *Record) reserve(n int64) error {
+	r.mu.Lock()
+	size := int64(len(r.body)) + n
+	r.mu.Unlock()
+	if size > MaxAnswerBytes {
+		return fault.New(fault.TooLarge, "the answer is larger than an agent can store", "request a smaller answer")
+	}
+	if !r.buffer.reserve(n) && size > GuaranteedBytes {
+		r.buffer.release(n)
+		return fault.New(fault.TooLarge, "the agent's buffer for answers is full, and this answer is larger than "+strconv.Itoa(GuaranteedBytes)+" bytes", "request a smaller answer, or come back later")
+	}
+	return nil
 }
 
 // Finish records that the answer is complete, and adds the end frame with its length and checksum.
@@ -79,6 +98,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state = wire.ResolveFinished
+	r.buffer.ended.Add(int64(len(r.body)))
 	r.lastFrame = &wire.Frame{
 		Kind:     wire.FrameEnd,
 		Attempt:  r.id,
@@ -103,6 +123,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state = state
+	r.buffer.ended.Add(int64(len(r.body)))
 	r.lastFrame = &wire.Frame{Kind: wire.FrameRefusal, Attempt: r.id, Refusal: &refusal, Load: &load}
 	r.notifyReaders()
 }
@@ -162,7 +183,8 @@
 	if r.lastFrame == nil || r.bodyDropped || len(r.body) == 0 {
 		return
 	}
-	r.bufferedBytes.Add(-int64(len(r.body)))
+	r.buffer.release(int64(len(r.body)))
+	r.buffer.ended.Add(-int64(len(r.body)))
 	r.body = nil
 	r.bodyDropped = true
 }
--- a/internal/attempt/table.go
+++ b/internal/attempt/table.go
@@ -12,8 +12,9 @@
 
 // Limits of a table.
 const (
-	MaxAnswerBytes   = 16 << 20 // of one answer
-	maxBufferedBytes = 48 << 20 // of all buffered answers
+	MaxAnswerBytes   = wire.MaxAnswerBytes
+	GuaranteedBytes  = 64 << 10 // of each answer, also while the buffer is full
+	maxBufferedBytes = 48 << 20 // of all buffered answers, beside their guaranteed bytes
 	maxRecords       = 64 << 10
 )
 
@@ -36,8 +37,8 @@
 // evicted or never seen, so it refuses a dispatch and resolves the attempt as forgotten. Table is safe for concurrent
 // use.
 type Table struct {
-	startedAt     time.Time
-	bufferedBytes atomic.Int64
+	startedAt time.Time
+	buffer    buffer
 
 	mu           sync.Mutex
 	records      map[core.AttemptID]*entry
@@ -54,9 +55,35 @@
 
 // NewTable returns an empty table for an incarnation that starts now.
 func NewTable(now time.Time) *Table {
-	return &Table{startedAt: now, records: make(map[core.AttemptID]*entry)}
+	t := &Table{startedAt: now, records: make(map[core.AttemptID]*entry)}
+	t.buffer.makeRoom = func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.dropBodies()
+	}
+	return t
+}
+
+// buffer counts the bytes of the buffered answers of a table.
+type buffer struct {
+	held     atomic.Int64
+	ended    atomic.Int64 // part of held: of attempts that have ended, which may be dropped
+	makeRoom func()       // drops answers of attempts that have ended
+}
+
+// reserve adds n bytes. It returns false if the buffer is full even without the answers of attempts that have ended.
+func (b *buffer) reserve(n int64) bool {
+	if b.held.Add(n) <= maxBufferedBytes {
+		return true
+	}
+	if b.ended.Load() > 0 {
+		b.makeRoom()
+	}
+	return b.held.Load() <= maxBufferedBytes
 }
 
+func (b *buffer) release(n int64) { b.held.Add(-n) }
+
 // Mark returns the time mark of now: whole seconds since the start of this incarnation.
 func (t *Table) Mark(now time.Time) wire.Mark {
 	return wire.Mark(now.Sub(t.startedAt) / time.Second)
@@ -77,7 +104,7 @@
 		return nil, false, fault.New(fault.WrongIncarnation, "the attempt's time mark is too old", "dispatch a new attempt with the mark of this refusal")
 	}
 	t.makeRoom()
-	if t.bufferedBytes.Load() >= maxBufferedBytes || len(t.records) >= maxRecords {
+	if t.buffer.held.Load() >= maxBufferedBytes || len(t.records) >= maxRecords {
 		overloaded := fault.New(fault.Overloaded, "the agent's buffer for answers is full", "send it to another endpoint or come back later")
 		return nil, false, fault.WithRetryAfter(overloaded, 1)
 	}
@@ -93,7 +120,7 @@
 }
 
 func (t *Table) add(spec Spec, state wire.ResolveState, now time.Time) *Record {
-	record := newRecord(spec.ID, state, &t.bufferedBytes)
+	record := newRecord(spec.ID, state, &t.buffer)
 	t.records[spec.ID] = &entry{record: record, idempotent: spec.Idempotent, beganAt: t.Mark(now), lastAccess: now}
 	return record
 }
--- a/internal/attempt/table_test.go
+++ b/internal/attempt/table_test.go
@@ -22,7 +22,9 @@
 	if err != nil || !isNew {
 		t.Fatalf("%s: isNew %t, %v", id, isNew, err)
 	}
-	record.Append(make([]byte, answer))
+	if err := record.Append(make([]byte, answer)); err != nil {
+		t.Fatal(err)
+	}
 	record.Finish(wire.Load{})
 }
 
@@ -82,7 +84,7 @@
 	const size = 1 << 20
 	for i := range 2 * maxBufferedBytes / size {
 		addFinished(t, table, core.AttemptID(fmt.Sprint(i)), i%2 == 0, size, startTime.Add(time.Duration(i)*time.Second))
-		if held := table.bufferedBytes.Load(); held > maxBufferedBytes {
+		if held := table.buffer.held.Load(); held > maxBufferedBytes {
 			t.Fatalf("%d bytes are buffered", held)
 		}
 	}
@@ -105,15 +107,81 @@
 	}
 }
 
+// fillWithRunning fills the table's buffer with answers of attempts that run.
+func fillWithRunning(t *testing.T, table *Table) {
+	t.Helper()
+	for i := range maxBufferedBytes / MaxAnswerBytes {
+		record, _, err := table.Begin(Spec{ID: core.AttemptID(fmt.Sprint("running", i))}, startTime)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := record.Append(make([]byte, MaxAnswerBytes)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 func TestTableFullOfRunningAttemptsRefusesDispatch(t *testing.T) {
 	table := NewTable(startTime)
-	record, _, _ := table.Begin(Spec{ID: "running"}, startTime)
-	record.Append(make([]byte, maxBufferedBytes))
+	fillWithRunning(t, table)
 	if _, _, err := table.Begin(Spec{ID: "next"}, startTime); !fault.Is(err, fault.Overloaded) {
 		t.Errorf("dispatch to a full table: %v", err)
 	}
 }
 
+// Answers without end of attempts that began while there was room must not grow beyond it together.
+func TestAnswersOfRunningAttemptsAreBoundedTogether(t *testing.T) {
+	const attempts, part = 20, 16 << 10
+	table := NewTable(startTime)
+	var records []*Record
+	for i := range attempts {
+		record, _, err := table.Begin(Spec{ID: core.AttemptID(fmt.Sprint(i))}, startTime)
+		if err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, record)
+	}
+	small, _, err := table.Begin(Spec{ID: "small"}, startTime)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group conc.WaitGroup
+	for _, record := range records {
+		group.Go(func() {
+			for range 2 * MaxAnswerBytes / part {
+				if err := record.Append(make([]byte, part)); err != nil {
+					if !fault.Is(err, fault.TooLarge) {
+						t.Error(err)
+					}
+					return
+				}
+			}
+			t.Error("an answer without end was stored")
+		})
+	}
+	group.Wait()
+	if held := table.buffer.held.Load(); held > maxBufferedBytes+attempts*GuaranteedBytes {
+		t.Errorf("%d bytes are buffered", held)
+	}
+	if err := small.Append(make([]byte, GuaranteedBytes)); err != nil {
+		t.Errorf("a small answer beside them: %v", err)
+	}
+}
+
+func TestAnswersThatEndedMakeRoomForARunningOne(t *testing.T) {
+	table := NewTable(startTime)
+	running, _, err := table.Begin(Spec{ID: "running"}, startTime)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range maxBufferedBytes / MaxAnswerBytes {
+		addFinished(t, table, core.AttemptID(fmt.Sprint(i)), true, MaxAnswerBytes, startTime)
+	}
+	if err := running.Append(make([]byte, MaxAnswerBytes)); err != nil {
+		t.Errorf("an answer beside ones that have ended: %v", err)
+	}
+}
+
 func TestAnswerIsReadInBoundedFrames(t *testing.T) {
 	table := NewTable(startTime)
 	addFinished(t, table, "large", true, 3*maxFrameBytes+10, startTime)
--- a/internal/wire/attempt.go
+++ b/internal/wire/attempt.go
@@ -11,6 +11,12 @@
 // PathAttempts/ID attaches to one again.
 const PathAttempts = "/v1/attempts"
 
+// MaxAnswerBytes bounds the body of an answer, which its agent stores.
+const MaxAnswerBytes = 16 << 20
+
+// MaxFrameBytes bounds a frame. It has room for the largest part of an answer and the reports beside it.
+const MaxFrameBytes = 1 << 20
+
 // Dispatch asks an agent to run one attempt of a request. It is the body of a POST to PathAttempts. The response is
 // a stream of frames, one JSON object per line.
 type Dispatch struct {
