--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -49,10 +49,10 @@
 					_, _ = io.WriteString(conn, wholeStateReply)
 					return
 				}
-				text := strings.Repeat(repeated, 1+64<<10/len(repeated))
+				text := []byte(strings.Repeat(repeated, 1+64<<10/len(repeated)))
 				_, err = io.WriteString(conn, prefix)
 				for sent := 0; err == nil && sent < endlessBytes; sent += len(text) {
-					_, err = io.WriteString(conn, text)
+					_, err = conn.Write(text)
 				}
 			}()
 		}
