rpc: a message is bounded, and read whole

What operators saw: as before, the memory of a machine ran out with bytes without end.

Cause: the codec of the control messages passes the stated length on to a JSON decoder, which keeps what comes; a peer, or whatever listens at its address, can state any length. A decompressed configuration could take 64 MB, on machines of 152 MB.

Change: a codec with the same encoding reads a message of 16 MB at most into a buffer that grows as its bytes arrive, and then decodes it; a larger one or a part of one ends the connection. The time limit is that of the call, as before. Decompressed, a configuration or a list of endpoints has 16 MB (twice the store's largest response), a message between nodes 32 MB (as the largest object).

--- a/internal/follow/encoding.go
+++ b/internal/follow/encoding.go
@@ -11,9 +11,9 @@
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
-// maxDecompressedBytes limits the size of a decompressed value. It has room for a configuration of more than a hundred
-// thousand routes.
-const maxDecompressedBytes = 64 << 20
+// maxDecompressedBytes limits the size of a decompressed value. It is twice the largest response of the store, from which a
+// configuration and endpoints are read, so that a sidecar's machine has room for it.
+const maxDecompressedBytes = 16 << 20
 
 // encodedConfiguration is a configuration in the form in which delegates send it: gzip-compressed JSON. Routes are so
 // similar that compression saves about nine tenths of the bytes on the links between regions.
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := jsonrpc2.NewBufferedStream(socket, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(socket, objectCodec{})
 	created := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(rejectCalls))
 	if existing := c.acquire(address); existing != nil {
 		_ = created.Close()
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -59,7 +59,7 @@
 		if tcp, ok := socket.(*net.TCPConn); ok {
 			_ = tcp.SetKeepAlive(false) // clients close idle connections
 		}
-		stream := jsonrpc2.NewBufferedStream(socket, jsonrpc2.VarintObjectCodec{})
+		stream := jsonrpc2.NewBufferedStream(socket, objectCodec{})
 		conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)))
 		s.track(conn)
 	}
--- a/internal/wire/compressed.go
+++ b/internal/wire/compressed.go
@@ -8,7 +8,7 @@
 	"sync"
 )
 
-const maxDecompressedBytes = 64 << 20
+const maxDecompressedBytes = 32 << 20
 
 // Compressed is a byte string whose JSON encoding is compressed: DEFLATE with a preset dictionary, then base64.
 type Compressed []byte
