entry: frames and buffered answers are bounded, and a head needs a status

What operators saw: as before, the memory of a machine ran out with bytes without end. What callers saw: a status of 000 as 200.

Cause: an entry decoded frames without a bound on one, and buffered the answers to plain requests as they came, each without a bound of its own and all without one together.

Change: a frame has 1 MB at most; an answer the 16 MB that an agent stores; all buffered answers a quarter of the process's memory, beside 64 KB of each, so that answers without end do not end the small ones of others. An answer without room fails with an unknown outcome. A head whose status is not one of 200 to 599 closes the connection, and the agent is asked again. The tests of the flow state status 200 in heads, and its random events contain heads without one.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -5,17 +5,36 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/lovageglade/lovageglade/internal/fault"
+	"github.com/lovageglade/lovageglade/internal/settings"
 )
 
-const chunkQueueLength = 16 // chunks of up to 64 KiB that are queued for a slow caller
+const (
+	chunkQueueLength = 16 // chunks of up to 64 KiB that are queued for a slow caller
+	// answerMemoryShare is the share of the process's memory for buffered answers.
+	answerMemoryShare = 1.0 / 4
+	// guaranteedAnswerBytes may be buffered of each answer, also while that share is used up. Callers' connections bound their sum.
+	guaranteedAnswerBytes = 64 << 10
+)
+
+// answerBuffer counts the bytes of the answers that are buffered.
+type answerBuffer struct {
+	limit int64 // bytes
+	held  atomic.Int64
+}
+
+func newAnswerBuffer(resources settings.Resources) *answerBuffer {
+	return &answerBuffer{limit: int64(answerMemoryShare * float64(resources.MemoryBytes()))}
+}
 
 // answer is the response to a request. An event stream is forwarded as it arrives; any other response is buffered
 // and sent once it is complete.
 type answer struct {
+	buffer     *answerBuffer
 	ready      chan struct{} // closed once a stream has its head, or once any other answer is complete
 	callerGone chan struct{} // closed when the caller has disconnected
 	chunks     chan []byte
@@ -28,8 +47,9 @@
 	err         error
 }
 
-func newAnswer() *answer {
+func newAnswer(buffer *answerBuffer) *answer {
 	return &answer{
+		buffer:     buffer,
 		ready:      make(chan struct{}),
 		callerGone: make(chan struct{}),
 		chunks:     make(chan []byte, chunkQueueLength),
@@ -42,7 +62,7 @@
 func (a *answer) setHead(status int, contentType string) {
 	a.status = status
 	a.contentType = contentType
-	a.body = nil
+	a.release()
 	if strings.HasPrefix(contentType, "text/event-stream") {
 		a.streaming = true
 		close(a.ready)
@@ -50,17 +70,33 @@
 }
 
 // write adds a chunk to the body. For a stream it blocks while the caller is slow. If the caller disconnects or the
-// context ends meanwhile, the chunk is dropped.
-func (a *answer) write(ctx context.Context, chunk []byte) {
+// context ends meanwhile, the chunk is dropped. It returns false if there is no room for the body of any other answer.
+func (a *answer) write(ctx context.Context, chunk []byte) bool {
 	if !a.streaming {
-		a.body = append(a.body, chunk...)
-		return
+		return a.bufferChunk(chunk)
 	}
 	select {
 	case a.chunks <- chunk:
 	case <-a.callerGone:
 	case <-ctx.Done():
 	}
+	return true
+}
+
+func (a *answer) bufferChunk(chunk []byte) bool {
+	n := int64(len(chunk))
+	if a.buffer.held.Add(n) > a.buffer.limit && len(a.body)+len(chunk) > guaranteedAnswerBytes {
+		a.buffer.held.Add(-n)
+		return false
+	}
+	a.body = append(a.body, chunk...)
+	return true
+}
+
+// release discards the buffered body.
+func (a *answer) release() {
+	a.buffer.held.Add(-int64(len(a.body)))
+	a.body = nil
 }
 
 func (a *answer) finish(outcome fault.Outcome, err error) {
@@ -91,6 +127,7 @@
 }
 
 func (a *answer) sendBody(c fiber.Ctx) error {
+	defer a.release() // of what the response now refers to
 	if a.err != nil {
 		return sendRefusal(c, a.err, a.outcome)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,7 @@
 	node         *node.Runner
 	peers        *rpc.Client
 	agents       *stream.Client
+	answers      *answerBuffer
 	routingState *routingState
 	outcomeState *outcomeState
 	draining     atomic.Bool
@@ -52,6 +53,7 @@
 		logger:       telemetry.NewLogger(config.LogLevel, config.Host.ID),
 		peers:        rpc.NewClient(),
 		agents:       stream.NewClient(progressTimeout, connsPerAgent),
+		answers:      newAnswerBuffer(config.Resources),
 		routingState: newRoutingState(),
 		outcomeState: newOutcomeState(services),
 	}
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"strconv"
 	"time"
 
@@ -97,10 +99,10 @@
 		return
 	}
 	defer response.Close()
-	decoder := json.NewDecoder(response)
+	frames := newFrameReader(response)
 	for {
-		var frame wire.Frame
-		if err := decoder.Decode(&frame); err != nil {
+		frame, err := frames.next()
+		if err != nil {
 			f.post(ctx, outcome.ConnLost{Attempt: c.attempt.ID, Conn: c.number})
 			return
 		}
@@ -125,3 +127,34 @@
 	f.entry.node.ReportGeneration(frame.Load.Generation, host.ControlAddress)
 	f.entry.outcomeState.marks.update(host.ID, frame.Load.Incarnation, frame.Load.Mark)
 }
+
+var errFrameTooLong = errors.New("the agent sends a frame without end")
+
+// frameReader reads frames of wire.MaxFrameBytes at most.
+type frameReader struct {
+	decoder   *json.Decoder
+	source    io.Reader
+	remaining int // bytes that may be read until the frame has ended
+}
+
+func newFrameReader(source io.Reader) *frameReader {
+	r := &frameReader{source: source}
+	r.decoder = json.NewDecoder(r)
+	return r
+}
+
+func (r *frameReader) next() (frame wire.Frame, err error) {
+	r.remaining = wire.MaxFrameBytes
+	err = r.decoder.Decode(&frame)
+	return frame, err
+}
+
+// Read implements io.Reader, for the decoder.
+func (r *frameReader) Read(buf []byte) (int, error) {
+	if r.remaining == 0 {
+		return 0, errFrameTooLong
+	}
+	n, err := r.source.Read(buf[:min(len(buf), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -98,10 +98,9 @@
 
 // write measures the time to the first chunk of a stream and between chunks. Time that a slow caller takes to read
 // does not count.
-func (o *observation) write(ctx context.Context, chunk []byte) {
+func (o *observation) write(ctx context.Context, chunk []byte) bool {
 	if !o.streaming {
-		o.answer.write(ctx, chunk)
-		return
+		return o.answer.write(ctx, chunk)
 	}
 	now := time.Now()
 	if o.measured.FirstToken == 0 {
@@ -111,6 +110,7 @@
 	}
 	o.answer.write(ctx, chunk)
 	o.lastWritten = time.Now()
+	return true
 }
 
 // finish records the outcome and ends the answer. A request whose caller disconnected does not count against the
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -33,7 +33,7 @@
 	case outcome.Dispatch, outcome.Attach, outcome.CloseConn, outcome.Cancel:
 		f.performAttempt(effect)
 	default:
-		f.performAnswer(effect)
+		return f.performAnswer(effect)
 	}
 	return nil
 }
@@ -52,7 +52,7 @@
 	}
 }
 
-func (f *forwarder) performAnswer(effect reduce.Effect) {
+func (f *forwarder) performAnswer(effect reduce.Effect) reduce.Event {
 	switch effect := effect.(type) {
 	case outcome.ReportCrash:
 		f.entry.outcomeState.suspects.RecordCrash(f.fingerprint, f.start, time.Now())
@@ -60,13 +60,16 @@
 		f.entry.outcomeState.firstByteTimes.Get(f.request.service.Name).Record(time.Since(f.start))
 		f.answer.setHead(effect.Status, effect.ContentType)
 	case outcome.ForwardData:
-		f.answer.write(f.deadlineCtx, effect.Data)
+		if !f.answer.write(f.deadlineCtx, effect.Data) {
+			return outcome.NoRoom{}
+		}
 	case outcome.Complete:
 		f.entry.outcomeState.suspects.RecordSuccess(f.fingerprint, time.Now())
 		f.answer.finish("", nil)
 	case outcome.Fail:
 		f.answer.finish(effect.Outcome, effect.Err)
 	}
+	return nil
 }
 
 func (f *forwarder) performPick(effect outcome.Pick) reduce.Event {
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -41,7 +41,7 @@
 		telemetry.RequestRefused(fault.Kind(err))
 		return sendRefusal(c, err, earlyRefusalOutcome(hasUsableKey(c)))
 	}
-	answer := newAnswer()
+	answer := newAnswer(e.answers)
 	go newForwarder(e, parsed, e.observer.newObservation(parsed, answer)).run()
 	<-answer.ready
 	if answer.isStreaming() {
--- a/internal/outcome/attempt_events.go
+++ b/internal/outcome/attempt_events.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/reduce"
+	"github.com/lovageglade/lovageglade/internal/response"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -24,11 +25,15 @@
 	return nil
 }
 
-// onHead selects the first attempt that answers and gives up the others. A repeated head of one attempt is ignored.
+// onHead selects the first attempt that answers and gives up the others. A repeated head of one attempt is ignored. A head without the
+// status of a response closes the connection.
 func (f *Flow) onHead(a *attemptState, frame wire.Frame) []reduce.Effect {
 	if a.headReceived {
 		return nil
 	}
+	if !response.IsFinalStatus(frame.Status) {
+		return f.resolveAfterLoss(a)
+	}
 	a.headReceived = true
 	f.selected = a
 	f.forwarded = isEventStream(frame.ContentType)
@@ -45,6 +50,9 @@
 	if len(frame.Data) == 0 {
 		return nil
 	}
+	if a.offset+int64(len(frame.Data)) > wire.MaxAnswerBytes {
+		return append([]reduce.Effect{CloseConn{Attempt: a.ID}}, f.closeUnknown(a, errAnswerTooLarge())...)
+	}
 	a.offset += int64(len(frame.Data))
 	a.fruitlessResumes = 0
 	_, _ = a.checksum.Write(frame.Data)
@@ -148,6 +156,10 @@
 	return f.closeUnknown(a, errOutcomeLost())
 }
 
+func errAnswerTooLarge() error {
+	return fault.New(fault.TooLarge, "the answer is larger than an agent can store", "request a smaller answer")
+}
+
 func errOutcomeLost() error {
 	return fault.New(fault.LostOutcome, "the connection to the endpoint was lost while it may have been running the request", "check whether it took effect, or send it again with the same Idempotency-Key")
 }
--- a/internal/outcome/events.go
+++ b/internal/outcome/events.go
@@ -107,3 +107,6 @@
 
 // CallerGone says that the caller has disconnected.
 type CallerGone struct{ reduce.IsEvent }
+
+// NoRoom says that the part of the answer that was forwarded last could not be stored.
+type NoRoom struct{ reduce.IsEvent }
--- a/internal/outcome/finish.go
+++ b/internal/outcome/finish.go
@@ -70,6 +70,10 @@
 	return f.fail(fault.New(fault.DeadlinePassed, "the deadline passed", "allow more time"))
 }
 
+func (f *Flow) onNoRoom() []reduce.Effect {
+	return f.fail(fault.New(fault.Overloaded, "the entry has no room for the answer", "come back later, or request a smaller answer"))
+}
+
 func (f *Flow) onCallerGone() []reduce.Effect {
 	return f.fail(fault.New(fault.Interrupted, "the caller has gone", "send the request again"))
 }
--- a/internal/outcome/flow.go
+++ b/internal/outcome/flow.go
@@ -87,6 +87,8 @@
 		return f.onDeadlinePassed()
 	case CallerGone:
 		return f.onCallerGone()
+	case NoRoom:
+		return f.onNoRoom()
 	}
 	return f.onAttemptEvent(event)
 }
--- a/internal/outcome/flow_test.go
+++ b/internal/outcome/flow_test.go
@@ -68,8 +68,9 @@
 	}).Draw(c.t, "state")
 	refusal := fault.RefusalOf(fault.New(fault.Overloaded, "full", "wait"), rapid.SampledFrom([]fault.Outcome{fault.NotRun, fault.Unknown}).Draw(c.t, "outcome"))
 	frame := rapid.SampledFrom([]wire.Frame{
-		{Kind: wire.FrameHead, ContentType: "text/event-stream"},
-		{Kind: wire.FrameHead, ContentType: "application/json"},
+		{Kind: wire.FrameHead, Status: 200, ContentType: "text/event-stream"},
+		{Kind: wire.FrameHead, Status: 200, ContentType: "application/json"},
+		{Kind: wire.FrameHead, ContentType: "application/json"}, // without a status
 		{Kind: wire.FrameData, Data: []byte("x")},
 		{Kind: wire.FrameEnd},
 		{Kind: wire.FrameRefusal, Refusal: &refusal},
@@ -85,6 +86,7 @@
 		Resolved{Attempt: id, State: state},
 		ResolveFailed{Attempt: id},
 		HedgeDue{},
+		NoRoom{},
 	}).Draw(c.t, "event")
 }
 
@@ -98,7 +100,7 @@
 			c.markNotRun(event.Attempt, c.currentConn[event.Attempt])
 		}
 	case FrameArrived:
-		if event.Frame.Kind == wire.FrameHead && event.Conn == c.currentConn[event.Attempt] {
+		if event.Frame.Kind == wire.FrameHead && event.Frame.Status != 0 && event.Conn == c.currentConn[event.Attempt] {
 			c.headReceived[event.Attempt] = true
 		}
 		if event.Frame.Refusal != nil && event.Frame.Refusal.Outcome == fault.NotRun {
@@ -173,11 +175,11 @@
 		t.Fatalf("no hedge was picked on the retry budget: %v", effects)
 	}
 	flow.Step(Picked{Attempt: Attempt{ID: "fast"}})
-	effects := flow.Step(FrameArrived{Attempt: "fast", Conn: 1, Frame: wire.Frame{Kind: wire.FrameHead, Attempt: "fast"}})
+	effects := flow.Step(FrameArrived{Attempt: "fast", Conn: 1, Frame: wire.Frame{Kind: wire.FrameHead, Attempt: "fast", Status: 200}})
 	if len(effects) != 3 || effects[2].(Cancel).Attempt.ID != "slow" {
 		t.Fatalf("the slow attempt was not cancelled: %v", effects)
 	}
-	if late := flow.Step(FrameArrived{Attempt: "slow", Conn: 1, Frame: wire.Frame{Kind: wire.FrameHead, Attempt: "slow"}}); late != nil {
+	if late := flow.Step(FrameArrived{Attempt: "slow", Conn: 1, Frame: wire.Frame{Kind: wire.FrameHead, Attempt: "slow", Status: 200}}); late != nil {
 		t.Fatalf("the answer of the cancelled attempt was accepted: %v", late)
 	}
 }
@@ -264,3 +266,56 @@
 		t.Errorf("an attempt that may run was taken for one that did not: %+v", effects)
 	}
 }
+
+// headOf returns the head of the attempt's answer on its first connection.
+func headOf(id core.AttemptID, status int) FrameArrived {
+	return FrameArrived{Attempt: id, Conn: 1, Frame: wire.Frame{Kind: wire.FrameHead, Attempt: id, Status: status, ContentType: "application/json"}}
+}
+
+// A head without a status would be sent to the caller with status 200.
+func TestHeadWithoutASoundStatusIsNotForwarded(t *testing.T) {
+	for _, status := range []int{0, 42, 101, 600} {
+		flow := NewFlow(Request{Idempotent: true})
+		flow.Step(Started{})
+		flow.Step(Picked{Attempt: Attempt{ID: "a"}})
+		for _, effect := range flow.Step(headOf("a", status)) {
+			if head, forwarded := effect.(ForwardHead); forwarded {
+				t.Errorf("status %d is forwarded as %d", status, head.Status)
+			}
+		}
+	}
+}
+
+func TestAnswerLargerThanAnAgentStoresFails(t *testing.T) {
+	flow := NewFlow(Request{Idempotent: true})
+	flow.Step(Started{})
+	flow.Step(Picked{Attempt: Attempt{ID: "a"}})
+	flow.Step(headOf("a", 200))
+	part := make([]byte, 64<<10)
+	for offset := 0; offset <= 2*wire.MaxAnswerBytes; offset += len(part) {
+		effects := flow.Step(FrameArrived{Attempt: "a", Conn: 1, Frame: wire.Frame{Kind: wire.FrameData, Attempt: "a", Offset: int64(offset), Data: part}})
+		if !flow.Done() {
+			continue
+		}
+		failed, _ := effects[len(effects)-1].(Fail)
+		if offset != wire.MaxAnswerBytes || !fault.Is(failed.Err, fault.TooLarge) || failed.Outcome != fault.Unknown {
+			t.Errorf("after %d bytes: %v, outcome %q", offset, failed.Err, failed.Outcome)
+		}
+		return
+	}
+	t.Error("an answer without end is forwarded")
+}
+
+func TestAnswerThatCannotBeStoredHasAnUnknownOutcome(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		flow := NewFlow(Request{Idempotent: idempotent})
+		flow.Step(Started{})
+		flow.Step(Picked{Attempt: Attempt{ID: "a"}})
+		flow.Step(headOf("a", 200))
+		effects := flow.Step(NoRoom{})
+		failed, _ := effects[len(effects)-1].(Fail)
+		if !flow.Done() || !fault.Is(failed.Err, fault.Overloaded) || failed.Outcome != fault.Unknown {
+			t.Errorf("idempotent %v: %v, outcome %q", idempotent, failed.Err, failed.Outcome)
+		}
+	}
+}
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -37,6 +37,9 @@
 	return &MalformedError{Reason: fmt.Sprintf(format, args...)}
 }
 
+// IsFinalStatus reports whether the status is that of a final response.
+func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxStatus }
+
 // section is the lines of a head or of a trailer section up to and with the empty line, as they were received.
 type section []byte
 
