gateway, sidecar: long heads and events of many answers are bounded together

What operators saw: as before, the memory of a machine ran out with bytes without end in heads and bodies.

Cause: each head has a bound of 256 KB and each event one of 1 MB, but what all answers at a time keep had none. A gateway with 284 MB that has 300 streams open at an endpoint in trouble ran out of memory.

Change: package budget counts what readers keep together, beyond bytes that each may keep in any case. Heads of more than 32 KB (as received, as parsed and 128 bytes a line) and events of more than 64 KB take room from an eighth of the process's memory, at a gateway and a sidecar, heads at the other clients from 16 MB. Without room the answer is broken, as one without end. Usual heads and events take none, so they pass beside it. The buffered answers of an entry use the same package in place of a counter of their own.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/lovageglade/lovageglade/internal/budget"
 )
 
 const (
@@ -23,6 +25,7 @@
 	defaultIdleTimeout = 4 * time.Second // for servers that announce no Keep-Alive timeout
 	maxIdlePerAddress  = 32              // twice the slots of an endpoint
 	readBufferBytes    = 4 << 10
+	defaultHeadsBytes  = 16 << 20 // of memory for long heads
 )
 
 // conn is a connection with its read buffer.
@@ -47,6 +50,8 @@
 	// ProgressTimeout is the time after which a read or a write that transfers no byte fails; 0 for none. It is not changed while the
 	// pool is used.
 	ProgressTimeout time.Duration
+	// Heads bounds the memory of long heads of responses. It is not changed while the pool is used.
+	Heads *budget.Budget
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
@@ -56,7 +61,7 @@
 
 // NewPool returns a pool without connections.
 func NewPool() *Pool {
-	return &Pool{dialer: net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: -1}, idle: make(map[string][]*conn), open: make(map[string]int)}
+	return &Pool{dialer: net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: -1}, idle: make(map[string][]*conn), open: make(map[string]int), Heads: budget.New(defaultHeadsBytes)}
 }
 
 // Close closes the idle connections.
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -87,6 +87,7 @@
 	address      string
 	conn         *conn
 	body         io.Reader
+	releaseHead  func()
 	endsWithConn bool        // the end of the connection is that of the body
 	reusable     bool        // the connection may be reused after a complete exchange
 	complete     bool        // the body was read to its end
@@ -133,13 +134,14 @@
 		return nil, err
 	}
 	for range maxStrayResponses + 1 {
-		resp, err := response.Read(c.reader, req.Method)
+		resp, err := response.Read(c.reader, req.Method, p.Heads)
 		if err != nil {
 			return nil, err
 		}
 		if request.accepts(resp, c.reused) {
 			return p.newResponse(c, request, resp, upload), nil
 		}
+		resp.Release()
 		if !c.reused || !request.canSkip(resp) {
 			break
 		}
@@ -248,6 +250,7 @@
 		address:      request.Address,
 		conn:         c,
 		body:         resp.Body,
+		releaseHead:  resp.Release,
 		endsWithConn: resp.EndsWithConn,
 		reusable:     resp.Framing != Unframed && !resp.Close && !request.isUnidentified(resp.Header) && !request.NewConn, // pooled connections that no request reuses would exhaust the endpoint's connection limit
 		upload:       upload,
@@ -293,6 +296,7 @@
 // and no extra bytes are buffered.
 func (r *Response) Close() {
 	defer r.pool.release(r.address)
+	r.releaseHead()
 	notReset := r.stopReset()
 	if !notReset || !r.reusable || !r.complete || !r.upload.isSent() || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -5,10 +5,10 @@
 	"context"
 	"encoding/json"
 	"strings"
-	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/lovageglade/lovageglade/internal/budget"
 	"github.com/lovageglade/lovageglade/internal/fault"
 	"github.com/lovageglade/lovageglade/internal/settings"
 )
@@ -17,24 +17,19 @@
 	chunkQueueLength = 16 // chunks of up to 64 KiB that are queued for a slow caller
 	// answerMemoryShare is the share of the process's memory for buffered answers.
 	answerMemoryShare = 1.0 / 4
-	// guaranteedAnswerBytes may be buffered of each answer, also while that share is used up. Callers' connections bound their sum.
-	guaranteedAnswerBytes = 64 << 10
+	// freeAnswerBytes of each answer take no room in that share. The number of callers' connections bounds their sum.
+	freeAnswerBytes = 64 << 10
 )
 
-// answerBuffer counts the bytes of the answers that are buffered.
-type answerBuffer struct {
-	limit int64 // bytes
-	held  atomic.Int64
-}
-
-func newAnswerBuffer(resources settings.Resources) *answerBuffer {
-	return &answerBuffer{limit: int64(answerMemoryShare * float64(resources.MemoryBytes()))}
+// newAnswerBudget returns the budget of the answers that a process with the resources buffers.
+func newAnswerBudget(resources settings.Resources) *budget.Budget {
+	return budget.New(int64(answerMemoryShare * float64(resources.MemoryBytes())))
 }
 
 // answer is the response to a request. An event stream is forwarded as it arrives; any other response is buffered
 // and sent once it is complete.
 type answer struct {
-	buffer     *answerBuffer
+	kept       budget.Growth // by body
 	ready      chan struct{} // closed once a stream has its head, or once any other answer is complete
 	callerGone chan struct{} // closed when the caller has disconnected
 	chunks     chan []byte
@@ -47,9 +42,9 @@
 	err         error
 }
 
-func newAnswer(buffer *answerBuffer) *answer {
+func newAnswer(answers *budget.Budget) *answer {
 	return &answer{
-		buffer:     buffer,
+		kept:       budget.Growth{Budget: answers, Free: freeAnswerBytes},
 		ready:      make(chan struct{}),
 		callerGone: make(chan struct{}),
 		chunks:     make(chan []byte, chunkQueueLength),
@@ -84,9 +79,7 @@
 }
 
 func (a *answer) bufferChunk(chunk []byte) bool {
-	n := int64(len(chunk))
-	if a.buffer.held.Add(n) > a.buffer.limit && len(a.body)+len(chunk) > guaranteedAnswerBytes {
-		a.buffer.held.Add(-n)
+	if !a.kept.Resize(int64(len(a.body) + len(chunk))) {
 		return false
 	}
 	a.body = append(a.body, chunk...)
@@ -95,8 +88,8 @@
 
 // release discards the buffered body.
 func (a *answer) release() {
-	a.buffer.held.Add(-int64(len(a.body)))
 	a.body = nil
+	a.kept.Release()
 }
 
 func (a *answer) finish(outcome fault.Outcome, err error) {
--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -30,7 +30,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			a := newAnswer(&answerBuffer{limit: 1 << 20})
+			a := newAnswer(nil)
 			a.setHead(200, "text/event-stream")
 			written := make(chan struct{})
 			go func() {
@@ -46,7 +46,7 @@
 }
 
 func TestFailedStreamHasNoEndMarker(t *testing.T) {
-	a := newAnswer(&answerBuffer{limit: 1 << 20})
+	a := newAnswer(nil)
 	a.setHead(200, "text/event-stream")
 	a.write(context.Background(), []byte("data: x\n\n"))
 	a.finish(fault.Unknown, fault.New(fault.LostOutcome, "lost", "check"))
@@ -58,7 +58,7 @@
 }
 
 func TestNewHeadDiscardsTheBufferedBody(t *testing.T) {
-	a := newAnswer(&answerBuffer{limit: 1 << 20})
+	a := newAnswer(nil)
 	a.setHead(200, "text/plain")
 	a.write(context.Background(), []byte("half"))
 	a.setHead(201, "text/plain")
--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/lovageglade/lovageglade/internal/budget"
 	"github.com/lovageglade/lovageglade/internal/wire"
 )
 
@@ -62,7 +63,7 @@
 // Answers without end must not use up the memory, nor the room of others.
 func TestBufferedAnswersAreBoundedTogether(t *testing.T) {
 	const answers, limit = 20, 4 << 20
-	buffer := &answerBuffer{limit: limit}
+	buffer := budget.New(limit)
 	part := make([]byte, 16<<10)
 	fill := func() *answer {
 		a := newAnswer(buffer)
@@ -78,18 +79,18 @@
 	for range answers {
 		full = append(full, fill())
 	}
-	if held := buffer.held.Load(); held > limit+answers*guaranteedAnswerBytes {
+	if held := buffer.Held(); held > limit {
 		t.Errorf("%d bytes are held", held)
 	}
 	small := newAnswer(buffer)
 	small.setHead(200, "application/json")
-	if !small.write(context.Background(), make([]byte, guaranteedAnswerBytes)) {
+	if !small.write(context.Background(), make([]byte, freeAnswerBytes)) {
 		t.Error("a small answer beside them is not stored")
 	}
 	for _, a := range append(full, small) {
 		a.release()
 	}
-	if held := buffer.held.Load(); held != 0 {
+	if held := buffer.Held(); held != 0 {
 		t.Errorf("%d bytes are held after the answers", held)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lovageglade/lovageglade/internal/budget"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/graceful"
 	"github.com/lovageglade/lovageglade/internal/ingress"
@@ -38,7 +39,7 @@
 	node         *node.Runner
 	peers        *rpc.Client
 	agents       *stream.Client
-	answers      *answerBuffer
+	answers      *budget.Budget
 	routingState *routingState
 	outcomeState *outcomeState
 	draining     atomic.Bool
@@ -53,7 +54,7 @@
 		logger:       telemetry.NewLogger(config.LogLevel, config.Host.ID),
 		peers:        rpc.NewClient(),
 		agents:       stream.NewClient(progressTimeout, connsPerAgent),
-		answers:      newAnswerBuffer(config.Resources),
+		answers:      newAnswerBudget(config.Resources),
 		routingState: newRoutingState(),
 		outcomeState: newOutcomeState(services),
 	}
--- a/internal/entry/observe_test.go
+++ b/internal/entry/observe_test.go
@@ -60,7 +60,7 @@
 	} {
 		var out bytes.Buffer
 		o := newTestObserver(&out)
-		current := o.newObservation(newTestRequest(), newAnswer(&answerBuffer{limit: 1 << 20}))
+		current := o.newObservation(newTestRequest(), newAnswer(nil))
 		current.setHead(test.status, "application/json")
 		current.finish(test.outcome, test.err)
 		if passed := current.answer; passed.outcome != test.outcome || passed.err != test.err {
@@ -76,7 +76,7 @@
 	var out bytes.Buffer
 	o := newTestObserver(&out)
 	for _, contentType := range []string{"text/event-stream", "application/json"} {
-		current := o.newObservation(newTestRequest(), newAnswer(&answerBuffer{limit: 1 << 20}))
+		current := o.newObservation(newTestRequest(), newAnswer(nil))
 		current.start = current.start.Add(-400 * time.Millisecond)
 		current.setHead(200, contentType)
 		for range 4 {
@@ -94,7 +94,7 @@
 
 func TestRequestLogNamesRequestAndAttempt(t *testing.T) {
 	var out bytes.Buffer
-	current := newTestObserver(&out).newObservation(newTestRequest(), newAnswer(&answerBuffer{limit: 1 << 20}))
+	current := newTestObserver(&out).newObservation(newTestRequest(), newAnswer(nil))
 	current.attemptStarted("one")
 	current.attemptStarted("two")
 	current.finish(fault.Unknown, fault.New(fault.LostOutcome, "lost", "look"))
@@ -114,7 +114,7 @@
 func TestDisconnectedCallerSpendsNoErrorBudget(t *testing.T) {
 	var out bytes.Buffer
 	o := newTestObserver(&out)
-	current := o.newObservation(newTestRequest(), newAnswer(&answerBuffer{limit: 1 << 20}))
+	current := o.newObservation(newTestRequest(), newAnswer(nil))
 	close(current.callerGone)
 	current.finish(fault.Unknown, fault.New(fault.Interrupted, "the caller has gone", "send the request again"))
 	if sum := recordedSum(t, o); sum.Total != 0 || !bytes.Contains(out.Bytes(), []byte(`"outcome":"caller_gone"`)) {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"strconv"
 
+	"github.com/lovageglade/lovageglade/internal/budget"
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
 
@@ -30,6 +32,21 @@
 	return 0, nil, fault.New(fault.EndpointFault, "the stream ended inside an event, after "+strconv.Itoa(len(data))+" bytes of it", "check whether the endpoint crashed")
 }
 
+// bufferGrowth is by how much a bufio.Scanner enlarges its buffer for an event that does not fit.
+const bufferGrowth = 2
+
+// splitWithin returns splitEvents with an account of the scanner's buffer. It returns an error of kind EndpointFault if there is no room
+// for a larger one.
+func splitWithin(kept *budget.Growth) bufio.SplitFunc {
+	return func(data []byte, atEOF bool) (int, []byte, error) {
+		length, event, err := splitEvents(data, atEOF)
+		if size := bufferGrowth * int64(len(data)); length == 0 && err == nil && size > kept.Size() && !kept.Resize(size) {
+			err = fault.New(fault.EndpointFault, "there is no room for an event of more than "+strconv.Itoa(len(data))+" bytes", "check what the endpoints send")
+		}
+		return length, event, err
+	}
+}
+
 // firstEventLength returns the length of the first event with its blank line; 0 if the event is incomplete.
 func firstEventLength(data []byte) int {
 	first := 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lovageglade/lovageglade/internal/bootclock"
+	"github.com/lovageglade/lovageglade/internal/budget"
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/core"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
@@ -40,6 +41,7 @@
 	follower          *follow.Follower
 	logger            *log.Logger
 	pool              *dispatch.Pool
+	kept              *budget.Budget // for long heads and events of endpoints
 	placer            *placement.Placer
 	sidecars          *sidecarTracker
 	proven            provenLoads
@@ -84,6 +86,8 @@
 		retryBudgets: make(map[core.Service]*retry.Budget),
 	}
 	g.pool.MaxIdle = int(dispatch.IdleShare * float64(config.Descriptors()))
+	g.kept = budget.New(int64(budget.AnswerShare * float64(config.MemoryBytes())))
+	g.pool.Heads = g.kept
 	g.guard = g.newGuard()
 	return g
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lovageglade/lovageglade/internal/budget"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 	"github.com/lovageglade/lovageglade/internal/fault"
 )
@@ -14,6 +15,7 @@
 const (
 	initialEventBytes = 4 << 10 // initial buffer size; fits a typical event
 	maxEventBytes     = 1 << 20
+	freeEventBytes    = 64 << 10 // of the memory of a stream's event that need no room in the budget
 )
 
 // streamState tracks what the caller has received of a stream.
@@ -56,7 +58,9 @@
 	lastID := a.resumeAfter
 	events := bufio.NewScanner(a.answer)
 	events.Buffer(make([]byte, 0, initialEventBytes), maxEventBytes)
-	events.Split(splitEvents)
+	kept := budget.Growth{Budget: a.f.g.kept, Free: freeEventBytes}
+	defer kept.Release()
+	events.Split(splitWithin(&kept))
 	empty := true
 	for events.Scan() {
 		empty = false
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -11,6 +11,8 @@
 	"unicode"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/lovageglade/lovageglade/internal/budget"
 )
 
 // The status codes of RFC 9110, section 15.
@@ -25,6 +27,9 @@
 // ErrTooLong is returned for a server that sends bytes without end where the head or the trailer section of a response is due.
 var ErrTooLong = errors.New("the head of the response is too long; check what the endpoint sends")
 
+// ErrNoRoom is returned for a head that is larger than usual while other such heads use up the memory for them.
+var ErrNoRoom = errors.New("there is no room for a response with such a long head; check what the endpoints send")
+
 // MalformedError is returned for bytes that are no response.
 type MalformedError struct{ Reason string }
 
@@ -43,14 +48,24 @@
 // section is the lines of a head or of a trailer section up to and with the empty line, as they were received.
 type section []byte
 
-// readSection appends the lines up to and with the next empty line to dst, whose buffer it may reuse. It reads at most limit bytes.
-func readSection(r *bufio.Reader, dst section, limit int) (section, error) {
+// The memory that a section takes while it is read, parsed and in use.
+const (
+	copiesOfSection = 2   // as received and as parsed
+	lineCostBytes   = 128 // of a field's entry in the header
+)
+
+// readSection appends the lines up to and with the next empty line to dst, whose buffer it may reuse. It reads at most limit bytes and
+// accounts for their memory in kept.
+func readSection(r *bufio.Reader, dst section, limit int, kept *budget.Growth) (section, error) {
 	lineStart := 0
 	for {
 		part, err := r.ReadSlice('\n')
 		if len(dst)+len(part) > limit {
 			return dst, ErrTooLong
 		}
+		if !kept.Resize(kept.Size() + int64(copiesOfSection*len(part)+lineCostBytes)) {
+			return dst, ErrNoRoom
+		}
 		dst = append(dst, part...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -11,11 +11,15 @@
 	"net/http"
 	"net/http/httputil"
 	"sync"
+
+	"github.com/lovageglade/lovageglade/internal/budget"
 )
 
 const (
 	// MaxHeadBytes bounds the head of a response, with the interim responses before it.
 	MaxHeadBytes = 256 << 10
+	// freeHeadBytes of the memory of a head take no room in the budget. Usual heads need less.
+	freeHeadBytes = 32 << 10
 	// maxTrailerBytes bounds the trailer section, which is read and not used.
 	maxTrailerBytes = 16 << 10
 )
@@ -41,19 +45,36 @@
 	// Body returns io.EOF once the body is complete: by its length, by its last chunk and a sound trailer section, or, if EndsWithConn is
 	// set, at the end of the connection.
 	Body io.Reader
+
+	kept budget.Growth // by the head
 }
 
+// Release gives back the memory of the head, which must no longer be used.
+func (r *Response) Release() { r.kept.Release() }
+
 // headReaders holds readers for the heads that net/http parses.
 var headReaders = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
 
-// Read reads the head of the response to a request of the method. It skips interim responses. It returns a MalformedError for bytes
-// that are no response, ErrTooLong after MaxHeadBytes, and io.ErrUnexpectedEOF if the connection ends within the head.
-func Read(r *bufio.Reader, method string) (*Response, error) {
+// Read reads the head of the response to a request of the method. It skips interim responses. The memory of long heads is taken from
+// the budget until Release. It returns a MalformedError for bytes that are no response, ErrTooLong after MaxHeadBytes, ErrNoRoom if
+// the budget is used up, and io.ErrUnexpectedEOF if the connection ends within the head.
+func Read(r *bufio.Reader, method string, heads *budget.Budget) (*Response, error) {
+	kept := budget.Growth{Budget: heads, Free: freeHeadBytes}
+	response, err := readFinal(r, method, &kept)
+	if err != nil {
+		kept.Release()
+		return nil, err
+	}
+	response.kept = kept
+	return response, nil
+}
+
+func readFinal(r *bufio.Reader, method string, kept *budget.Growth) (*Response, error) {
 	limit := MaxHeadBytes
 	var head section
 	for {
 		var err error
-		if head, err = readSection(r, head[:0], limit); err != nil {
+		if head, err = readSection(r, head[:0], limit, kept); err != nil {
 			return nil, err
 		}
 		limit -= len(head)
@@ -148,7 +169,7 @@
 
 // readTrailer reads the trailer section and returns io.EOF if it is sound.
 func readTrailer(r *bufio.Reader) error {
-	trailer, err := readSection(r, nil, maxTrailerBytes)
+	trailer, err := readSection(r, nil, maxTrailerBytes, &budget.Growth{})
 	if err == nil {
 		err = trailer.checkFields("")
 	}
--- a/internal/response/response_test.go
+++ b/internal/response/response_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/lovageglade/lovageglade/internal/budget"
 )
 
 // read reads the response to a GET request and its body.
 func read(text string) (*Response, string, error) {
-	response, err := Read(bufio.NewReader(strings.NewReader(text)), http.MethodGet)
+	response, err := Read(bufio.NewReader(strings.NewReader(text)), http.MethodGet, nil)
 	if err != nil {
 		return nil, "", err
 	}
@@ -163,7 +165,7 @@
 		{http.MethodGet, "HTTP/1.1 200 x\r\nContent-Length: 0"},
 	} {
 		next := bufio.NewReader(strings.NewReader(test.head + "\r\n\r\n" + sound))
-		response, err := Read(next, test.method)
+		response, err := Read(next, test.method, nil)
 		if err != nil {
 			t.Errorf("%q: %v", test.head, err)
 			continue
@@ -171,7 +173,7 @@
 		if body, err := io.ReadAll(response.Body); err != nil || len(body) > 0 || response.EndsWithConn {
 			t.Errorf("%s, %q: body %q, error %v", test.method, test.head, body, err)
 		}
-		if _, err := Read(next, http.MethodGet); err != nil {
+		if _, err := Read(next, http.MethodGet, nil); err != nil {
 			t.Errorf("%s, %q: the next response is not read: %v", test.method, test.head, err)
 		}
 	}
@@ -191,3 +193,38 @@
 		}
 	}
 }
+
+// Heads of the largest size together must not take more than the budget. Usual ones are read beside them.
+func TestHeadsAreBoundedTogether(t *testing.T) {
+	const limit = 4 << 20
+	heads := budget.New(limit)
+	long := "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", (MaxHeadBytes-100)/6) + "\r\n"
+	var open []*Response
+	for {
+		response, err := Read(bufio.NewReader(strings.NewReader(long)), http.MethodGet, heads)
+		if errors.Is(err, ErrNoRoom) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if open = append(open, response); len(open) > limit/MaxHeadBytes {
+			t.Fatalf("%d heads are held", len(open))
+		}
+	}
+	held := heads.Held()
+	if response, err := Read(bufio.NewReader(strings.NewReader(sound)), http.MethodGet, heads); err != nil || response.Status != http.StatusOK || heads.Held() != held {
+		t.Errorf("a usual head beside them: %v", err)
+	}
+	for _, text := range []string{long[:len(long)/8], "HTTP/1.1 200 OK\r\nA B: c\r\n\r\n"} {
+		if _, err := Read(bufio.NewReader(strings.NewReader(text)), http.MethodGet, heads); err == nil || heads.Held() != held {
+			t.Errorf("a head that is none: %v, %d more bytes are held", err, heads.Held()-held)
+		}
+	}
+	for _, response := range open {
+		response.Release()
+	}
+	if heads.Held() != 0 {
+		t.Errorf("%d bytes are held after all", heads.Held())
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 
 	"github.com/lovageglade/lovageglade/internal/admission"
 	"github.com/lovageglade/lovageglade/internal/bootclock"
+	"github.com/lovageglade/lovageglade/internal/budget"
 	"github.com/lovageglade/lovageglade/internal/call"
 	"github.com/lovageglade/lovageglade/internal/catalog"
 	"github.com/lovageglade/lovageglade/internal/core"
@@ -110,6 +111,7 @@
 		inheritedOrderTime: inheritedOrderTime,
 	}
 	s.pool.MaxIdle = int(dispatch.IdleShare * float64(config.Descriptors()))
+	s.pool.Heads = budget.New(int64(budget.AnswerShare * float64(config.MemoryBytes())))
 	s.guard = s.newGuard()
 	s.distributor = distribution.New(distribution.Options{
 		Self:          s.hostOf(config.Address, config.FailureDomain, config.Region),
