backend: an agent asks whether the back end lives before an unframed answer counts as whole

What callers saw: nothing was reported; found while the rule for the end of bodies was taken to all readers. A back end that is killed within an answer without a length ends its connection in order, so an entry passed the part on as a whole answer. Event streams were not affected, since they need their end marker.

Evidence: with ConfirmEnds set aside, as in the code before, TestUnframedBodyOfAServerThatEndsIsNotComplete reads "part" as a whole body from a server that closes its connection and its listening socket.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -96,9 +96,11 @@
 
 // NewHTTP returns a client of the back end at address, an IP address and port.
 func NewHTTP(address string) *HTTP {
+	client := stream.NewClient(progressTimeout, maxConnsPerHost)
+	client.ConfirmEnds = true
 	return &HTTP{
 		address: address,
-		client:  stream.NewClient(progressTimeout, maxConnsPerHost),
+		client:  client,
 		admin:   stream.NewClient(0, maxAdminConns),
 	}
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -82,17 +82,18 @@
 	Status  int
 	Header  http.Header
 	Framing Framing
+	// EndsWithConn says that the end of the connection is that of the body, so that a crash of the server can look like it.
+	EndsWithConn bool
 
-	pool         *Pool
-	address      string
-	conn         *conn
-	body         io.Reader
-	releaseHead  func()
-	endsWithConn bool        // the end of the connection is that of the body
-	reusable     bool        // the connection may be reused after a complete exchange
-	complete     bool        // the body was read to its end
-	upload       *upload     // of the request
-	stopReset    func() bool // cancels the reset of the connection at the end of the context
+	pool        *Pool
+	address     string
+	conn        *conn
+	body        io.Reader
+	releaseHead func()
+	reusable    bool        // the connection may be reused after a complete exchange
+	complete    bool        // the body was read to its end
+	upload      *upload     // of the request
+	stopReset   func() bool // cancels the reset of the connection at the end of the context
 }
 
 // Send sends the request and waits for the header of the response. The connection is reset when the context ends. A
@@ -251,7 +252,7 @@
 		conn:         c,
 		body:         resp.Body,
 		releaseHead:  resp.Release,
-		endsWithConn: resp.EndsWithConn,
+		EndsWithConn: resp.EndsWithConn,
 		reusable:     resp.Framing != Unframed && !resp.Close && !request.isUnidentified(resp.Header) && !request.NewConn, // pooled connections that no request reuses would exhaust the endpoint's connection limit
 		upload:       upload,
 	}
@@ -271,7 +272,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if r.endsWithConn && !r.complete {
+	if r.EndsWithConn && !r.complete {
 		if unreceived := r.upload.awaitReceived(r.conn); unreceived != nil {
 			return n, unreceived
 		}
@@ -283,9 +284,9 @@
 // ErrBodyTooLong is returned for a body that has not ended where it must.
 var ErrBodyTooLong = errors.New("the body of the response is longer than it may be; check what the endpoint sends")
 
-// ReadAll returns the whole body. It returns ErrBodyTooLong for one of more than maxBytes.
-func (r *Response) ReadAll(maxBytes int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, int64(maxBytes)+1))
+// ReadAll returns the whole body of a response. It returns ErrBodyTooLong for one of more than maxBytes.
+func ReadAll(response io.Reader, maxBytes int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response, int64(maxBytes)+1))
 	if err == nil && len(body) > maxBytes {
 		return nil, ErrBodyTooLong
 	}
--- a/internal/stream/client.go
+++ b/internal/stream/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/lovageglade/lovageglade/internal/completeness"
 	"github.com/lovageglade/lovageglade/internal/dispatch"
 )
 
@@ -31,7 +32,12 @@
 }
 
 // Client sends requests and streams their responses. It is safe for concurrent use.
-type Client struct{ pool *dispatch.Pool }
+type Client struct {
+	pool *dispatch.Pool
+	// ConfirmEnds makes a body that ends with its connection complete only if its server is known to live. It is not changed while the
+	// client is used.
+	ConfirmEnds bool
+}
 
 // NewClient returns a client whose reads and writes fail after progressTimeout without a byte.
 func NewClient(progressTimeout time.Duration, maxConnsPerHost int) *Client {
@@ -62,6 +68,7 @@
 	Status      int
 	ContentType string
 	raw         *dispatch.Response
+	confirmEnd  func() error // nil once the end is confirmed, or if that is not needed
 }
 
 // Do sends the request and returns when the header of the response has arrived. The connection is reset when the context ends.
@@ -91,18 +98,33 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Response{Status: raw.Status, ContentType: raw.Header.Get("Content-Type"), raw: raw}, nil
+	response := &Response{Status: raw.Status, ContentType: raw.Header.Get("Content-Type"), raw: raw}
+	if c.ConfirmEnds && raw.EndsWithConn {
+		response.confirmEnd = func() error {
+			return completeness.Confirm(ctx, raw.Framing, completeness.ByListener(request.Address))
+		}
+	}
+	return response, nil
 }
 
-// Read reads the body. It returns io.EOF only if the body is complete, as dispatch.Response does.
-func (r *Response) Read(buf []byte) (int, error) { return r.raw.Read(buf) }
+// Read reads the body. It returns io.EOF only if the body is complete, as dispatch.Response does, and its end is confirmed.
+func (r *Response) Read(buf []byte) (int, error) {
+	n, err := r.raw.Read(buf)
+	if errors.Is(err, io.EOF) && r.confirmEnd != nil {
+		if unconfirmed := r.confirmEnd(); unconfirmed != nil {
+			return n, unconfirmed
+		}
+		r.confirmEnd = nil
+	}
+	return n, err
+}
 
 // ReadAll returns the whole body. A body of more than maxBytes is an error.
-func (r *Response) ReadAll(maxBytes int) ([]byte, error) { return r.raw.ReadAll(maxBytes) }
+func (r *Response) ReadAll(maxBytes int) ([]byte, error) { return dispatch.ReadAll(r, maxBytes) }
 
 // ReadToEnd discards the rest of the body. It returns an error if the body is not complete after maxDiscardBytes.
 func (r *Response) ReadToEnd() error {
-	switch _, err := io.CopyN(io.Discard, r.raw, maxDiscardBytes); {
+	switch _, err := io.CopyN(io.Discard, r, maxDiscardBytes); {
 	case err == nil:
 		return dispatch.ErrBodyTooLong
 	case !errors.Is(err, io.EOF):
--- a/internal/stream/client_test.go
+++ b/internal/stream/client_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -121,3 +122,40 @@
 		response.Close()
 	}
 }
+
+// The system closes the connections of a process that is killed in order, and its listening socket.
+func TestUnframedBodyOfAServerThatEndsIsNotComplete(t *testing.T) {
+	for _, lives := range []bool{true, false} {
+		for _, method := range []string{"GET", "HEAD"} {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				text := "HTTP/1.1 200 OK\r\n\r\npart"
+				_, _ = io.WriteString(conn, strings.TrimSuffix(text, map[bool]string{true: "part"}[method == "HEAD"]))
+				if !lives {
+					_ = listener.Close()
+				}
+				_ = conn.Close()
+			}()
+			client := NewClient(testTimeout, 1)
+			client.ConfirmEnds = true
+			response, err := client.Do(t.Context(), Request{Method: method, Address: listener.Addr().String(), Target: "/", NewConn: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(response)
+			if (err == nil) != (lives || method == "HEAD") {
+				t.Errorf("%s, the server lives %v: body %q, error %v", method, lives, body, err)
+			}
+			response.Close()
+		}
+	}
+}
