--- a/internal/attempt/record.go
+++ b/internal/attempt/record.go
@@ -65,8 +65,8 @@
 	r.notifyReaders()
 }
 
-// Append adds data to the answer's body. It returns an error of kind TooLarge if the answer would be larger than MaxAnswerBytes, or
-// larger than GuaranteedBytes while the buffer for all answers is full.
+// Append adds data to the answer's body. It returns an error of kind TooLarge if the answer would be larger than MaxAnswerBytes, and one
+// of kind LostOutcome if it would be larger than GuaranteedBytes while the buffer for all answers is full.
 func (r *Record) Append(data []byte) error {
 	if err := r.reserve(int64(len(data))); err != nil {
 		return err
@@ -88,7 +88,7 @@
 	}
 	if !r.buffer.reserve(n) && size > GuaranteedBytes {
 		r.buffer.release(n)
-		return fault.New(fault.TooLarge, "the agent's buffer for answers is full, and this answer is larger than "+strconv.Itoa(GuaranteedBytes)+" bytes", "request a smaller answer, or come back later")
+		return fault.New(fault.LostOutcome, "the agent's buffer for answers is full, and the answer is larger than "+strconv.Itoa(GuaranteedBytes)+" bytes", "check whether the request took effect; request a smaller answer")
 	}
 	return nil
 }
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -23,7 +23,7 @@
 	// DefaultDialTimeout covers many round trips between regions, and is below the shortest latency objective.
 	DefaultDialTimeout = 300 * time.Millisecond
 	defaultIdleTimeout = 4 * time.Second // for servers that announce no Keep-Alive timeout
-	maxIdlePerAddress  = 32              // twice the slots of an endpoint
+	defaultIdle        = 32              // connections to an address; twice the slots of an endpoint
 	readBufferBytes    = 4 << 10
 	defaultHeadsBytes  = 16 << 20 // of memory for long heads
 )
@@ -45,6 +45,9 @@
 	dialer net.Dialer
 	// MaxIdle bounds the idle connections to all addresses together; 0 for no bound. It is not changed while the pool is used.
 	MaxIdle int
+	// MaxIdlePerAddress bounds the idle connections to one address, and IdleTimeout their time. They are not changed while the pool is used.
+	MaxIdlePerAddress int
+	IdleTimeout       time.Duration
 	// MaxOpen bounds the exchanges with one address at a time; 0 for no bound. It is not changed while the pool is used.
 	MaxOpen int
 	// ProgressTimeout is the time after which a read or a write that transfers no byte fails; 0 for none. It is not changed while the
@@ -61,7 +64,14 @@
 
 // NewPool returns a pool without connections.
 func NewPool() *Pool {
-	return &Pool{dialer: net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: -1}, idle: make(map[string][]*conn), open: make(map[string]int), Heads: budget.New(defaultHeadsBytes)}
+	return &Pool{
+		MaxIdlePerAddress: defaultIdle,
+		IdleTimeout:       defaultIdleTimeout,
+		Heads:             budget.New(defaultHeadsBytes),
+		dialer:            net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: -1},
+		idle:              make(map[string][]*conn),
+		open:              make(map[string]int),
+	}
 }
 
 // Close closes the idle connections.
@@ -192,10 +202,10 @@
 }
 
 // putIdle adds a connection to the pool and closes the address's least recently used one if the pool is full. The
-// connection expires after half of the keepAlive time that the server announced, at most defaultIdleTimeout; keepAlive
+// connection expires after half of the keepAlive time that the server announced, at most IdleTimeout; keepAlive
 // is 0 if the server announced none.
 func (p *Pool) putIdle(address string, c *conn, keepAlive time.Duration) {
-	idleTimeout := defaultIdleTimeout
+	idleTimeout := p.IdleTimeout
 	if keepAlive > 0 {
 		idleTimeout = min(idleTimeout, keepAlive/2)
 	}
@@ -208,7 +218,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) >= maxIdlePerAddress {
+	if len(list) >= p.MaxIdlePerAddress {
 		_ = list[0].Close()
 		list = list[1:]
 		p.idleCount--
--- a/internal/stream/client.go
+++ b/internal/stream/client.go
@@ -18,6 +18,7 @@
 
 const (
 	dialTimeout = time.Second
+	idleTimeout = 10 * time.Second // below that of the servers of this system
 	// maxDiscardBytes is how much of a body that nobody needs is read so that its connection can be reused.
 	maxDiscardBytes = 8 << 10
 )
@@ -44,6 +45,8 @@
 	pool := dispatch.NewPool()
 	pool.ProgressTimeout = progressTimeout
 	pool.MaxOpen = maxConnsPerHost
+	pool.MaxIdlePerAddress = maxConnsPerHost
+	pool.IdleTimeout = idleTimeout
 	return &Client{pool: pool}
 }
 
