dispatch: idle connections expire without further requests

Cause, found while reading the diff: idle connections were closed when the next request for their address looked for one. The clients that came to dispatch with have many addresses that no request uses any more (hosts that have left, sources of chunks); their connections would have stayed open, half closed by their servers, until the process ends.

Change: while a pool has idle connections, those whose time has passed are closed once in the time that an idle connection may have.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -59,6 +60,7 @@
 	mu        sync.Mutex
 	idle      map[string][]*conn
 	idleCount int
+	expiring  bool           // closeExpired is due
 	open      map[string]int // exchanges by address, if MaxOpen is set
 }
 
@@ -230,6 +232,37 @@
 	}
 	p.idle[address] = append(list, c)
 	p.idleCount++
+	p.expireLater()
+}
+
+// expireLater arranges for closeExpired while there are idle connections. The caller holds p.mu.
+func (p *Pool) expireLater() {
+	if !p.expiring && p.idleCount > 0 {
+		p.expiring = true
+		time.AfterFunc(p.IdleTimeout, p.closeExpired)
+	}
+}
+
+// closeExpired closes the idle connections whose time has passed. Those to an address that no request uses any more would stay open.
+func (p *Pool) closeExpired() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		kept := slices.DeleteFunc(list, func(c *conn) bool {
+			expired := now.After(c.idleDeadline)
+			if expired {
+				_ = c.Close()
+				p.idleCount--
+			}
+			return expired
+		})
+		if p.idle[address] = kept; len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.expiring = false
+	p.expireLater()
 }
 
 // CloseIdle closes the idle connections to an address, for an endpoint that is gone.
--- a/internal/dispatch/idle_test.go
+++ b/internal/dispatch/idle_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 )
 
 // Idle connections take descriptors that open requests need.
@@ -39,6 +40,33 @@
 	}
 }
 
+// A pool that is no longer used must not keep connections until their servers have closed them.
+func TestIdleConnectionsExpireWithoutFurtherRequests(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	pool := NewPool()
+	pool.IdleTimeout = 50 * time.Millisecond
+	defer pool.Close()
+	response, err := pool.Send(t.Context(), &Request{Address: server.Listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	drain(t, response)
+	idle := func() (int, int) {
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		return pool.idleCount, len(pool.idle)
+	}
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		if count, addresses := idle(); count == 0 && addresses == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the connection stays open")
+		}
+	}
+}
+
 func drain(t *testing.T, response *Response) {
 	t.Helper()
 	buffer := make([]byte, 1024)
