dispatch: the test of a slow request writes it slowly

Its server read slowly; the system took the rest of the request at once, so from the client's side nothing was written for longer than the time without progress, and the read rightly ended. Now the request's content comes slowly and the server answers after its end, with the same checks and one more: the second request reuses the connection.

--- a/internal/dispatch/progress_test.go
+++ b/internal/dispatch/progress_test.go
@@ -38,27 +38,43 @@
 	}
 }
 
-// A server that reads a long request slowly has no answer yet.
+// While a request is written slowly, its server has no answer yet.
 func TestAnswerMayBeSilentWhileTheRequestIsWritten(t *testing.T) {
+	const size, progress = 40 << 10, 500 * time.Millisecond // some ten writes
 	server := newTestServer(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
-		in, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		for err == nil {
-			_, err = io.CopyN(io.Discard, in.Body, 1<<20)
-			time.Sleep(shortProgress / 3)
+		for {
+			if _, _, ok := readRequest(reader); !ok {
+				return
+			}
+			writeResponse(conn, "", "ok")
 		}
-		writeResponse(conn, "", "ok")
 	})
 	pool := NewPool()
-	pool.ProgressTimeout = shortProgress
+	pool.ProgressTimeout = progress
 	defer pool.Close()
-	for range 2 { // the second request may reuse the connection, whose deadlines have passed
-		if body, err := sendBody(t, pool, server, 12<<20); err != nil || body != "ok" {
+	for range 2 { // the second request reuses the connection, whose deadlines have passed
+		left := size
+		content := readerFunc(func(buf []byte) (int, error) {
+			if left == 0 {
+				return 0, io.EOF
+			}
+			time.Sleep(progress / 4)
+			n := min(len(buf), left)
+			left -= n
+			return n, nil
+		})
+		response, err := pool.Send(t.Context(), &Request{Address: server.listener.Addr().String(), Method: http.MethodPost, Target: "/", Host: "a", Header: http.Header{}, Content: content, ContentSize: size})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(response); err != nil || string(body) != "ok" {
 			t.Errorf("body %q, error %v", body, err)
 		}
-		time.Sleep(2 * shortProgress)
+		response.Close()
+		time.Sleep(progress + progress/4)
+	}
+	if accepted := server.accepted.Load(); accepted != 1 {
+		t.Errorf("%d connections were opened, want 1", accepted)
 	}
 }
 
