soak: faulty back ends send heads that are none

A twentieth of the answers of faulty back ends are bytes that look like a signed answer and are none: status 000, a blank after Content-Length or Transfer-Encoding, chunks of HTTP/1.0, NUL in a name. Taken for answers, their bodies are not the back end's, which the check of whole answers finds.

--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -27,6 +27,7 @@
 ignores-stated-rates|stated rates:|internal/admission/stated_rate.go|s/return s.perSecond, s.stated/return s.perSecond, false/
 forgets-crashes|crashing prompts:|internal/quarantine/evidence.go|s/minCrashes = 3$/minCrashes = 3000/
 reads-heads-without-end|memory:|internal/response/head.go|s/if len\(dst\)\+len\(part\) > limit \{/if false {/; s/if !kept.Resize\(.*\) \{/if false {/
+takes-malformed-heads|whole answers:|internal/response/response.go|s/err = fields.checkFields\(line.version\)/_ = fields/
 never-reads-for-delegates|configuration in force:|internal/follow/delegate.go|s/if err != nil \&\& !storeBackoff.due\(bootclock.Now\(\)\) \{/if err != nil {/
 ends-silent-attempts|lost answers:|internal/gateway/stall_timer.go|s/s.timer = time.AfterFunc\(timeout, func\(\) \{/& a.cancel(errOvertaken);/
 dies-of-sighup-while-it-drains|planned stops:|internal/telemetry/process.go|s/^\t\tcase <-ctx.Done\(\):$/&\n\t\t\tsignal.Reset(syscall.SIGHUP)/
--- a/systemtest/soak/answers_test.go
+++ b/systemtest/soak/answers_test.go
@@ -73,6 +73,11 @@
 			sendEndlessly(rw)
 			return
 		}
+		if draw > 1-endlessShare-malformedShare && draw < 1 {
+			b.breakOff(run, false)
+			b.sendMalformed(rw, run)
+			return
+		}
 		truncate := draw < rejectedShare+lostShare+truncatedShare
 		if truncate {
 			b.breakOff(run, b.engine != nil)
