response: heads are read into buffers that are used again

Change: buffers of heads of up to 8 KB come from a pool, and the room for a body whose length is stated is made at once, up to 64 KB.

Measured: response, dispatch, stream, backend, platform, agent, entry pass with the race detector.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -82,6 +82,7 @@
 	Status  int
 	Header  http.Header
 	Framing Framing
+	Length  int64 // that is stated of the body; -1 if none is
 	// EndsWithConn says that the end of the connection is that of the body, so that a crash of the server can look like it.
 	EndsWithConn bool
 
@@ -247,6 +248,7 @@
 		Status:       resp.Status,
 		Header:       resp.Header,
 		Framing:      resp.Framing,
+		Length:       resp.Length,
 		pool:         p,
 		address:      request.Address,
 		conn:         c,
@@ -284,13 +286,32 @@
 // ErrBodyTooLong is returned for a body that has not ended where it must.
 var ErrBodyTooLong = errors.New("the body of the response is longer than it may be; check what the endpoint sends")
 
-// ReadAll returns the whole body of a response. It returns ErrBodyTooLong for one of more than maxBytes.
-func ReadAll(response io.Reader, maxBytes int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response, int64(maxBytes)+1))
-	if err == nil && len(body) > maxBytes {
+const (
+	maxInitialBodyBytes = 64 << 10 // of room that is made for a body before its bytes arrive
+	minReadBytes        = 512
+)
+
+// ReadAll returns the whole body, for which the length is stated; -1 if none is. It returns ErrBodyTooLong for one of more than maxBytes.
+func ReadAll(body io.Reader, length int64, maxBytes int) ([]byte, error) {
+	if length > int64(maxBytes) {
 		return nil, ErrBodyTooLong
 	}
-	return body, err
+	read := make([]byte, 0, min(max(length, 0), maxInitialBodyBytes)+minReadBytes)
+	for {
+		n, err := body.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		switch {
+		case len(read) > maxBytes:
+			return nil, ErrBodyTooLong
+		case errors.Is(err, io.EOF):
+			return read, nil
+		case err != nil:
+			return nil, err
+		}
+		if len(read) == cap(read) {
+			read = append(read, 0)[:len(read)] // by the runtime's growth
+		}
+	}
 }
 
 // Close ends the exchange. The connection is reused only if the whole response was read, the whole request was sent,
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -39,7 +39,8 @@
 	Status  int
 	Header  http.Header
 	Framing Framing
-	Close   bool // the server closes the connection after the response
+	Length  int64 // that is stated of the body; -1 if none is
+	Close   bool  // the server closes the connection after the response
 	// EndsWithConn says that the end of the connection is that of the body. Answers to HEAD can be unframed and have no body.
 	EndsWithConn bool
 	// Body returns io.EOF once the body is complete: by its length, by its last chunk and a sound trailer section, or, if EndsWithConn is
@@ -52,8 +53,29 @@
 // Release gives back the memory of the head, which must no longer be used.
 func (r *Response) Release() { r.kept.Release() }
 
-// headReaders holds readers for the heads that net/http parses.
-var headReaders = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+// headBuffer holds a head while it is read and parsed.
+type headBuffer struct {
+	head   section
+	source bytes.Reader
+	reader *bufio.Reader // of source
+}
+
+const (
+	initialHeadBytes = 1 << 10 // fits a usual head
+	maxPooledBytes   = 8 << 10 // of a head whose buffer is kept for reuse
+)
+
+var headBuffers = sync.Pool{New: func() any {
+	return &headBuffer{head: make(section, 0, initialHeadBytes), reader: bufio.NewReader(nil)}
+}}
+
+// release returns the buffer to the pool.
+func (b *headBuffer) release() {
+	if cap(b.head) > maxPooledBytes {
+		b.head = make(section, 0, initialHeadBytes)
+	}
+	headBuffers.Put(b)
+}
 
 // Read reads the head of the response to a request of the method. It skips interim responses. The memory of long heads is taken from
 // the budget until Release. It returns a MalformedError for bytes that are no response, ErrTooLong after MaxHeadBytes, ErrNoRoom if
@@ -71,14 +93,15 @@
 
 func readFinal(r *bufio.Reader, method string, kept *budget.Growth) (*Response, error) {
 	limit := MaxHeadBytes
-	var head section
+	buffer := headBuffers.Get().(*headBuffer)
+	defer buffer.release()
 	for {
 		var err error
-		if head, err = readSection(r, head[:0], limit, kept); err != nil {
+		if buffer.head, err = readSection(r, buffer.head[:0], limit, kept); err != nil {
 			return nil, err
 		}
-		limit -= len(head)
-		first, fields := head.splitLine()
+		limit -= len(buffer.head)
+		first, fields := buffer.head.splitLine()
 		line, err := parseStatusLine(first)
 		if err == nil {
 			err = fields.checkFields(line.version)
@@ -87,21 +110,20 @@
 			return nil, err
 		}
 		if line.status >= minFinalStatus {
-			return parse(head, r, method)
+			return buffer.parse(r, method)
 		}
 	}
 }
 
 // parse parses a sound head. The body follows in r.
-func parse(head section, r *bufio.Reader, method string) (*Response, error) {
-	reader := headReaders.Get().(*bufio.Reader)
-	defer headReaders.Put(reader)
-	reader.Reset(bytes.NewReader(head))
-	parsed, err := http.ReadResponse(reader, &http.Request{Method: method})
+func (b *headBuffer) parse(r *bufio.Reader, method string) (*Response, error) {
+	b.source.Reset(b.head)
+	b.reader.Reset(&b.source)
+	parsed, err := http.ReadResponse(b.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, malformed("%v", err)
 	}
-	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Framing: framingOf(parsed), Close: parsed.Close}
+	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Framing: framingOf(parsed), Close: parsed.Close, Length: parsed.ContentLength}
 	switch {
 	case parsed.Body == http.NoBody:
 		response.Body = http.NoBody
--- a/internal/stream/client.go
+++ b/internal/stream/client.go
@@ -123,7 +123,9 @@
 }
 
 // ReadAll returns the whole body. A body of more than maxBytes is an error.
-func (r *Response) ReadAll(maxBytes int) ([]byte, error) { return dispatch.ReadAll(r, maxBytes) }
+func (r *Response) ReadAll(maxBytes int) ([]byte, error) {
+	return dispatch.ReadAll(r, r.raw.Length, maxBytes)
+}
 
 // ReadToEnd discards the rest of the body. It returns an error if the body is not complete after maxDiscardBytes.
 func (r *Response) ReadToEnd() error {
