review: case 13, whole streams are broken off while their runner is silent

Cause: when an answer without a length has ended, the sidecar gives its engine 100 ms to say that it lives, and takes silence for a crash.

Change: a script with one answer in 20 without a length, each followed by a second of silence, and a planned stop of a gateway.

--- a/review/stand-3/clients.go
+++ b/review/stand-3/clients.go
@@ -35,13 +35,14 @@
 
 // answer is what a client got for a request.
 type answer struct {
-	id     string
-	status int // 0 for none
-	header http.Header
-	body   string
-	sentAt time.Time
-	at     time.Time
-	err    error
+	id      string
+	gateway string
+	status  int // 0 for none
+	header  http.Header
+	body    string
+	sentAt  time.Time
+	at      time.Time
+	err     error
 }
 
 // request is what a client sends.
@@ -55,7 +56,7 @@
 
 // do sends the request and reads the whole answer.
 func (c *client) do(q request) answer {
-	a := answer{id: fmt.Sprintf("%s.%s%d", c.gateway.name, c.prefix, c.sent.Add(1)), sentAt: time.Now()}
+	a := answer{id: fmt.Sprintf("%s.%s%d", c.gateway.name, c.prefix, c.sent.Add(1)), gateway: c.gateway.name, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(q.deadlineMs)*time.Millisecond)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+c.gateway.front+q.path, q.body)
--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -45,14 +45,19 @@
 	born    time.Time
 	server  *http.Server
 
-	mu          sync.Mutex
-	version     int64 // loaded; 0 for none
-	staged      map[int][]byte
-	seq         int
-	busy        bool
-	active      int
-	silentUntil time.Time
-	begun       []begun
+	mu           sync.Mutex
+	version      int64 // loaded; 0 for none
+	staged       map[int][]byte
+	seq          int
+	busy         bool
+	active       int
+	silentUntil  time.Time
+	unframed     int           // each so many-th answer has neither a length nor chunks; 0 for none
+	quietAfter   time.Duration // how long the engine is silent after the end of such an answer
+	answers      int
+	begunEndings chan string     // ids of the requests whose answers began and will end with their connection; nil if nobody asks
+	completed    map[string]bool // requests of which the whole answer was sent
+	begun        []begun
 }
 
 func newEngine(r *record, s *platformtest.Store, id, at string, weights platformtest.Weights) (*engine, error) {
@@ -60,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, address: at, record: r, store: s, weights: weights, born: time.Now(), version: 1, staged: make(map[int][]byte)}
+	e := &engine{id: id, address: at, record: r, store: s, weights: weights, born: time.Now(), version: 1, staged: make(map[int][]byte), completed: make(map[string]bool)}
 	for num := range weights.Chunks {
 		e.staged[num] = weights.Chunk(1, num)
 	}
@@ -267,6 +272,14 @@
 	w.Header().Set(platformtest.HeaderSignature, "seal."+e.id+"."+id)
 	w.Header().Set(platformtest.HeaderWeights, strconv.FormatInt(version, 10))
 	w.Header().Set("Content-Type", "text/event-stream")
+	isUnframed, quiet := e.nextFraming()
+	if isUnframed {
+		platformtest.OmitFraming(w)
+		select {
+		case e.begunEndings <- id:
+		default:
+		}
+	}
 	w.WriteHeader(http.StatusOK)
 	from, _ := strconv.Atoi(r.Header.Get(platformtest.HeaderResume)) // absent for a whole stream
 	for number := from + 1; number <= events; number++ {
@@ -277,6 +290,33 @@
 			return
 		}
 	}
+	e.complete(id, isUnframed)
+	if isUnframed && quiet > 0 {
+		e.fallSilent(quiet) // from the end of the connection on
+	}
+}
+
+// nextFraming reports whether the next answer has neither a length nor chunks, and for how long the engine is silent after it.
+func (e *engine) nextFraming() (unframed bool, quiet time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answers++
+	return e.unframed > 0 && e.answers%e.unframed == 0, e.quietAfter
+}
+
+// complete records that the whole answer to the request was sent.
+func (e *engine) complete(id string, unframed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.completed[id] = true
+	e.record.line("engine %s has sent the whole answer to %s, unframed %v", e.id, id, unframed)
+}
+
+// hasCompleted reports whether the whole answer to the request was sent.
+func (e *engine) hasCompleted(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.completed[id]
 }
 
 // begin records that the first token of the request was made.
--- a/review/stand-3/late_begin.go
+++ b/review/stand-3/late_begin.go
@@ -45,19 +45,7 @@
 	origin := platformtest.NewOrigin(standWeights)
 	defer origin.Close()
 	origin.SetRate(originMbps)
-	s.config = platformtest.Configuration{
-		Version: 1,
-		Routes: []platformtest.Route{{
-			Name: "note", Kind: "stream", Service: engineService, TimeoutMs: lateDeadlineMs, MaxAttempts: 2, Generates: true, ObjectiveMs: lateObjectiveMs, PauseMs: latePauseMs,
-		}},
-		EngineService: engineService,
-		Slots:         engineSlots,
-		Pace:          &enginePace,
-		Weights:       standWeights,
-		Origin:        origin.Address(),
-		OriginMbps:    originMbps,
-		Keys:          []string{clientKey},
-	}
+	s.config = modelConfiguration(origin)
 	s.store.Configure(s.config)
 	engines, gateways, stop, err := s.startModels(lateGateways, lateEngines)
 	if err != nil {
@@ -92,6 +80,23 @@
 	return beganLate(r, engines, acknowledged), nil
 }
 
+// modelConfiguration has one route, of streams that may not be resumed.
+func modelConfiguration(origin *platformtest.Origin) platformtest.Configuration {
+	return platformtest.Configuration{
+		Version: 1,
+		Routes: []platformtest.Route{{
+			Name: "note", Kind: "stream", Service: engineService, TimeoutMs: lateDeadlineMs, MaxAttempts: 2, Generates: true, ObjectiveMs: lateObjectiveMs, PauseMs: latePauseMs,
+		}},
+		EngineService: engineService,
+		Slots:         engineSlots,
+		Pace:          &enginePace,
+		Weights:       standWeights,
+		Origin:        origin.Address(),
+		OriginMbps:    originMbps,
+		Keys:          []string{clientKey},
+	}
+}
+
 func nextNote() request {
 	return request{
 		method: http.MethodPost, path: "/note/1", deadlineMs: lateDeadlineMs, body: strings.NewReader("note"),
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"late-begin":  playLateBegin,
 	"low-limit":   playLowLimit,
+	"quiet-end":   playQuietEnd,
 	"slow-reader": playSlowReader,
 }
 
