--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stand-3 plays the cases of the third review. Each case starts the project's programs as separate processes beside
 // stand-ins of the platform, and judges what clients and runners see. Exit status: 0 if the rule held, 1 if it was broken, 2 if the
 // case could not run.
--- a/review/stand-3/record.go
+++ b/review/stand-3/record.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
