--- a/review/stand-3/late_begin.go
+++ b/review/stand-3/late_begin.go
@@ -129,7 +129,6 @@
 // startModels starts engines with their sidecars, and gateways, and waits until a request is served. The returned function stops the
 // engines.
 func (s *system) startModels(gatewayCount, engineCount int) (engines []*engine, gateways []*gateway, stop func(), err error) {
-	const firstMachine = 50
 	done := make(chan struct{})
 	stop = func() {
 		close(done)
@@ -138,7 +137,7 @@
 		}
 	}
 	for i := range engineCount {
-		e, err := newEngine(s.record, s.store, "i-model-"+strconv.Itoa(i), address(s.ip(firstMachine+i), enginePort), standWeights)
+		e, err := newEngine(s.record, s.store, "i-model-"+strconv.Itoa(i), s.at(firstSide+i, engineOffset), standWeights)
 		if err != nil {
 			stop()
 			return nil, nil, nil, err
@@ -151,7 +150,7 @@
 		return nil, nil, nil, err
 	}
 	for i := range engineCount {
-		if _, err = s.startSidecar("side-"+strconv.Itoa(i), s.ip(firstMachine+i), engineService); err != nil {
+		if _, err = s.startSidecar("side-"+strconv.Itoa(i), firstSide+i, engineService); err != nil {
 			stop()
 			return nil, nil, nil, err
 		}
--- a/review/stand-3/slow_reader.go
+++ b/review/stand-3/slow_reader.go
@@ -26,8 +26,9 @@
 	readerReceiveBuf = 16 << 10
 	readerPause      = 3500 * time.Millisecond // in which a client reads nothing
 	readerStop       = 500 * time.Millisecond  // from the requests until SIGTERM
-	readerDeadlineMs = 15000
+	readerDeadlineMs = 4000                    // of invoice-reissue on the sheet
 	readerChunk      = 16 << 10
+	lineBytes        = 2*sha256.Size + 1 // of the body
 )
 
 func playSlowReader(r *record, trouble bool) (bool, error) {
@@ -55,27 +56,26 @@
 	if err != nil {
 		return false, err
 	}
+	time.Sleep(stableTime + time.Second) // of calm before the requests
 	pause := time.Duration(0)
 	if trouble {
 		pause = readerPause
 	}
 	var clients sync.WaitGroup
 	var mu sync.Mutex
-	lost := 0
+	ends := make(map[string]readerEnd)
 	for i := range readerClients {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
 			id := fmt.Sprintf("slow.%d", i)
-			began := time.Now()
 			r.line("client %s sends its request, and will read nothing for %v after the head of the answer", id, pause)
+			sentAt := time.Now()
 			err := readSlowly(gateways[0].front, id, pause)
-			r.printf("client %s: ended after %.2f s: %v", id, time.Since(began).Seconds(), err)
-			if err != nil && time.Since(began) < readerDeadlineMs*time.Millisecond {
-				mu.Lock()
-				defer mu.Unlock()
-				lost++
-			}
+			r.printf("client %s: ended after %.2f s: %v", id, time.Since(sentAt).Seconds(), err)
+			mu.Lock()
+			defer mu.Unlock()
+			ends[id] = readerEnd{sentAt: sentAt, at: time.Now(), err: err}
 		}()
 	}
 	time.Sleep(readerStop)
@@ -87,15 +87,47 @@
 	case <-time.After(time.Until(stopped.Add(gracePeriod))):
 		gateways[0].signal(syscall.SIGKILL)
 	}
-	ran := len(runner.Runs())
-	r.printf("%d requests ran, and %d of %d clients got no whole answer", ran, lost, readerClients)
-	return lost > 0 && ran == readerClients, nil
+	return answersLost(r, runner, ends, stopped), nil
+}
+
+// readerEnd is how the exchange of a client ended.
+type readerEnd struct {
+	sentAt, at time.Time
+	err        error
+}
+
+// answersLost checks LOST: a request was passed on to the runner, and its connection ended without a complete answer before its deadline
+// and its route's timeout, between SIGTERM and 1 s after the grace period. The runner has sent all answers whole.
+func answersLost(r *record, runner *platformtest.Runner, ends map[string]readerEnd, stopped time.Time) bool {
+	lost, ran := 0, runner.Runs()
+	for _, run := range ran {
+		end, known := ends[run.ID]
+		var cut *cutError
+		if !known || !errors.As(end.err, &cut) {
+			continue
+		}
+		if end.at.After(stopped) && end.at.Before(stopped.Add(planFor)) && end.at.Sub(end.sentAt) < readerDeadlineMs*time.Millisecond {
+			lost++
+		}
+	}
+	r.printf("%d requests ran, and %d of %d clients got no whole answer", len(ran), lost, readerClients)
+	return lost > 0
+}
+
+// cutError reports that the connection ended before the answer was complete.
+type cutError struct {
+	read  int // bytes of the body
+	cause error
+}
+
+// Error implements error.
+func (e *cutError) Error() string {
+	return fmt.Sprintf("the connection ended after %d of %d bytes: %v", e.read, readerBody/lineBytes*lineBytes, e.cause)
 }
 
 // longBody returns the body of the answer to the request.
 func longBody(id string) string {
-	line := fmt.Sprintf("%x\n", sha256.Sum256([]byte(id)))
-	return strings.Repeat(line, readerBody/len(line))
+	return strings.Repeat(fmt.Sprintf("%x\n", sha256.Sum256([]byte(id))), readerBody/lineBytes)
 }
 
 var errOtherBody = errors.New("the body is not the runner's")
@@ -122,7 +154,7 @@
 	}
 	response, err := http.ReadResponse(bufio.NewReaderSize(conn, readerChunk), nil)
 	if err != nil {
-		return err
+		return &cutError{cause: err}
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
@@ -131,7 +163,7 @@
 	time.Sleep(pause)
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return fmt.Errorf("after %d of %d bytes: %w", len(body), len(longBody(id)), err)
+		return &cutError{read: len(body), cause: err}
 	}
 	if string(body) != longBody(id) {
 		return errOtherBody
--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -7,25 +7,37 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/lovageglade/lovageglade/platform/platformtest"
 )
 
-// Addresses of a deployment on loopback. Each machine has an address of its own and the same ports, as on the platform.
+// A deployment on loopback. Each machine has an address of its own and the same ports, as on the platform: from the first one that is
+// sought at the start on.
 const (
-	frontPort   = 8005
-	readyPort   = 8002
-	controlPort = 8000
-	enginePort  = 8100
-	firstPort   = 7700
-	lastPort    = 7715
+	controlOffset = 0
+	readyOffset   = 1
+	frontOffset   = 2
+	engineOffset  = 3
+	rangeOffset   = 4 // of the ports between the system's processes
+	portsInUse    = rangeOffset + 16
+	lowestPort    = 10000
+	highestPort   = 30000 // below those that the kernel gives to outgoing connections
+	portTries     = 100
+
+	firstEdge = 10 // numbers of machines
+	mostEdges = 9
+	firstSide = 50
+	mostSides = 4
 
 	zone      = "cn-a"
 	region    = "cascadia-north"
@@ -41,6 +53,7 @@
 	record    *record
 	folder    string
 	network   string
+	firstPort int
 	store     *platformtest.Store
 	config    platformtest.Configuration
 	delegates []string
@@ -53,9 +66,41 @@
 		return nil, err
 	}
 	pid := os.Getpid()
-	return &system{record: r, folder: folder, network: fmt.Sprintf("127.%d.%d", 100+pid%100, pid/100%250), store: platformtest.NewStore()}, nil
+	s := &system{record: r, folder: folder, network: fmt.Sprintf("127.%d.%d", 100+pid%100, pid/100%250)}
+	if !s.findPorts() {
+		return nil, errors.New("no free ports were found")
+	}
+	s.store = platformtest.NewStore()
+	return s, nil
 }
 
+// findPorts seeks ports that are free at all machines.
+func (s *system) findPorts() bool {
+	for range portTries {
+		s.firstPort = lowestPort + rand.IntN(highestPort-lowestPort-portsInUse)
+		if s.portsAreFree(firstEdge, mostEdges) && s.portsAreFree(firstSide, mostSides) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *system) portsAreFree(firstMachine, machines int) bool {
+	for machine := firstMachine; machine < firstMachine+machines; machine++ {
+		for offset := range portsInUse {
+			listener, err := net.Listen("tcp", s.at(machine, offset))
+			if err != nil {
+				return false
+			}
+			_ = listener.Close()
+		}
+	}
+	return true
+}
+
+// at returns an address of the machine.
+func (s *system) at(machine, offset int) string { return address(s.ip(machine), s.firstPort+offset) }
+
 func (s *system) ip(machine int) string { return fmt.Sprintf("%s.%d", s.network, machine) }
 
 func address(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
@@ -78,7 +123,7 @@
 	return map[string]any{
 		"host": name, "failure_domain": zone, "region": region, "regions": map[string]string{zone: region}, "address": ip,
 		"store_address": s.store.Address(), "delegates": s.delegates, "collector_percent": 40, "memory_mb": memoryMB, "max_descriptors": descriptors,
-		"metrics_port": lastPort, "ports": []int{firstPort, lastPort}, "grace_ms": 8e3, "version_ms": 8000,
+		"metrics_port": s.firstPort + portsInUse - 1, "ports": []int{s.firstPort + rangeOffset, s.firstPort + portsInUse - 1}, "grace_ms": 8e3, "version_ms": 8000,
 	}
 }
 
@@ -92,16 +137,16 @@
 
 // startGateways starts the gateways. The first two are the delegates of all processes.
 func (s *system) startGateways(count int) ([]*gateway, error) {
-	const firstMachine, delegates = 10, 2
+	const delegates = 2
 	for i := range min(count, delegates) {
-		s.delegates = append(s.delegates, address(s.ip(firstMachine+i), controlPort))
+		s.delegates = append(s.delegates, s.at(firstEdge+i, controlOffset))
 	}
 	var gateways []*gateway
 	for i := range count {
-		ip := s.ip(firstMachine + i)
-		g := &gateway{name: fmt.Sprintf("edge-%d", i), front: address(ip, frontPort), ready: address(ip, readyPort)}
-		settings := s.place(g.name, ip, 284, 4100)
-		settings["front_address"], settings["ready_address"], settings["control_address"] = g.front, g.ready, address(ip, controlPort)
+		machine := firstEdge + i
+		g := &gateway{name: fmt.Sprintf("edge-%d", i), front: s.at(machine, frontOffset), ready: s.at(machine, readyOffset)}
+		settings := s.place(g.name, s.ip(machine), 284, 4100)
+		settings["front_address"], settings["ready_address"], settings["control_address"] = g.front, g.ready, s.at(machine, controlOffset)
 		settings["revocation_ms"], settings["configuration_ms"], settings["departure_ms"], settings["retry_share"] = 5000, 2000, 2000, 0.2
 		var err error
 		if g.process, err = s.start("lovage-gateway", g.name, settings); err != nil {
@@ -118,9 +163,9 @@
 }
 
 // startSidecar starts the sidecar of the engine on the machine.
-func (s *system) startSidecar(name, ip, service string) (*process, error) {
-	settings := s.place(name, ip, 152, 2048)
-	settings["engine_address"], settings["service"], settings["link_mbps"] = address(ip, enginePort), service, 9.4
+func (s *system) startSidecar(name string, machine int, service string) (*process, error) {
+	settings := s.place(name, s.ip(machine), 152, 2048)
+	settings["engine_address"], settings["service"], settings["link_mbps"] = s.at(machine, engineOffset), service, 9.4
 	return s.start("lovage-sidecar", name, settings)
 }
 
@@ -171,7 +216,8 @@
 	p.command = exec.CommandContext(context.Background(), p.binary)
 	p.command.Env = append(os.Environ(), "LOVAGEGLADE_NODE_FILE="+p.settingsFile)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
-	if err := p.command.Start(); err != nil {
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startProcess(p.command); err != nil {
 		return err
 	}
 	command, ended := p.command, make(chan struct{})
@@ -197,3 +243,21 @@
 	_ = p.command.Process.Kill() // fails only if it has ended
 	<-p.ended
 }
+
+var toStart = sync.OnceValue(func() chan func() {
+	starts := make(chan func())
+	go func() {
+		runtime.LockOSThread() // the kernel ends a process when the thread that has started it ends
+		for start := range starts {
+			start()
+		}
+	}()
+	return starts
+})
+
+// startProcess starts the command, which ends with this process at the latest.
+func startProcess(command *exec.Cmd) error {
+	started := make(chan error)
+	toStart() <- func() { started <- command.Start() }
+	return <-started
+}
